--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,162 @@
+package balancer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"go.uber.org/dig"
+
+	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/forwarder"
+	"github.com/pimentowind/pimentowind/issuer"
+	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/messenger"
+	"github.com/pimentowind/pimentowind/storer"
+	"github.com/pimentowind/pimentowind/ticker"
+)
+
+// lingerTime is how long a leaving instance goes on forwarding after the last packet.
+const lingerTime = 2 * time.Second
+
+// cleanups are the functions that undo what the constructors did, last first.
+type cleanups struct {
+	functions []func()
+}
+
+func (cleanups *cleanups) add(function func()) {
+	cleanups.functions = append(cleanups.functions, function)
+}
+
+func (cleanups *cleanups) run() {
+	for i := len(cleanups.functions) - 1; i >= 0; i-- {
+		cleanups.functions[i]()
+	}
+}
+
+// Run runs one instance until ctx ends, and then stops it gracefully.
+func Run(ctx context.Context, settings *configurer.Settings, output io.Writer) error {
+	cleanups := &cleanups{}
+	defer cleanups.run()
+	container := dig.New()
+	constructors := []any{
+		func() *configurer.Settings { return settings },
+		func() logr.Logger { return logger.New(output, settings.Log.Format, settings.Log.Verbosity) },
+		NewEngine,
+		newTLS,
+		cleanups.newStorer,
+		cleanups.newMessenger,
+		cleanups.newForwarder,
+		cleanups.newTicker,
+		cleanups.newAdmin,
+		NewFollower,
+	}
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return errors.Wrap(err, "wire instance")
+		}
+	}
+	err := container.Invoke(func(instance instance) error { return instance.run(ctx) })
+	return dig.RootCause(err)
+}
+
+// instance is the set of parts that run together.
+type instance struct {
+	dig.In
+
+	Settings  *configurer.Settings
+	Log       logr.Logger
+	Engine    *Engine
+	Messenger *messenger.Messenger
+	Forwarder *forwarder.Forwarder
+	Ticker    *ticker.Ticker
+	Follower  *Follower
+	Admin     *Admin
+}
+
+func newTLS(settings *configurer.Settings) (*tls.Config, error) {
+	return issuer.TLS(settings.Keys.Authority, settings.Keys.Certificate, settings.Keys.Key)
+}
+
+func (cleanups *cleanups) newStorer(settings *configurer.Settings) objectStore {
+	store, cleanup := storer.NewStorer(settings.Platform.URL, settings.Platform.Token, time.Duration(settings.Platform.Timeout))
+	cleanups.add(cleanup)
+	return store
+}
+
+func (cleanups *cleanups) newMessenger(settings *configurer.Settings, config *tls.Config, engine *Engine) (*messenger.Messenger, error) {
+	built, cleanup, err := messenger.NewMessenger(settings.PeerAddress, config, engine)
+	if err != nil {
+		return nil, err
+	}
+	cleanups.add(cleanup)
+	engine.SetSender(built)
+	return built, nil
+}
+
+func (cleanups *cleanups) newForwarder(settings *configurer.Settings, engine *Engine) (*forwarder.Forwarder, error) {
+	built, cleanup, err := forwarder.NewForwarder(settings.TunnelAddress, settings.FabricAddresses, engine)
+	if err != nil {
+		return nil, err
+	}
+	cleanups.add(cleanup)
+	return built, nil
+}
+
+func (cleanups *cleanups) newTicker() *ticker.Ticker {
+	built, cleanup := ticker.NewTicker()
+	cleanups.add(cleanup)
+	return built
+}
+
+func (cleanups *cleanups) newAdmin(settings *configurer.Settings, engine *Engine, messenger *messenger.Messenger, forwarder *forwarder.Forwarder) (*Admin, error) {
+	built, cleanup, err := NewAdmin(settings.AdminAddress, engine, messenger, forwarder)
+	if err != nil {
+		return nil, err
+	}
+	cleanups.add(cleanup)
+	return built, nil
+}
+
+func (instance *instance) run(ctx context.Context) error {
+	logger.Event(instance.Log, logger.EventStarted, "instance", instance.Settings.Instance,
+		"failure_domain", instance.Settings.FailureDomain, "tunnel_address", instance.Settings.TunnelAddress.String())
+	unsubscribe := instance.Ticker.Subscribe(ticker.Resolution, instance.Engine.Tick)
+	defer unsubscribe()
+	followContext, stopFollowing := context.WithCancel(context.Background())
+	following := make(chan struct{})
+	go func() {
+		defer close(following)
+		instance.Follower.Run(followContext)
+	}()
+	forwarding := make(chan error, 1)
+	go func() { forwarding <- instance.Forwarder.Run() }()
+
+	var err error
+	select {
+	case <-ctx.Done():
+		instance.drain()
+	case err = <-forwarding:
+	}
+	stopFollowing()
+	<-following
+	logger.Event(instance.Log, logger.EventStopped, "instance", instance.Settings.Instance)
+	return err
+}
+
+// drain hands the flows over and goes on forwarding until no packet arrives any more.
+func (instance *instance) drain() {
+	logger.Event(instance.Log, logger.EventStopping, "instance", instance.Settings.Instance)
+	instance.Engine.Leave()
+	deadline := time.Now().Add(time.Duration(instance.Settings.DrainTimeout))
+	quietSince, received := time.Now(), instance.Forwarder.Stats().Received.Load()
+	for time.Now().Before(deadline) && time.Since(quietSince) < lingerTime {
+		time.Sleep(ticker.Resolution)
+		if now := instance.Forwarder.Stats().Received.Load(); now != received {
+			quietSince, received = time.Now(), now
+		}
+	}
+}
--- /dev/null
+++ b/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander is the command line of pimentowind.
+package commander
--- /dev/null
+++ b/decider/config.go
@@ -0,0 +1,46 @@
+package decider
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Timings of the protocol between instances.
+const (
+	HeartbeatInterval = 500 * time.Millisecond
+	FailureTimeout    = 1600 * time.Millisecond // three heartbeats and some delay
+	ActivationTimeout = 2 * time.Second
+	PauseThreshold    = time.Second // a tick later than this means that the process was paused
+	ReportInterval    = time.Second
+	WeightInterval    = 5 * time.Second
+	UncertainWindow   = 10 * time.Second // in which a caller may still retransmit an opening
+	ForgetTimeout     = 10 * time.Minute // after which an unlisted dead instance is forgotten
+	deadPeerInterval  = 2 * time.Second
+)
+
+// Idle timeouts of flows by state.
+const (
+	openingTimeout     = 60 * time.Second
+	establishedTimeout = 2 * time.Hour // the keepalive interval of RFC 9293 section 3.8.4
+	closedTimeout      = 2 * time.Minute
+	datagramTimeout    = 5 * time.Minute
+)
+
+// Instance describes one balancer instance.
+type Instance struct {
+	Name          string         `cbor:"1,keyasint" json:"name"`
+	FailureDomain string         `cbor:"2,keyasint" json:"failure_domain"`
+	Peer          netip.AddrPort `cbor:"3,keyasint" json:"peer_address"`
+	Tunnel        netip.AddrPort `cbor:"4,keyasint" json:"tunnel_address"`
+}
+
+// Config holds what a Decider needs to know at its start.
+type Config struct {
+	Self        Instance
+	Incarnation uint64 // larger at every start of the same instance
+	MaxFlows    int
+}
+
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/decider/counter.go
@@ -0,0 +1,75 @@
+package decider
+
+// Count names one counter of a Decider.
+type Count int
+
+// Counters; docs/OPERATING.md says what each one means to an operator.
+const (
+	CountOpenings Count = iota
+	CountOpeningsRepeated
+	CountReopened
+	CountToBackendServer
+	CountToCaller
+	CountRelayed
+	CountNoticesSent
+	CountNotices
+	CountGuessed
+	CountUnknownService
+	CountUnknownBackendServer
+	CountUnknownFlow
+	CountStaleReturn
+	CountStaleFlows
+	CountNotReady
+	CountFlowTableFull
+	CountFlowsExpired
+	CountRefusedNoBackendServer
+	CountRefusedFull
+	CountRefusedOutcomeUnknown
+	CountPinsSent
+	CountPinsReceived
+	CountPinUnknownServer
+	CountOrphansSent
+	CountOrphansReceived
+	CountMembersJoined
+	CountMembersLost
+	CountStaleIncarnation
+	CountSheetsShared
+	CountRepairs
+	CountEpochsProposed
+	CountEpochsActivated
+	CountActivationTimeouts
+	CountPauses
+	CountMessagesFromUnknown
+	countCounts
+)
+
+var countNames = [countCounts]string{
+	"openings", "openings_repeated", "openings_moved", "packets_to_backend_server", "packets_to_caller",
+	"packets_relayed", "notices_sent", "notices_received", "guessed_flows",
+	"dropped_unknown_service", "dropped_unknown_backend_server", "dropped_unknown_flow",
+	"dropped_stale_return", "flows_stale", "dropped_not_ready", "flow_table_full", "flows_expired",
+	"refused_no_backend_server", "refused_backend_servers_full", "refused_outcome_unknown",
+	"pins_sent", "pins_received", "pins_unknown_backend_server", "orphans_sent", "orphans_received",
+	"members_joined", "members_lost", "stale_incarnations", "sheets_shared", "repairs",
+	"epochs_proposed", "epochs_activated", "activation_timeouts", "pauses", "messages_from_unknown",
+}
+
+// String returns the snake_case name of the counter.
+func (count Count) String() string { return countNames[count] }
+
+// counters is the array of all counters.
+type counters [countCounts]uint64
+
+func (counters *counters) add(count Count, delta uint64) { counters[count] += delta }
+
+// Counters returns every counter by name.
+func (decider *Decider) Counters() map[string]uint64 {
+	result := make(map[string]uint64, countCounts)
+	for i, value := range decider.counters {
+		result[countNames[i]] = value
+	}
+	return result
+}
+
+// Count returns one counter.
+func (decider *Decider) Count(count Count) uint64 { return decider.counters[count] }
--- /dev/null
+++ b/decider/event.go
@@ -0,0 +1,40 @@
+package decider
+
+// EventKind is the number of a kind of event, as docs/EVENTS.md lists it.
+type EventKind int
+
+// Kinds of event that a Decider reports.
+const (
+	EventMemberJoined      EventKind = 201
+	EventMemberLost        EventKind = 202
+	EventViewChanged       EventKind = 203
+	EventIntegrated        EventKind = 204
+	EventPaused            EventKind = 205
+	EventEpochProposed     EventKind = 301
+	EventEpochStaged       EventKind = 302
+	EventEpochActivated    EventKind = 303
+	EventActivationTimeout EventKind = 304
+	EventSheetTaken        EventKind = 305
+	EventSheetInForce      EventKind = 306
+	EventSheetInvalid      EventKind = 307
+	EventServerDown        EventKind = 401
+	EventServerProbed      EventKind = 402
+	EventServerUp          EventKind = 403
+)
+
+// Event is one thing worth a line in the log.
+type Event struct {
+	Kind   EventKind
+	Fields []any // key and value in turn
+}
+
+func (decider *Decider) event(kind EventKind, fields ...any) {
+	decider.events = append(decider.events, Event{Kind: kind, Fields: fields})
+}
+
+// TakeEvents returns the events since the last call.
+func (decider *Decider) TakeEvents() []Event {
+	events := decider.events
+	decider.events = nil
+	return events
+}
--- /dev/null
+++ b/decider/heartbeat.go
@@ -0,0 +1,224 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/pimentowind/pimentowind/picker"
+)
+
+// recentChange is how long a service stands in the heartbeats after it changed.
+const recentChange = 3 * time.Second
+
+// introduceEvery is how often a heartbeat repeats the sender's addresses.
+const introduceEvery = 16
+
+func (decider *Decider) sendHeartbeats(all bool) {
+	decider.beats++
+	heartbeat := decider.heartbeat()
+	for _, member := range decider.roster {
+		if !member.alive && !all && decider.now.Sub(member.lastSent) < deadPeerInterval {
+			continue
+		}
+		copied := heartbeat
+		if !member.introduced || decider.beats%introduceEvery == 0 {
+			copied.Self = &decider.config.Self
+		}
+		member.lastSent = decider.now
+		decider.send(member, Message{Heartbeat: &copied})
+	}
+}
+
+func (decider *Decider) heartbeat() Heartbeat {
+	heartbeat := Heartbeat{
+		Incarnation:  decider.config.Incarnation,
+		Leaving:      decider.leaving,
+		Integrated:   decider.integrated,
+		SheetVersion: decider.sheetVersion,
+		InForce:      decider.InForce(),
+		Digest:       decider.digest(),
+	}
+	for _, service := range decider.catalogue {
+		if service.staged != nil || decider.now.Sub(service.changedAt) < recentChange {
+			heartbeat.Services = append(heartbeat.Services, service.state())
+		}
+	}
+	return heartbeat
+}
+
+func (service *service) state() ServiceState {
+	state := ServiceState{Service: service.hash, Scanned: service.scanned, Prepared: service.prepared}
+	if service.active != nil {
+		state.Active = service.active.ID
+	}
+	return state
+}
+
+// digest folds the active epochs of all services into one word.
+func (decider *Decider) digest() uint64 {
+	var folded uint64
+	for _, service := range decider.catalogue {
+		if service.active == nil {
+			continue
+		}
+		id := service.active.ID
+		folded ^= picker.Mix(service.hash, picker.Mix(id.SheetVersion, uint64(id.Revision)<<32|uint64(id.Owner)))
+	}
+	return folded
+}
+
+// receiveHeartbeat takes in what another instance says of itself.
+func (decider *Decider) receiveHeartbeat(member *member, heartbeat *Heartbeat) {
+	if heartbeat.Incarnation < member.incarnation {
+		decider.counters.add(CountStaleIncarnation, 1)
+		return
+	}
+	// Only an instance that has heard this one leaves its addresses out.
+	member.introduced = heartbeat.Self == nil || member.introduced
+	fresh := !member.alive || heartbeat.Incarnation != member.incarnation
+	viewFields := [...]bool{member.alive, member.leaving, member.integrated}
+	member.incarnation = heartbeat.Incarnation
+	member.alive = true
+	member.leaving = heartbeat.Leaving
+	member.integrated = heartbeat.Integrated
+	member.sheetVersion = heartbeat.SheetVersion
+	member.inForce = heartbeat.InForce
+	member.digest = heartbeat.Digest
+	for _, state := range heartbeat.Services {
+		member.services[state.Service] = state
+	}
+	if fresh {
+		decider.greet(member)
+	}
+	if fresh || viewFields != [...]bool{member.alive, member.leaving, member.integrated} {
+		decider.rebuildView()
+	}
+	decider.shareSheet(member)
+	decider.repair(member)
+	decider.advance()
+}
+
+// greet hands over to an instance that is new, restarted or heard again.
+func (decider *Decider) greet(member *member) {
+	member.handedOver = false
+	member.introduced = false
+	member.services = map[uint64]ServiceState{}
+	member.lastSheetSent = 0
+	decider.counters.add(CountMembersJoined, 1)
+	decider.event(EventMemberJoined, "instance", member.Name)
+	heartbeat := decider.heartbeat()
+	heartbeat.Self = &decider.config.Self
+	decider.send(member, Message{Heartbeat: &heartbeat})
+	decider.sendState(member)
+	decider.sendPins(member)
+	decider.send(member, Message{Handover: &Handover{Done: member.incarnation}})
+}
+
+// sendState sends the known instances, the epochs and the sheet's state of every service.
+func (decider *Decider) sendState(to *member) {
+	handover := &Handover{}
+	for _, member := range decider.roster {
+		if member.alive && member != to {
+			handover.Members = append(handover.Members, member.Instance)
+		}
+	}
+	for _, service := range decider.catalogue {
+		handover.Services = append(handover.Services, service.state())
+		for _, epoch := range service.epochs {
+			handover.Epochs = append(handover.Epochs, epoch.Epoch)
+		}
+	}
+	decider.send(to, Message{Handover: handover})
+}
+
+// sendPins sends the flows whose backend server differs from what the epochs in use give.
+func (decider *Decider) sendPins(to *member) {
+	for _, shard := range decider.flows.shards {
+		for key, flow := range shard {
+			if flow.state == closed || !(flow.orphan || decider.isHome(key)) {
+				continue
+			}
+			server := decider.servers[flow.server]
+			certain := server.service.certain(key)
+			if certain == nil || certain.id != flow.server {
+				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
+			}
+		}
+	}
+	decider.flushMember(to)
+}
+
+// receiveHandover takes in what an instance sends to one that joined.
+func (decider *Decider) receiveHandover(member *member, handover *Handover) {
+	for _, instance := range handover.Members {
+		decider.addMember(instance)
+	}
+	for _, wire := range handover.Epochs {
+		decider.stage(wire)
+	}
+	for _, state := range handover.Services {
+		member.services[state.Service] = state
+		decider.adoptActive(state)
+	}
+	if handover.Done == decider.config.Incarnation {
+		member.handedOver = true
+		decider.rebuildView()
+	}
+	decider.advance()
+}
+
+// adoptActive lets an instance without an active epoch start with one that another uses.
+func (decider *Decider) adoptActive(state ServiceState) {
+	service := decider.services[state.Service]
+	if service == nil || service.active != nil {
+		return
+	}
+	for _, epoch := range service.epochs {
+		if epoch.ID == state.Active {
+			decider.activate(service, epoch)
+			return
+		}
+	}
+}
+
+// shareSheet sends the sheet to an instance that has an older one.
+func (decider *Decider) shareSheet(member *member) {
+	if member.sheetVersion >= decider.sheetVersion || member.lastSheetSent >= decider.sheetVersion {
+		return
+	}
+	// One instance would do; the next in rank helps when the first is cut off.
+	if !decider.mayShare(member) {
+		return
+	}
+	member.lastSheetSent = decider.sheetVersion
+	decider.counters.add(CountSheetsShared, 1)
+	decider.send(member, Message{Sheet: &SheetUpdate{Version: decider.sheetVersion, Content: decider.sheetContent}})
+}
+
+// mayShare reports whether this instance is among the first two that hold the sheet, in the order of the receiver's ranks.
+func (decider *Decider) mayShare(to *member) bool {
+	better := 0
+	own := picker.Mix(to.hash, decider.selfHash)
+	for _, member := range decider.roster {
+		holds := member.alive && member.sheetVersion >= decider.sheetVersion
+		if holds && member != to && picker.Mix(to.hash, member.hash) > own {
+			better++
+		}
+	}
+	return better < sheetSenders
+}
+
+const sheetSenders = 2
+
+// repair sends the whole state to an instance whose epochs stay different.
+func (decider *Decider) repair(member *member) {
+	if member.digest == decider.digest() {
+		member.differsSince = decider.now
+		return
+	}
+	if decider.now.Sub(member.differsSince) < 2*recentChange {
+		return
+	}
+	member.differsSince = decider.now
+	decider.counters.add(CountRepairs, 1)
+	decider.sendState(member)
+}
--- /dev/null
+++ b/decider/membership.go
@@ -0,0 +1,211 @@
+package decider
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pimentowind/pimentowind/picker"
+)
+
+// member is another instance as this one sees it.
+type member struct {
+	Instance
+	hash          uint64
+	incarnation   uint64
+	lastHeard     time.Time
+	lastSent      time.Time
+	knownSince    time.Time
+	listed        bool // in the platform's list
+	alive         bool // heard within the failure timeout
+	leaving       bool
+	integrated    bool // it says that it is up to date
+	handedOver    bool // its pins have arrived since it was last unheard
+	introduced    bool // it has heard this instance
+	sheetVersion  uint64
+	inForce       uint64
+	digest        uint64
+	services      map[uint64]ServiceState
+	pins          []byte // queued for it
+	orphans       []byte // queued for it
+	lastSheetSent uint64
+	differsSince  time.Time
+}
+
+// place is a member, or this instance when member is nil, in a view.
+type place struct {
+	hash   uint64
+	member *member
+}
+
+// MemberStatus is what this instance knows of another.
+type MemberStatus struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Alive         bool   `json:"alive"`
+	Leaving       bool   `json:"leaving"`
+	InForce       uint64 `json:"in_force"`
+}
+
+// Members takes the platform's list, which may lag, and the addresses in the settings.
+func (decider *Decider) Members(now time.Time, listed []Instance) {
+	decider.now = now
+	for _, member := range decider.roster {
+		member.listed = false
+	}
+	for _, instance := range listed {
+		if member := decider.addMember(instance); member != nil {
+			member.listed = true
+		}
+	}
+}
+
+// addMember makes an instance known and returns it, or nil for this instance itself.
+func (decider *Decider) addMember(instance Instance) *member {
+	if instance.Name == decider.config.Self.Name || instance.Name == "" {
+		return nil
+	}
+	if known, ok := decider.members[instance.Name]; ok {
+		if instance.Peer.IsValid() {
+			known.Instance = instance
+		}
+		return known
+	}
+	added := &member{
+		Instance:   instance,
+		hash:       hashName(instance.Name),
+		knownSince: decider.now,
+		services:   map[uint64]ServiceState{},
+	}
+	decider.members[instance.Name] = added
+	decider.roster = append(decider.roster, added)
+	slices.SortFunc(decider.roster, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+	return added
+}
+
+func (decider *Decider) forget(gone *member) {
+	delete(decider.members, gone.Name)
+	decider.roster = slices.DeleteFunc(decider.roster, func(member *member) bool { return member == gone })
+}
+
+// rebuildView recomputes which instances can be home of a flow.
+func (decider *Decider) rebuildView() {
+	old := decider.view
+	view := make([]place, 0, len(decider.members)+1)
+	if decider.integrated && !decider.leaving {
+		view = append(view, place{hash: decider.selfHash})
+	}
+	walk := []place{{hash: decider.selfHash}}
+	for _, member := range decider.roster {
+		if !member.alive {
+			continue
+		}
+		walk = append(walk, place{hash: member.hash, member: member})
+		if member.integrated && member.handedOver && !member.leaving {
+			view = append(view, place{hash: member.hash, member: member})
+		}
+	}
+	byHash := func(a, b place) int { return cmp.Compare(a.hash, b.hash) }
+	slices.SortFunc(view, byHash)
+	slices.SortFunc(walk, byHash)
+	decider.view, decider.walk = view, walk
+	if slices.Equal(old, view) {
+		return
+	}
+	decider.viewChangedAt = decider.now
+	decider.oldView = old
+	decider.orphanCursor = 0
+	decider.event(EventViewChanged, "instances", len(view))
+}
+
+// home returns the instance that decides for a flow: nil for this one.
+// It must not be called with an empty view.
+func (decider *Decider) home(key uint64) *member { return topOf(decider.view, key) }
+
+func topOf(view []place, key uint64) *member {
+	var winner *member
+	best := uint64(0)
+	for i := range view {
+		score := picker.Mix(key, view[i].hash)
+		if score >= best {
+			winner, best = view[i].member, score
+		}
+	}
+	return winner
+}
+
+// isHome reports whether this instance decides for a flow.
+func (decider *Decider) isHome(key uint64) bool {
+	return decider.integrated && !decider.leaving && decider.home(key) == nil
+}
+
+// ranked returns all live instances in the flow's rank order, this one as nil.
+func (decider *Decider) ranked(key uint64) []*member {
+	sorted := slices.Clone(decider.walk)
+	slices.SortFunc(sorted, func(a, b place) int {
+		return cmp.Compare(picker.Mix(key, b.hash), picker.Mix(key, a.hash))
+	})
+	members := make([]*member, len(sorted))
+	for i, place := range sorted {
+		members[i] = place.member
+	}
+	return members
+}
+
+// expireMembers declares the instances dead that have not been heard, and forgets old ones.
+func (decider *Decider) expireMembers() {
+	changed := false
+	for _, member := range slices.Clone(decider.roster) {
+		if member.alive && decider.now.Sub(member.lastHeard) > FailureTimeout {
+			member.alive, member.handedOver, member.introduced = false, false, false
+			member.pins = nil
+			changed = true
+			decider.counters.add(CountMembersLost, 1)
+			decider.event(EventMemberLost, "instance", member.Name)
+		}
+		forgotten := decider.now.Sub(member.lastHeard) > ForgetTimeout && decider.now.Sub(member.knownSince) > ForgetTimeout
+		if !member.alive && !member.listed && forgotten {
+			decider.forget(member)
+		}
+	}
+	if changed {
+		decider.rebuildView()
+	}
+}
+
+// missing counts the listed instances that are not heard.
+func (decider *Decider) missing() int {
+	count := 0
+	for _, member := range decider.roster {
+		if member.listed && !member.alive {
+			count++
+		}
+	}
+	return count
+}
+
+// markOrphans marks, a shard a call, the flows whose home the last change of view has moved.
+func (decider *Decider) markOrphans() {
+	if decider.orphanCursor >= flowShards {
+		return
+	}
+	shard := decider.flows.shards[decider.orphanCursor]
+	decider.orphanCursor++
+	for key, flow := range shard {
+		if flow.pinned || flow.state == closed || topOf(decider.oldView, key) == decider.home(key) {
+			continue
+		}
+		flow.orphan = true
+		shard[key] = flow
+	}
+}
+
+// TunnelAddresses returns the tunnel addresses of all known instances.
+func (decider *Decider) TunnelAddresses() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(decider.roster))
+	for _, member := range decider.roster {
+		addresses = append(addresses, member.Tunnel)
+	}
+	return addresses
+}
--- /dev/null
+++ b/decider/message.go
@@ -0,0 +1,114 @@
+package decider
+
+import "cmp"
+
+// EpochID orders the epochs of a service; an instance never goes back to a lower one.
+type EpochID struct {
+	_            struct{} `cbor:",toarray"`
+	SheetVersion uint64
+	Revision     uint32
+	Owner        uint32 // hash of the proposing instance, so that two owners never make the same ID
+}
+
+// Compare returns a negative number when epochID comes before other, and 0 when they are equal.
+func (epochID EpochID) Compare(other EpochID) int {
+	return cmp.Or(
+		cmp.Compare(epochID.SheetVersion, other.SheetVersion),
+		cmp.Compare(epochID.Revision, other.Revision),
+		cmp.Compare(epochID.Owner, other.Owner),
+	)
+}
+
+// Epoch is one set of weights for the backend servers of a service.
+type Epoch struct {
+	ID      EpochID       `cbor:"1,keyasint"`
+	Service string        `cbor:"2,keyasint"`
+	Basis   uint64        `cbor:"3,keyasint"` // digest of the service's rows in the sheet
+	Servers []EpochServer `cbor:"4,keyasint"`
+}
+
+// EpochServer is a backend server in an epoch; weight 0 takes no new flows.
+type EpochServer struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Endpoint Endpoint
+	Weight   float32
+}
+
+// Endpoint is a tunnel address in six bytes.
+type Endpoint struct {
+	_       struct{} `cbor:",toarray"`
+	Address uint32
+	Port    uint16
+}
+
+// ServiceState tells how far an instance has come with the epochs of a service.
+type ServiceState struct {
+	_        struct{} `cbor:",toarray"`
+	Service  uint64   // hash of the name
+	Active   EpochID
+	Scanned  EpochID // own table is scanned for this epoch
+	Prepared EpochID // every pin that this epoch needs has been sent
+}
+
+// Pin binds a flow to a backend server; server 0 removes the binding.
+type Pin struct {
+	Flow   uint64
+	Server uint32
+}
+
+// Heartbeat is sent to every known instance.
+type Heartbeat struct {
+	Incarnation  uint64         `cbor:"1,keyasint"`
+	Self         *Instance      `cbor:"2,keyasint,omitempty"`
+	Leaving      bool           `cbor:"3,keyasint,omitempty"`
+	Integrated   bool           `cbor:"4,keyasint,omitempty"`
+	SheetVersion uint64         `cbor:"5,keyasint,omitempty"`
+	InForce      uint64         `cbor:"6,keyasint,omitempty"`
+	Digest       uint64         `cbor:"7,keyasint,omitempty"` // of the active epoch of every service
+	Services     []ServiceState `cbor:"8,keyasint,omitempty"` // those that changed lately
+}
+
+// Handover brings an instance that joined or was unheard up to date; pins follow and Done ends them.
+type Handover struct {
+	Members  []Instance     `cbor:"1,keyasint,omitempty"`
+	Epochs   []Epoch        `cbor:"2,keyasint,omitempty"`
+	Services []ServiceState `cbor:"3,keyasint,omitempty"`
+	Done     uint64         `cbor:"4,keyasint,omitempty"` // incarnation of the receiver
+}
+
+// SheetUpdate carries a sheet from an instance that has it to one that does not.
+type SheetUpdate struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Content []byte `cbor:"2,keyasint"`
+}
+
+// ServerLoad is what one instance saw of a backend server since its last report.
+type ServerLoad struct {
+	_         struct{} `cbor:",toarray"`
+	Server    uint32
+	Openings  uint32 // openings sent to it
+	Accepted  uint32 // openings that it accepted
+	Shed      uint32 // openings that it reset
+	Returned  uint32 // packets that came back from it
+	Open      uint32 // flows open now, of those that this instance is home of
+	Batches   uint32 // batches of response times
+	BatchSums uint32 // sum of the batches' smallest response times, in microseconds
+}
+
+// Message is what instances send each other; exactly one field is set.
+type Message struct {
+	Heartbeat *Heartbeat   `cbor:"1,keyasint,omitempty"`
+	Handover  *Handover    `cbor:"2,keyasint,omitempty"`
+	Epochs    []Epoch      `cbor:"3,keyasint,omitempty"`
+	Pins      []byte       `cbor:"4,keyasint,omitempty"` // packed, see AppendPin
+	Sheet     *SheetUpdate `cbor:"5,keyasint,omitempty"`
+	Loads     []ServerLoad `cbor:"6,keyasint,omitempty"`
+	Orphans   []byte       `cbor:"7,keyasint,omitempty"` // packed pins for their new home, which tells the others
+}
+
+// Outgoing is a message with the name of the instance that it is for.
+type Outgoing struct {
+	To      Instance
+	Message Message
+}
--- /dev/null
+++ b/decider/open.go
@@ -0,0 +1,144 @@
+package decider
+
+import (
+	"time"
+
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+// Times to come back that a refusal tells.
+const (
+	retryAfterFull    = 2 * time.Second
+	retryAfterNone    = 5 * time.Second
+	retryAfterUnknown = UncertainWindow
+)
+
+// reopenAfter is the silence after which an opening on a known flow is a new flow.
+const reopenAfter = 60 * time.Second
+
+// open decides about the first packet of a flow, at its home.
+func (decider *Decider) open(service *service, packet *framer.Packet, key uint64) Verdict {
+	if len(decider.view) == 0 {
+		return decider.drop(CountNotReady)
+	}
+	if home := decider.home(key); home != nil && !packet.Relayed {
+		return decider.relay(home, 0, 0)
+	}
+	old, known := decider.flows.get(key)
+	if known && !decider.reopens(packet, old) {
+		return decider.reforward(service, packet, key, old)
+	}
+	if refusal, refused := decider.admit(service, packet, key); refused {
+		decider.counters.add(countOfRefusal(refusal.Reason), 1)
+		return Verdict{Kind: Refuse, Refusal: refusal}
+	}
+	return decider.openAt(service, packet, key, old, known)
+}
+
+// reopens reports whether an opening on a known flow starts a new one.
+func (decider *Decider) reopens(packet *framer.Packet, old flow) bool {
+	if packet.Tuple.Protocol == framer.ProtocolUDP {
+		return false
+	}
+	silent := time.Duration(decider.seconds(decider.now)-old.seen) * time.Second
+	return old.state == closed || (old.state != opening && silent > reopenAfter)
+}
+
+// reforward sends a repeated opening where the first copy went, unless it is
+// certain that the backend server did not accept that copy and takes no new work.
+func (decider *Decider) reforward(service *service, packet *framer.Packet, key uint64, old flow) Verdict {
+	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
+	if isTCP && old.state == opening && service.active != nil && service.active.weight(old.server) == 0 {
+		decider.counters.add(CountReopened, 1)
+		if _, refused := decider.admit(service, packet, key); !refused {
+			return decider.openAt(service, packet, key, old, true)
+		}
+	}
+	decider.counters.add(CountOpeningsRepeated, 1)
+	old.seen = decider.seconds(decider.now)
+	decider.putFlow(key, old)
+	server := decider.servers[old.server]
+	server.load.Openings++
+	decider.counters.add(CountToBackendServer, 1)
+	return Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
+}
+
+// admit says why an opening is refused, when it is.
+func (decider *Decider) admit(service *service, packet *framer.Packet, key uint64) (framer.Refusal, bool) {
+	if service.active == nil || !service.listed {
+		return framer.Refusal{Reason: framer.ReasonNoBackendServer, RetryAfter: retryAfterNone}, true
+	}
+	server := service.active.pick(key)
+	if server == nil {
+		return framer.Refusal{Reason: framer.ReasonNoBackendServer, RetryAfter: retryAfterNone}, true
+	}
+	if decider.uncertain(service, packet, key, server) {
+		return framer.Refusal{Reason: framer.ReasonOutcomeUnknown, RetryAfter: retryAfterUnknown}, true
+	}
+	if server.open >= decider.connectionShare(service, server) {
+		return framer.Refusal{Reason: framer.ReasonBackendServersFull, RetryAfter: retryAfterFull}, true
+	}
+	return framer.Refusal{}, false
+}
+
+// uncertain reports whether another home may have sent this non-idempotent
+// datagram to another backend server, now or within the caller's retransmission time.
+func (decider *Decider) uncertain(service *service, packet *framer.Packet, key uint64, server *server) bool {
+	if packet.Tuple.Protocol != framer.ProtocolUDP || service.spec.Idempotent {
+		return false
+	}
+	if service.settled == nil || service.settled == service.active {
+		return false
+	}
+	before := service.settled.pick(key)
+	return before != nil && before != server
+}
+
+// connectionShare returns how many flows this instance may have open at a backend server.
+func (decider *Decider) connectionShare(service *service, server *server) int {
+	for _, row := range service.spec.BackendServers {
+		if row.Address == server.endpoint {
+			return row.Connections/len(decider.view) + 1
+		}
+	}
+	return 0
+}
+
+// openAt opens a flow at the backend server that the active epoch gives.
+func (decider *Decider) openAt(service *service, packet *framer.Packet, key uint64, old flow, known bool) Verdict {
+	if known {
+		decider.dropFlow(key, old)
+	}
+	server := service.active.pick(key)
+	opened := newFlow(opening)
+	if packet.Tuple.Protocol == framer.ProtocolUDP {
+		opened.state = datagram
+	}
+	opened.server = server.id
+	opened.generation = service.generation
+	opened.seen = decider.seconds(decider.now)
+	opened.sent = decider.microseconds(decider.now)
+	decider.countFlow(&opened)
+	moved := known && old.server != server.id
+	if moved || service.certain(key) == nil {
+		opened.pinned = true
+		decider.broadcastPin(Pin{Flow: key, Server: server.id})
+		decider.flushPins()
+	}
+	decider.putFlow(key, opened)
+	server.load.Openings++
+	decider.counters.add(CountOpenings, 1)
+	decider.counters.add(CountToBackendServer, 1)
+	return Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
+}
+
+func countOfRefusal(reason framer.Reason) Count {
+	switch reason {
+	case framer.ReasonBackendServersFull:
+		return CountRefusedFull
+	case framer.ReasonOutcomeUnknown:
+		return CountRefusedOutcomeUnknown
+	default:
+		return CountRefusedNoBackendServer
+	}
+}
--- /dev/null
+++ b/decider/owner.go
@@ -0,0 +1,354 @@
+package decider
+
+import (
+	"math"
+	"time"
+
+	"github.com/pimentowind/pimentowind/parser"
+)
+
+// Bounds of the weight policy.
+const (
+	weightStep       = 1.10 // largest change of one weight in one epoch
+	weightHysteresis = 0.05 // smaller relative errors are left alone
+	weightRange      = 4.0  // largest factor between a weight and the sheet's
+	minBatches       = 6    // response batches before a strength is believed
+	floorSmoothing   = 0.3  // share of the newest measurement in the smoothed one
+)
+
+// Bounds of the health policy.
+const (
+	minDownOpenings = 3               // unanswered openings that mark a backend server down
+	firstHold       = 5 * time.Second // before a down backend server is tried again
+	maxHold         = 60 * time.Second
+	probeShare      = 0.05 // of its weight that a returning backend server starts with
+	rampFactor      = 2.0  // growth of that share every WeightInterval
+	shedShare       = 0.2  // of openings shed that lowers a weight
+)
+
+// policy is what the owner of a service knows of its backend servers.
+type policy struct {
+	lastHealth  time.Time
+	lastWeights time.Time
+	servers     map[uint32]*serverPolicy
+	owned       bool
+}
+
+// serverPolicy is what the owner knows of one backend server.
+type serverPolicy struct {
+	openings, accepted, shed, returned uint32 // since the last health run
+	batches, batchSums                 uint32 // since the last believed strength
+	silent                             int    // health runs in a row without an answer
+	floor                              float64
+	ramp                               float64 // share of the weight in use, 1 when warm
+	down                               bool
+	downUntil                          time.Time
+	hold                               time.Duration
+	learned                            float64 // weight from measurement, 0 for the sheet's
+}
+
+func (decider *Decider) owns(service *service) bool {
+	return decider.integrated && len(decider.view) > 0 && topOf(decider.view, service.hash) == nil
+}
+
+// runOwned runs the policy of the services that this instance owns.
+func (decider *Decider) runOwned() {
+	for _, service := range decider.catalogue {
+		if !service.listed || !decider.owns(service) {
+			service.policy.owned = false
+			continue
+		}
+		if !service.policy.owned {
+			decider.takeOwnership(service)
+		}
+		decider.followSheet(service)
+		decider.runHealth(service)
+		decider.runWeights(service)
+	}
+}
+
+// takeOwnership starts from the weights in use, so that a new owner changes nothing at once.
+func (decider *Decider) takeOwnership(service *service) {
+	service.policy = policy{owned: true, lastHealth: decider.now, lastWeights: decider.now, servers: map[uint32]*serverPolicy{}}
+	newest := service.newest()
+	if newest == nil {
+		return
+	}
+	for i, server := range newest.servers {
+		weight := float64(newest.Servers[i].Weight)
+		state := service.policy.server(server.id)
+		if weight > 0 {
+			state.learned = weight
+		}
+	}
+}
+
+func (policy *policy) server(id uint32) *serverPolicy {
+	known, ok := policy.servers[id]
+	if !ok {
+		known = &serverPolicy{ramp: 1, hold: firstHold}
+		policy.servers[id] = known
+	}
+	return known
+}
+
+func (service *service) newest() *epoch {
+	if len(service.epochs) == 0 {
+		return nil
+	}
+	return service.epochs[len(service.epochs)-1]
+}
+
+// followSheet proposes an epoch when the sheet's rows differ from the newest one's.
+func (decider *Decider) followSheet(service *service) {
+	newest := service.newest()
+	if newest != nil && newest.Basis == service.basis {
+		return
+	}
+	if newest != nil && newest.ID.SheetVersion > decider.sheetVersion {
+		return
+	}
+	if newest != nil {
+		service.warmNewServers(newest)
+	}
+	decider.propose(service)
+}
+
+// warmNewServers lets backend servers that join a running service start with a small share.
+func (service *service) warmNewServers(newest *epoch) {
+	for _, row := range service.spec.BackendServers {
+		id := serverID(service.name, row.Address)
+		if row.State == parser.Active && newest.weight(id) == 0 {
+			service.policy.server(id).ramp = probeShare
+		}
+	}
+}
+
+// propose stages a new epoch everywhere, with the weights that the policy gives.
+func (decider *Decider) propose(service *service) {
+	id := EpochID{SheetVersion: decider.sheetVersion, Owner: uint32(decider.selfHash)}
+	if newest := service.newest(); newest != nil && newest.ID.SheetVersion == decider.sheetVersion {
+		id.Revision = newest.ID.Revision + 1
+	}
+	wire := Epoch{ID: id, Service: service.name, Basis: service.basis}
+	for _, row := range service.spec.BackendServers {
+		weight := service.policy.weight(service, row)
+		wire.Servers = append(wire.Servers, EpochServer{
+			Name: row.Name, Endpoint: toEndpoint(row.Address), Weight: float32(weight),
+		})
+	}
+	decider.counters.add(CountEpochsProposed, 1)
+	decider.event(EventEpochProposed, "service", service.name, "epoch", id)
+	decider.stage(wire)
+	for _, member := range decider.roster {
+		if member.alive {
+			decider.send(member, Message{Epochs: []Epoch{wire}})
+		}
+	}
+}
+
+// weight is the weight of a sheet's row in the next epoch.
+func (policy *policy) weight(service *service, row parser.BackendServer) float64 {
+	state := policy.server(serverID(service.name, row.Address))
+	if row.State != parser.Active || state.down {
+		return 0
+	}
+	weight := row.Weight
+	if state.learned > 0 {
+		weight = min(max(state.learned, row.Weight/weightRange), row.Weight*weightRange)
+	}
+	return weight * state.ramp
+}
+
+// sendLoads tells each service's owner what this instance saw.
+func (decider *Decider) sendLoads() {
+	for _, service := range decider.catalogue {
+		var loads []ServerLoad
+		for _, row := range service.spec.BackendServers {
+			server := service.server(decider, row.Name, row.Address)
+			if server.load != (ServerLoad{Server: server.id}) {
+				loads = append(loads, server.load)
+				server.load = ServerLoad{Server: server.id}
+			}
+		}
+		if len(loads) == 0 || len(decider.view) == 0 {
+			continue
+		}
+		owner := topOf(decider.view, service.hash)
+		if owner == nil {
+			decider.receiveLoads(nil, loads)
+			continue
+		}
+		decider.send(owner, Message{Loads: loads})
+	}
+}
+
+// receiveLoads adds a report to what the owner knows.
+func (decider *Decider) receiveLoads(_ *member, loads []ServerLoad) {
+	for _, load := range loads {
+		server, ok := decider.servers[load.Server]
+		if !ok || !server.service.policy.owned {
+			continue
+		}
+		state := server.service.policy.server(load.Server)
+		state.openings += load.Openings
+		state.accepted += load.Accepted
+		state.shed += load.Shed
+		state.returned += load.Returned
+		state.batches += load.Batches
+		state.batchSums += load.BatchSums
+	}
+}
+
+// runHealth marks backend servers down that answer no opening, and tries them again later.
+func (decider *Decider) runHealth(service *service) {
+	policy := &service.policy
+	if decider.now.Sub(policy.lastHealth) < 2*ReportInterval {
+		return
+	}
+	policy.lastHealth = decider.now
+	changed := false
+	for _, row := range service.spec.BackendServers {
+		state := policy.server(serverID(service.name, row.Address))
+		if row.State == parser.Active && decider.judge(service, row, state) {
+			changed = true
+		}
+		state.openings, state.accepted, state.shed, state.returned = 0, 0, 0, 0
+	}
+	if changed {
+		decider.propose(service)
+	}
+}
+
+// judge moves one backend server between up, down and tried again; it reports a change.
+func (decider *Decider) judge(service *service, row parser.BackendServer, state *serverPolicy) bool {
+	silent := state.openings >= minDownOpenings && state.accepted+state.shed == 0 && state.returned == 0
+	switch {
+	case !state.down && silent:
+		state.down = true
+		state.downUntil = decider.now.Add(state.hold)
+		state.hold = min(2*state.hold, maxHold)
+		decider.event(EventServerDown, "service", service.name, "backend_server", row.Name)
+		return true
+	case state.down && !decider.now.Before(state.downUntil):
+		state.down = false
+		state.ramp = probeShare
+		decider.event(EventServerProbed, "service", service.name, "backend_server", row.Name)
+		return true
+	case state.openings > 0 && float64(state.shed) > shedShare*float64(state.openings):
+		current := policyWeight(state, row)
+		state.learned = max(current/weightStep, row.Weight/weightRange)
+		return state.learned < current
+	}
+	return false
+}
+
+func policyWeight(state *serverPolicy, row parser.BackendServer) float64 {
+	if state.learned > 0 {
+		return state.learned
+	}
+	return row.Weight
+}
+
+// runWeights moves the weights towards the measured strengths, and warms up cold backend servers.
+func (decider *Decider) runWeights(service *service) {
+	policy := &service.policy
+	if decider.now.Sub(policy.lastWeights) < WeightInterval || service.staged != nil {
+		return
+	}
+	policy.lastWeights = decider.now
+	warmed := decider.warm(service)
+	if service.learn() || warmed {
+		decider.propose(service)
+	}
+}
+
+// warm raises the share of backend servers that answered while they were cold.
+func (decider *Decider) warm(service *service) bool {
+	changed := false
+	for _, row := range service.spec.BackendServers {
+		state := service.policy.server(serverID(service.name, row.Address))
+		if state.ramp >= 1 || state.down {
+			continue
+		}
+		state.ramp = min(1, state.ramp*rampFactor)
+		if state.ramp == 1 {
+			state.hold = firstHold
+			decider.event(EventServerUp, "service", service.name, "backend_server", row.Name)
+		}
+		changed = true
+	}
+	return changed
+}
+
+// learn moves each weight a step towards the strength that the response times show.
+func (service *service) learn() bool {
+	targets := service.targets()
+	changed := false
+	for _, row := range service.spec.BackendServers {
+		state := service.policy.server(serverID(service.name, row.Address))
+		target, ok := targets[row.Name]
+		if !ok {
+			continue
+		}
+		current := policyWeight(state, row)
+		if math.Abs(target/current-1) <= weightHysteresis {
+			continue
+		}
+		state.learned = min(max(target, current/weightStep), current*weightStep)
+		changed = changed || state.learned != current
+	}
+	return changed
+}
+
+// targets turns the smoothed response floors into weights with the sheet's total.
+func (service *service) targets() map[string]float64 {
+	targets := map[string]float64{}
+	totalWeight, totalStrength := 0.0, 0.0
+	for _, row := range service.spec.BackendServers {
+		state := service.policy.server(serverID(service.name, row.Address))
+		state.smooth()
+		if row.State != parser.Active || state.floor == 0 {
+			continue
+		}
+		targets[row.Name] = 1 / state.floor
+		totalWeight += row.Weight
+		totalStrength += 1 / state.floor
+	}
+	for _, row := range service.spec.BackendServers {
+		if strength, ok := targets[row.Name]; ok {
+			target := strength * totalWeight / totalStrength
+			targets[row.Name] = min(max(target, row.Weight/weightRange), row.Weight*weightRange)
+		}
+	}
+	return targets
+}
+
+// smooth takes in the response batches once there are enough of them.
+func (state *serverPolicy) smooth() {
+	if state.batches < minBatches {
+		return
+	}
+	measured := float64(state.batchSums) / float64(state.batches)
+	state.batches, state.batchSums = 0, 0
+	if measured == 0 {
+		return
+	}
+	if state.floor == 0 {
+		state.floor = measured
+	}
+	state.floor += floorSmoothing * (measured - state.floor)
+}
+
+// Weights returns the weights in use of a service by backend server, for reports.
+func (decider *Decider) Weights(name string) map[string]float64 {
+	weights := map[string]float64{}
+	service := decider.serviceNamed(name)
+	if service.active == nil {
+		return weights
+	}
+	for _, server := range service.active.Servers {
+		weights[server.Name] = float64(server.Weight)
+	}
+	return weights
+}
--- /dev/null
+++ b/decider/packet.go
@@ -0,0 +1,206 @@
+package decider
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+// VerdictKind says what to do with a packet.
+type VerdictKind uint8
+
+// Kinds of verdict.
+const (
+	Drop VerdictKind = iota
+	ToBackendServer
+	ToCaller
+	ToInstance
+	Refuse
+)
+
+// Verdict is what a Decider decided about one packet.
+type Verdict struct {
+	Kind    VerdictKind
+	Reason  Count          // why a packet is dropped
+	Address netip.AddrPort // tunnel address of the backend server or instance
+	Rank    uint8          // place of the instance in the flow's rank order
+	Hint    uint32         // backend server that the sender knows, 0 for none
+	Notice  netip.AddrPort // instance that gets a copy, when valid
+	Refusal framer.Refusal
+}
+
+// maxWalk bounds how many instances one packet may visit.
+const maxWalk = 12
+
+// Packet decides about one packet.
+func (decider *Decider) Packet(now time.Time, packet *framer.Packet) Verdict {
+	decider.now = now
+	destination := serviceAddress{packet.Tuple.Destination, packet.Tuple.DestinationPort, packet.Tuple.Protocol}
+	if service, ok := decider.addresses[destination]; ok {
+		return decider.fromCaller(service, packet, flowKey(packet.Tuple))
+	}
+	source := serviceAddress{packet.Tuple.Source, packet.Tuple.SourcePort, packet.Tuple.Protocol}
+	if service, ok := decider.addresses[source]; ok {
+		return decider.fromServer(service, packet, flowKey(packet.Tuple.Reverse()))
+	}
+	return decider.drop(CountUnknownService)
+}
+
+// flowKey hashes a tuple as seen from the caller.
+func flowKey(tuple framer.Tuple) uint64 {
+	var bytes [13]byte
+	copy(bytes[0:], tuple.Source[:])
+	copy(bytes[4:], tuple.Destination[:])
+	bytes[8], bytes[9] = byte(tuple.SourcePort>>8), byte(tuple.SourcePort)
+	bytes[10], bytes[11] = byte(tuple.DestinationPort>>8), byte(tuple.DestinationPort)
+	bytes[12] = tuple.Protocol
+	return xxhash.Sum64(bytes[:])
+}
+
+func (decider *Decider) drop(reason Count) Verdict {
+	decider.counters.add(reason, 1)
+	return Verdict{Kind: Drop, Reason: reason}
+}
+
+func isOpening(packet *framer.Packet) bool {
+	return packet.Tuple.Protocol == framer.ProtocolTCP && packet.Flags&(framer.FlagSYN|framer.FlagACK) == framer.FlagSYN
+}
+
+func isEnd(packet *framer.Packet) bool { return packet.Flags&(framer.FlagFIN|framer.FlagRST) != 0 }
+
+func (decider *Decider) fromCaller(service *service, packet *framer.Packet, key uint64) Verdict {
+	if isOpening(packet) {
+		return decider.open(service, packet, key)
+	}
+	flow, known := decider.lookup(service, key)
+	if !known && packet.Hint != 0 {
+		flow, known = decider.learnHint(service, packet, key)
+	}
+	if known {
+		return decider.forward(packet, key, flow)
+	}
+	if packet.Tuple.Protocol == framer.ProtocolUDP {
+		return decider.open(service, packet, key)
+	}
+	return decider.unknown(service, packet, key)
+}
+
+// lookup returns what this instance knows of a flow; an entry that no epoch
+// explains and no home has pinned is left from a flow that has ended.
+func (decider *Decider) lookup(service *service, key uint64) (flow, bool) {
+	flow, known := decider.flows.get(key)
+	if !known || flow.generation == service.generation || flow.pinned {
+		return flow, known
+	}
+	if !flow.counted && !flow.orphan && !decider.isHome(key) && !service.anyEpochPicks(key, flow.server) {
+		decider.dropFlow(key, flow)
+		decider.counters.add(CountStaleFlows, 1)
+		return flow, false
+	}
+	flow.generation = service.generation
+	decider.flows.put(key, flow)
+	return flow, true
+}
+
+// learnHint takes the backend server that the relaying instance knows.
+func (decider *Decider) learnHint(service *service, packet *framer.Packet, key uint64) (flow, bool) {
+	server, ok := decider.servers[packet.Hint]
+	if !ok || server.service != service {
+		return flow{}, false
+	}
+	return decider.learn(key, server, packet), true
+}
+
+func (decider *Decider) learn(key uint64, server *server, packet *framer.Packet) flow {
+	learned := newFlow(established)
+	if packet.Tuple.Protocol == framer.ProtocolUDP {
+		learned.state = datagram
+	}
+	learned.server = server.id
+	learned.generation = server.service.generation
+	learned.seen = decider.seconds(decider.now)
+	decider.putFlow(key, learned)
+	return learned
+}
+
+// forward sends a caller's packet to the backend server of its flow.
+func (decider *Decider) forward(packet *framer.Packet, key uint64, flow flow) Verdict {
+	server := decider.servers[flow.server]
+	flow.seen = decider.seconds(decider.now)
+	if packet.PayloadLength > 0 && packet.Tuple.Protocol == framer.ProtocolTCP {
+		flow.pending = true
+		flow.expect = packet.Sequence + uint32(packet.PayloadLength)
+		flow.sent = decider.microseconds(decider.now)
+	}
+	flow.end(packet.Flags, true)
+	decider.putFlow(key, flow)
+	decider.counters.add(CountToBackendServer, 1)
+	verdict := Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
+	decider.noticeHome(&verdict, packet, key)
+	if packet.Notice {
+		return Verdict{Kind: Drop, Reason: CountNotices}
+	}
+	return verdict
+}
+
+// noticeHome lets the flow's home see the end of the flow too.
+func (decider *Decider) noticeHome(verdict *Verdict, packet *framer.Packet, key uint64) {
+	if !isEnd(packet) || packet.Relayed || packet.Notice || len(decider.view) == 0 {
+		return
+	}
+	if home := decider.home(key); home != nil {
+		verdict.Notice = home.Tunnel
+		decider.counters.add(CountNoticesSent, 1)
+	}
+}
+
+// unknown handles a TCP packet of an established flow that this instance does not know.
+func (decider *Decider) unknown(service *service, packet *framer.Packet, key uint64) Verdict {
+	if packet.Notice {
+		return Verdict{Kind: Drop, Reason: CountNotices}
+	}
+	if server := service.certain(key); server != nil && decider.consistent() {
+		return decider.forward(packet, key, decider.learn(key, server, packet))
+	}
+	if verdict, ok := decider.ask(packet, key); ok {
+		return verdict
+	}
+	oldest := service.oldest()
+	if oldest == nil {
+		return decider.drop(CountUnknownFlow)
+	}
+	server := oldest.pick(key)
+	if server == nil {
+		return decider.drop(CountUnknownFlow)
+	}
+	decider.counters.add(CountGuessed, 1)
+	return decider.forward(packet, key, decider.learn(key, server, packet))
+}
+
+// consistent reports whether this instance holds every pin that the others rely on.
+func (decider *Decider) consistent() bool { return decider.integrated && decider.unmerged == 0 }
+
+// ask passes a packet on to the next instance that may know its flow: the home
+// first, then the others in rank order.
+func (decider *Decider) ask(packet *framer.Packet, key uint64) (Verdict, bool) {
+	ranked := decider.ranked(key)
+	rank := 0
+	if packet.Relayed {
+		rank = int(packet.RelayRank) + 1
+	}
+	for ; rank < len(ranked) && rank < maxWalk; rank++ {
+		if ranked[rank] == nil {
+			continue
+		}
+		return decider.relay(ranked[rank], rank, 0), true
+	}
+	return Verdict{}, false
+}
+
+func (decider *Decider) relay(to *member, rank int, hint uint32) Verdict {
+	decider.counters.add(CountRelayed, 1)
+	return Verdict{Kind: ToInstance, Address: to.Tunnel, Rank: uint8(rank), Hint: hint}
+}
--- /dev/null
+++ b/decider/pins.go
@@ -0,0 +1,117 @@
+package decider
+
+import "encoding/binary"
+
+const (
+	pinLength      = 12   // bytes
+	maxPinsMessage = 1200 // pins in one message
+)
+
+// AppendPin packs a pin into twelve bytes.
+func AppendPin(buffer []byte, pin Pin) []byte {
+	buffer = binary.BigEndian.AppendUint64(buffer, pin.Flow)
+	return binary.BigEndian.AppendUint32(buffer, pin.Server)
+}
+
+// eachPin calls use for every whole pin in packed.
+func eachPin(packed []byte, use func(Pin)) {
+	for len(packed) >= pinLength {
+		use(Pin{Flow: binary.BigEndian.Uint64(packed), Server: binary.BigEndian.Uint32(packed[8:])})
+		packed = packed[pinLength:]
+	}
+}
+
+// queuePin adds a pin to what the next flush sends to one member.
+func (decider *Decider) queuePin(member *member, pin Pin) {
+	member.pins = AppendPin(member.pins, pin)
+	decider.pinsQueued = true
+	if len(member.pins) >= maxPinsMessage*pinLength {
+		decider.flushMember(member)
+	}
+}
+
+// broadcastPin adds a pin to what the next flush sends to every live member.
+func (decider *Decider) broadcastPin(pin Pin) {
+	for _, member := range decider.roster {
+		if member.alive {
+			decider.queuePin(member, pin)
+		}
+	}
+}
+
+func (decider *Decider) flushPins() {
+	if !decider.pinsQueued {
+		return
+	}
+	decider.pinsQueued = false
+	for _, member := range decider.roster {
+		decider.flushMember(member)
+	}
+}
+
+func (decider *Decider) flushMember(member *member) {
+	if len(member.pins) > 0 {
+		decider.send(member, Message{Pins: member.pins})
+		member.pins = nil
+	}
+	if len(member.orphans) > 0 {
+		decider.send(member, Message{Orphans: member.orphans})
+		member.orphans = nil
+	}
+}
+
+// receivePins stores the pins that an instance has sent to everybody.
+func (decider *Decider) receivePins(packed []byte) {
+	eachPin(packed, func(pin Pin) {
+		decider.counters.add(CountPinsReceived, 1)
+		if pin.Server == 0 {
+			decider.unpin(pin.Flow)
+			return
+		}
+		decider.takePin(pin)
+	})
+}
+
+// receiveOrphans stores the flows that this instance has become home of without
+// knowing them, and tells the others.
+func (decider *Decider) receiveOrphans(packed []byte) {
+	eachPin(packed, func(pin Pin) {
+		decider.counters.add(CountOrphansReceived, 1)
+		if _, known := decider.flows.get(pin.Flow); known {
+			return
+		}
+		if decider.takePin(pin) {
+			decider.broadcastPin(pin)
+		}
+	})
+}
+
+// takePin stores a pin and reports whether its backend server is known.
+func (decider *Decider) takePin(pin Pin) bool {
+	if _, ok := decider.servers[pin.Server]; !ok {
+		decider.counters.add(CountPinUnknownServer, 1)
+		return false
+	}
+	flow, known := decider.flows.get(pin.Flow)
+	if known && flow.server != pin.Server {
+		decider.dropFlow(pin.Flow, flow)
+		flow, known = newFlow(established), false
+	}
+	if !known {
+		flow = newFlow(established)
+	}
+	flow.server = pin.Server
+	flow.pinned = true
+	flow.orphan = false
+	flow.seen = decider.seconds(decider.now)
+	decider.putFlow(pin.Flow, flow)
+	return true
+}
+
+func (decider *Decider) unpin(key uint64) {
+	flow, known := decider.flows.get(key)
+	if !known || !flow.pinned {
+		return
+	}
+	decider.dropFlow(key, flow)
+}
--- /dev/null
+++ b/decider/return.go
@@ -0,0 +1,140 @@
+package decider
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+// responseBatchSize is the number of response times of which the smallest is reported.
+const responseBatchSize = 8
+
+// responseBatch keeps the smallest of a few response times, which leaves the
+// waiting for a slot out of the measure of a backend server's strength.
+type responseBatch struct {
+	count    int
+	smallest uint32 // microseconds
+}
+
+// fromServer decides about a packet that a backend server sends to a caller.
+func (decider *Decider) fromServer(service *service, packet *framer.Packet, key uint64) Verdict {
+	server := decider.sender(service, packet)
+	if server == nil {
+		return decider.drop(CountUnknownBackendServer)
+	}
+	if !packet.Relayed {
+		server.load.Returned++
+	}
+	if isAccept(packet) && !packet.Relayed && len(decider.view) > 0 {
+		if home := decider.home(key); home != nil {
+			return decider.relay(home, 0, server.id)
+		}
+	}
+	flow, known := decider.lookup(service, key)
+	if !known {
+		return decider.returnUnknown(service, server, packet, key)
+	}
+	if flow.server != server.id {
+		return decider.drop(CountStaleReturn)
+	}
+	return decider.toCaller(server, packet, key, flow)
+}
+
+// isAccept reports whether the packet accepts or resets an opening (RFC 9293
+// section 3.10.7.1: the reset of a SYN has sequence number 0).
+func isAccept(packet *framer.Packet) bool {
+	if packet.Tuple.Protocol != framer.ProtocolTCP {
+		return false
+	}
+	return packet.Flags&framer.FlagSYN != 0 || isShed(packet)
+}
+
+func isShed(packet *framer.Packet) bool {
+	return packet.Flags&framer.FlagRST != 0 && packet.Flags&framer.FlagACK != 0 && packet.Sequence == 0
+}
+
+// sender returns the backend server that sent the packet, or nil when it does not serve the service.
+func (decider *Decider) sender(service *service, packet *framer.Packet) *server {
+	if packet.Hint != 0 {
+		if server := decider.servers[packet.Hint]; server != nil && server.service == service {
+			return server
+		}
+		return nil
+	}
+	return decider.endpoints[endpointKey{service: service, endpoint: packet.TunnelSource}]
+}
+
+type endpointKey struct {
+	service  *service
+	endpoint netip.AddrPort
+}
+
+// returnUnknown handles a packet from a backend server on a flow that this instance does not know.
+func (decider *Decider) returnUnknown(service *service, server *server, packet *framer.Packet, key uint64) Verdict {
+	if packet.Notice {
+		return Verdict{Kind: Drop, Reason: CountNotices}
+	}
+	explained := service.anyEpochPicks(key, server.id)
+	home := decider.homeOrNil(key)
+	if !explained && home != nil && !packet.Relayed {
+		return decider.relay(home, 0, server.id)
+	}
+	return decider.toCaller(server, packet, key, decider.learn(key, server, packet))
+}
+
+func (decider *Decider) homeOrNil(key uint64) *member {
+	if len(decider.view) == 0 {
+		return nil
+	}
+	return decider.home(key)
+}
+
+// toCaller passes a backend server's packet on to the caller.
+func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
+	flow.seen = decider.seconds(decider.now)
+	decider.observe(server, packet, &flow)
+	flow.end(packet.Flags, false)
+	decider.putFlow(key, flow)
+	if packet.Notice {
+		return Verdict{Kind: Drop, Reason: CountNotices}
+	}
+	decider.counters.add(CountToCaller, 1)
+	verdict := Verdict{Kind: ToCaller, Hint: server.id}
+	if !isAccept(packet) {
+		decider.noticeHome(&verdict, packet, key)
+	}
+	return verdict
+}
+
+// observe takes the signals of load and health that the packet carries.
+func (decider *Decider) observe(server *server, packet *framer.Packet, flow *flow) {
+	if flow.state == opening {
+		switch {
+		case isShed(packet):
+			server.load.Shed++
+		case packet.Flags&framer.FlagSYN != 0:
+			server.load.Accepted++
+			flow.state = established
+		}
+	}
+	if flow.pending && packet.PayloadLength > 0 && packet.Acknowledge == flow.expect {
+		flow.pending = false
+		server.response(time.Duration(decider.microseconds(decider.now)-flow.sent) * time.Microsecond)
+	}
+}
+
+// response adds one response time.
+func (server *server) response(elapsed time.Duration) {
+	microseconds := uint32(elapsed / time.Microsecond)
+	batch := &server.batch
+	if batch.count == 0 || microseconds < batch.smallest {
+		batch.smallest = microseconds
+	}
+	batch.count++
+	if batch.count == responseBatchSize {
+		server.load.Batches++
+		server.load.BatchSums += batch.smallest
+		*batch = responseBatch{}
+	}
+}
--- /dev/null
+++ b/framer/segment.go
@@ -0,0 +1,58 @@
+package framer
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+)
+
+// Segment describes an inner packet to build.
+type Segment struct {
+	Tuple       Tuple
+	Flags       uint8
+	Sequence    uint32
+	Acknowledge uint32
+	Payload     []byte
+}
+
+// BuildInner serializes an inner IPv4 packet with checksums, for programs that
+// stand at the ends of a flow.
+func BuildInner(segment Segment) ([]byte, error) {
+	tuple := segment.Tuple
+	network := &layers.IPv4{
+		Version:  4,
+		TTL:      64,
+		Protocol: layers.IPProtocol(tuple.Protocol),
+		SrcIP:    net.IP(tuple.Source[:]),
+		DstIP:    net.IP(tuple.Destination[:]),
+	}
+	if tuple.Protocol == ProtocolUDP {
+		datagram := &layers.UDP{SrcPort: layers.UDPPort(tuple.SourcePort), DstPort: layers.UDPPort(tuple.DestinationPort)}
+		if err := datagram.SetNetworkLayerForChecksum(network); err != nil {
+			return nil, errors.Wrap(err, "checksum of the datagram")
+		}
+		return serialize(network, datagram, gopacket.Payload(segment.Payload))
+	}
+	header := &layers.TCP{
+		SrcPort: layers.TCPPort(tuple.SourcePort),
+		DstPort: layers.TCPPort(tuple.DestinationPort),
+		Seq:     segment.Sequence,
+		Ack:     segment.Acknowledge,
+		FIN:     segment.Flags&FlagFIN != 0,
+		SYN:     segment.Flags&FlagSYN != 0,
+		RST:     segment.Flags&FlagRST != 0,
+		ACK:     segment.Flags&FlagACK != 0,
+		Window:  65535,
+	}
+	if err := header.SetNetworkLayerForChecksum(network); err != nil {
+		return nil, errors.Wrap(err, "checksum of the segment")
+	}
+	return serialize(network, header, gopacket.Payload(segment.Payload))
+}
+
+// Payload returns the bytes after the transport header of a decoded packet.
+func (packet *Packet) Payload() []byte {
+	return packet.Inner[len(packet.Inner)-packet.PayloadLength:]
+}
--- /dev/null
+++ b/issuer/issuer.go
@@ -0,0 +1,133 @@
+package issuer
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Lifetimes of what is issued.
+const (
+	authorityLifetime = 10 * 365 * 24 * time.Hour
+	instanceLifetime  = 365 * 24 * time.Hour
+	clockSkew         = time.Hour
+)
+
+// AuthorityName is the file stem of the certificate authority.
+const AuthorityName = "ca"
+
+// Pair is a certificate and its private key.
+type Pair struct {
+	Certificate *x509.Certificate
+	Key         crypto.Signer
+}
+
+// NewAuthority makes a certificate authority that is valid from now.
+func NewAuthority(now time.Time) (Pair, error) {
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: "pimentowind authority"},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(authorityLifetime),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	return sign(template, Pair{})
+}
+
+// Issue makes the key pair of the instance called name.
+func (authority Pair) Issue(name string, now time.Time) (Pair, error) {
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: name},
+		DNSNames:    []string{name},
+		NotBefore:   now.Add(-clockSkew),
+		NotAfter:    now.Add(instanceLifetime),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	return sign(template, authority)
+}
+
+// sign makes a key and signs template with parent, or with the new key itself when parent is empty.
+func sign(template *x509.Certificate, parent Pair) (Pair, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "serial number")
+	}
+	template.SerialNumber = serial
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "key")
+	}
+	if parent.Key == nil {
+		parent = Pair{Certificate: template, Key: key}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent.Certificate, key.Public(), parent.Key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return Pair{Certificate: certificate, Key: key}, errors.Wrap(err, "certificate")
+}
+
+// Write stores the pair as NAME.crt and NAME.key in directory.
+func (pair Pair) Write(directory, name string) error {
+	key, err := x509.MarshalPKCS8PrivateKey(pair.Key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	certificatePEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: pair.Certificate.Raw})
+	if err := os.WriteFile(filepath.Join(directory, name+".crt"), certificatePEM, 0o644); err != nil {
+		return errors.Wrap(err, "write certificate")
+	}
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})
+	return errors.Wrap(os.WriteFile(filepath.Join(directory, name+".key"), keyPEM, 0o600), "write key")
+}
+
+// Read loads NAME.crt and NAME.key from directory.
+func Read(directory, name string) (Pair, error) {
+	stem := filepath.Join(directory, name)
+	loaded, err := tls.LoadX509KeyPair(stem+".crt", stem+".key")
+	if err != nil {
+		return Pair{}, errors.Wrapf(err, "read key pair %q", stem)
+	}
+	signer, ok := loaded.PrivateKey.(crypto.Signer)
+	if !ok {
+		return Pair{}, errors.Errorf("key %q cannot sign", stem+".key")
+	}
+	return Pair{Certificate: loaded.Leaf, Key: signer}, nil
+}
+
+// TLS returns the mutual TLS settings of an instance, from the files in its settings.
+func TLS(authorityFile, certificateFile, keyFile string) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read key pair")
+	}
+	authority, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Errorf("file %q holds no certificate", authorityFile)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/loader/endpoints.go
@@ -0,0 +1,112 @@
+package loader
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/pimentowind/pimentowind/parser"
+)
+
+// maxRetired bounds the list of retired endpoints, oldest first out.
+const maxRetired = 2000
+
+// endpoints returns the service of every endpoint in a sheet.
+func endpoints(sheet *parser.Sheet) map[string]string {
+	result := map[string]string{}
+	for _, service := range sheet.Services {
+		for _, server := range service.BackendServers {
+			result[server.Address.String()] = service.Name
+		}
+	}
+	return result
+}
+
+// retire adds the endpoints that the new sheet leaves out to those retired before.
+func retire(before SheetDocument, sheet *parser.Sheet, version uint64) []Retired {
+	used := endpoints(sheet)
+	var retired []Retired
+	for _, entry := range before.Retired {
+		if _, again := used[entry.Endpoint]; !again {
+			retired = append(retired, entry)
+		}
+	}
+	for endpoint, service := range endpoints(&before.Sheet) {
+		if _, kept := used[endpoint]; !kept {
+			retired = append(retired, Retired{Endpoint: endpoint, Service: service, Version: version})
+		}
+	}
+	slices.SortFunc(retired, func(a, b Retired) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return retired[max(0, len(retired)-maxRetired):]
+}
+
+// checkEndpoints refuses an endpoint for a service while an instance may still
+// send it packets of the service that it served before.
+func (loader *Loader) checkEndpoints(ctx context.Context, document SheetDocument, before SheetDocument, current uint64) error {
+	wanted := endpoints(&document.Sheet)
+	var findings []string
+	for endpoint, service := range endpoints(&before.Sheet) {
+		if next, used := wanted[endpoint]; used && next != service {
+			findings = append(findings, fmt.Sprintf(
+				"endpoint %s serves service %q in version %d and %q in this sheet: load a sheet without it first", endpoint, service, current, next))
+		}
+	}
+	moved := slices.DeleteFunc(slices.Clone(before.Retired), func(entry Retired) bool {
+		next, used := wanted[entry.Endpoint]
+		return !used || next == entry.Service
+	})
+	if len(moved) > 0 {
+		progress, err := loader.Progress(ctx, current)
+		if err != nil {
+			return err
+		}
+		if !progress.Complete() {
+			for _, entry := range moved {
+				findings = append(findings, fmt.Sprintf(
+					"endpoint %s served service %q until version %d: wait until version %d is in force everywhere (%s)",
+					entry.Endpoint, entry.Service, entry.Version, current, progress))
+			}
+		}
+	}
+	if len(findings) == 0 {
+		return nil
+	}
+	slices.Sort(findings)
+	return &ReusedEndpointsError{Findings: findings}
+}
+
+// Differences lists what one sheet has and the other has not, one line each.
+func Differences(theirs, ours *parser.Sheet) []string {
+	their, our := rows(theirs), rows(ours)
+	var differences []string
+	for key, value := range their {
+		if our[key] != value {
+			differences = append(differences, fmt.Sprintf("%s: loaded %s, yours %s", key, value, cmp.Or(our[key], "absent")))
+		}
+	}
+	for key, value := range our {
+		if _, both := their[key]; !both {
+			differences = append(differences, fmt.Sprintf("%s: loaded absent, yours %s", key, value))
+		}
+	}
+	slices.Sort(differences)
+	return differences
+}
+
+func rows(sheet *parser.Sheet) map[string]string {
+	result := map[string]string{}
+	for _, service := range sheet.Services {
+		result["service "+service.Name] = fmt.Sprintf("%s/%s idempotent %t", service.Address, service.Protocol, service.Idempotent)
+		for _, server := range service.BackendServers {
+			key := fmt.Sprintf("backend server %s of %s", server.Name, service.Name)
+			result[key] = fmt.Sprintf("%s weight %g %s", server.Address, server.Weight, server.State)
+		}
+	}
+	for _, instance := range sheet.Instances {
+		result["instance "+instance.Name] = string(instance.State)
+	}
+	return result
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,79 @@
+package logger
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+
+	"github.com/pimentowind/pimentowind/decider"
+)
+
+// Events of the process itself; those of the decisions are in package decider.
+const (
+	EventStarted           decider.EventKind = 101
+	EventStopping          decider.EventKind = 102
+	EventStopped           decider.EventKind = 103
+	EventPlatformDown      decider.EventKind = 104
+	EventPlatformBack      decider.EventKind = 105
+	EventStatusNotWritten  decider.EventKind = 106
+	EventInstancesTaken    decider.EventKind = 107
+	EventMessageNotSent    decider.EventKind = 108
+	EventPacketNotSent     decider.EventKind = 109
+	EventInstancesNotTaken decider.EventKind = 110
+)
+
+// texts is the catalogue: the sentence of every event.
+var texts = map[decider.EventKind]string{
+	EventStarted:           "instance started",
+	EventStopping:          "planned stop begins",
+	EventStopped:           "instance stopped",
+	EventPlatformDown:      "platform cannot be reached",
+	EventPlatformBack:      "platform can be reached again",
+	EventStatusNotWritten:  "status was not written",
+	EventInstancesTaken:    "list of instances taken",
+	EventMessageNotSent:    "message to an instance was not sent",
+	EventPacketNotSent:     "packet was not sent",
+	EventInstancesNotTaken: "list of instances is not valid",
+
+	decider.EventMemberJoined:      "instance heard",
+	decider.EventMemberLost:        "instance not heard any more",
+	decider.EventViewChanged:       "set of deciding instances changed",
+	decider.EventIntegrated:        "instance is up to date and decides",
+	decider.EventPaused:            "process was paused",
+	decider.EventEpochProposed:     "epoch proposed",
+	decider.EventEpochStaged:       "epoch staged",
+	decider.EventEpochActivated:    "epoch activated",
+	decider.EventActivationTimeout: "epoch activated without an instance",
+	decider.EventSheetTaken:        "sheet taken",
+	decider.EventSheetInForce:      "sheet in force on this instance",
+	decider.EventSheetInvalid:      "sheet cannot be read",
+	decider.EventServerDown:        "backend server answers no opening",
+	decider.EventServerProbed:      "backend server is tried again",
+	decider.EventServerUp:          "backend server has its full weight again",
+}
+
+// Texts returns the catalogue of events.
+func Texts() map[decider.EventKind]string { return texts }
+
+// New returns a logr.Logger that writes text or JSON lines to output.
+func New(output io.Writer, format string, verbosity int) logr.Logger {
+	var mutex sync.Mutex
+	write := func(line string) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		fmt.Fprintln(output, line)
+	}
+	options := funcr.Options{LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00", Verbosity: verbosity}
+	if format == "json" {
+		return funcr.NewJSON(write, options)
+	}
+	return funcr.New(func(prefix, line string) { write(prefix + line) }, options)
+}
+
+// Event writes one numbered event.
+func Event(log logr.Logger, kind decider.EventKind, fields ...any) {
+	log.Info(texts[kind], append([]any{"event", int(kind)}, fields...)...)
+}
