Add stand-ins and a rehearsal with real processes

Cause: the path could not be driven end to end. Ruled out: a shell script, because the tests have to start, stop and freeze the same processes; the rehearsal is a package that both use. Change: stand-ins for platform, fabric, backend server and caller; a fleet of processes on loopback; go run ./cmd/rehearse. go-faster/errors wraps nil into an error, which failed the first run; every unguarded wrap is now guarded. The owner subtracts the path's time, seen on openings, from the response times.

--- /dev/null
+++ b/cmd/rehearse/main.go
@@ -0,0 +1,57 @@
+// Command rehearse builds pimentowind and runs a whole sample fleet on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/internal/rehearser"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "rehearse: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, arguments []string) error {
+	application := kingpin.New("rehearse", "Run a sample fleet, replace an instance and drain a backend server under load.")
+	duration := application.Flag("duration", "How long callers send.").Default("20s").Duration()
+	limit := application.Flag("limit", "Time after which the rehearsal is given up.").Default("55s").Duration()
+	if _, err := application.Parse(arguments); err != nil {
+		return err
+	}
+	directory, err := os.MkdirTemp("", "pimentowind")
+	if err != nil {
+		return errors.Wrap(err, "temporary directory")
+	}
+	defer os.RemoveAll(directory)
+	fmt.Println("building")
+	if err := rehearser.Build(ctx, ".", directory); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, *limit)
+	defer cancel()
+	started := time.Now()
+	outcome, err := rehearser.Rehearse(ctx, directory, directory, *duration, os.Stdout)
+	if err != nil {
+		return err
+	}
+	outcome.Print(os.Stdout)
+	fmt.Printf("rehearsal took %.0f s\n", time.Since(started).Seconds())
+	if !outcome.Clean() {
+		return errors.New("something was lost, doubled or refused")
+	}
+	fmt.Println("nothing broke")
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,141 @@
+// Command standin runs one of the systems round the balancers, for rehearsals on one machine.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pimentowind/pimentowind/internal/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "standin: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// address is a kingpin value that holds an address with a port.
+type address struct{ netip.AddrPort }
+
+// Set parses the flag's text.
+func (address *address) Set(text string) (err error) {
+	address.AddrPort, err = netip.ParseAddrPort(text)
+	return err
+}
+
+func run(ctx context.Context, arguments []string) error {
+	application := kingpin.New("standin", "Stand-ins for the systems round the balancers.")
+	platformCommand(ctx, application)
+	fabricCommand(ctx, application)
+	backendCommand(ctx, application)
+	callerCommand(ctx, application)
+	_, err := application.Parse(arguments)
+	return err
+}
+
+// serve answers HTTP on control until ctx ends.
+func serve(ctx context.Context, control address, handler http.Handler) error {
+	server := &http.Server{Addr: control.String(), Handler: handler}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func platformCommand(ctx context.Context, application *kingpin.Application) {
+	clause := application.Command("platform", "Run the platform's object API.")
+	var control address
+	clause.Flag("address", "Address to listen on.").Required().SetValue(&control)
+	token := clause.Flag("token", "Token that calls must carry.").Required().String()
+	clause.Action(func(*kingpin.ParseContext) error {
+		return serve(ctx, control, standin.NewPlatform(*token).Handler())
+	})
+}
+
+func fabricCommand(ctx context.Context, application *kingpin.Application) {
+	clause := application.Command("fabric", "Run the fabric that sprays packets over balancers.")
+	var tunnel, control address
+	clause.Flag("address", "Tunnel address.").Required().SetValue(&tunnel)
+	clause.Flag("control", "HTTP address for PUT /balancers.").Required().SetValue(&control)
+	seed := clause.Flag("seed", "Seed of the spray.").Default("1").Uint64()
+	clause.Action(func(*kingpin.ParseContext) error {
+		fabric, cleanup, err := standin.NewFabric(tunnel.AddrPort, *seed)
+		if err != nil {
+			return err
+		}
+		defer cleanup()
+		go fabric.Run()
+		return serve(ctx, control, fabric.Handler())
+	})
+}
+
+func backendCommand(ctx context.Context, application *kingpin.Application) {
+	clause := application.Command("backend", "Run a backend server.")
+	var tunnel, fabric, service, control address
+	var options standin.BackendOptions
+	clause.Flag("name", "Name in answers.").Required().StringVar(&options.Name)
+	clause.Flag("address", "Tunnel address.").Required().SetValue(&tunnel)
+	clause.Flag("fabric", "Tunnel address of the fabric.").Required().SetValue(&fabric)
+	clause.Flag("service", "Address of the service that it serves.").Required().SetValue(&service)
+	clause.Flag("control", "HTTP address for statistics.").Required().SetValue(&control)
+	clause.Flag("slots", "Requests served at once.").Default("3").IntVar(&options.Slots)
+	clause.Flag("strength", "Work units a second and slot.").Default("1").Float64Var(&options.Strength)
+	clause.Flag("work", "Work units of one request.").Default("0.002").Float64Var(&options.Work)
+	clause.Flag("cold", "Time after the start in which it is slower.").DurationVar(&options.Cold)
+	clause.Flag("max-queue", "Waiting requests at which openings are shed.").Default("1000").IntVar(&options.MaxQueue)
+	clause.Flag("lag", "Lateness of the load endpoint.").Default("5s").DurationVar(&options.Lag)
+	clause.Action(func(*kingpin.ParseContext) error {
+		options.Address, options.Fabric, options.Service = tunnel.AddrPort, fabric.AddrPort, service.AddrPort
+		backend, cleanup, err := standin.NewBackend(options)
+		if err != nil {
+			return err
+		}
+		defer cleanup()
+		go backend.Run()
+		return serve(ctx, control, backend.Handler())
+	})
+}
+
+func callerCommand(ctx context.Context, application *kingpin.Application) {
+	clause := application.Command("caller", "Open flows, check the answers and print a report as JSON.")
+	var socket, fabric, service address
+	var options standin.CallerOptions
+	clause.Flag("address", "Socket address.").Required().SetValue(&socket)
+	clause.Flag("fabric", "Tunnel address of the fabric.").Required().SetValue(&fabric)
+	clause.Flag("service", "Service address.").Required().SetValue(&service)
+	source := clause.Flag("source", "Source address inside the tunnel.").Required().String()
+	clause.Flag("udp", "Use UDP.").BoolVar(&options.UDP)
+	clause.Flag("flows", "Flows open at once.").Default("100").IntVar(&options.Flows)
+	clause.Flag("interval", "Time between the requests of one flow.").Default("500ms").DurationVar(&options.Interval)
+	clause.Flag("requests", "Requests of one flow, 0 to keep it open.").Default("0").IntVar(&options.Requests)
+	clause.Flag("duration", "How long to run.").Default("10s").DurationVar(&options.Duration)
+	clause.Action(func(*kingpin.ParseContext) error {
+		options.Address, options.Fabric, options.Service = socket.AddrPort, fabric.AddrPort, service.AddrPort
+		parsed, err := netip.ParseAddr(*source)
+		if err != nil {
+			return err
+		}
+		options.Source = parsed
+		caller, cleanup, err := standin.NewCaller(options)
+		if err != nil {
+			return err
+		}
+		defer cleanup()
+		return json.NewEncoder(os.Stdout).Encode(caller.Run(ctx))
+	})
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -11,20 +11,24 @@
 	"github.com/pimentowind/pimentowind/parser"
 )
 
+// expireInterval is the time between the shards that are searched for idle flows.
+const expireInterval = 250 * time.Millisecond
+
 // startGrace is how long a new instance listens for others before it acts alone.
 const startGrace = 2 * FailureTimeout
 
 // Decider decides for one instance; it is not safe for concurrent use.
 type Decider struct {
-	config   Config
-	selfHash uint64
-	self     *member // nil, which stands for this instance in a view
-	started  time.Time
-	now      time.Time
-	lastTick time.Time
-	lastBeat time.Time
-	lastLoad time.Time
-	beats    int
+	config     Config
+	selfHash   uint64
+	self       *member // nil, which stands for this instance in a view
+	started    time.Time
+	now        time.Time
+	lastTick   time.Time
+	lastBeat   time.Time
+	lastLoad   time.Time
+	lastExpire time.Time
+	beats      int
 
 	members       map[string]*member
 	roster        []*member // by name, so that every run goes the same way
@@ -136,12 +140,15 @@
 	decider.advance()
 	decider.runOwned()
 	decider.leaveFlows()
-	decider.expire(now)
 	decider.flushPins()
 	if now.Sub(decider.lastLoad) >= ReportInterval {
 		decider.lastLoad = now
 		decider.sendLoads()
 	}
+	if now.Sub(decider.lastExpire) >= expireInterval {
+		decider.lastExpire = now
+		decider.expire(now)
+	}
 	if now.Sub(decider.lastBeat) >= HeartbeatInterval {
 		decider.heartbeatDue = true
 	}
--- a/decider/message.go
+++ b/decider/message.go
@@ -94,6 +94,7 @@
 	Open      uint32 // flows open now, of those that this instance is home of
 	Batches   uint32 // batches of response times
 	BatchSums uint32 // sum of the batches' smallest response times, in microseconds
+	PathFloor uint32 // smallest time from an opening to its acceptance, in microseconds; 0 for none
 }
 
 // Message is what instances send each other; exactly one field is set.
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -13,7 +13,8 @@
 	weightHysteresis = 0.05 // smaller relative errors are left alone
 	weightRange      = 4.0  // largest factor between a weight and the sheet's
 	minBatches       = 6    // response batches before a strength is believed
-	floorSmoothing   = 0.3  // share of the newest measurement in the smoothed one
+	floorSmoothing   = 0.1  // smallest share of the newest measurement in the smoothed one
+	minPathReports   = 3    // reports of the path's time before it is believed
 )
 
 // Bounds of the health policy.
@@ -36,10 +37,12 @@
 
 // serverPolicy is what the owner knows of one backend server.
 type serverPolicy struct {
-	openings, accepted, shed, returned uint32 // since the last health run
-	batches, batchSums                 uint32 // since the last believed strength
-	silent                             int    // health runs in a row without an answer
-	floor                              float64
+	openings, accepted, shed, returned uint32  // since the last health run
+	batches, batchSums                 uint32  // since the last believed strength
+	floor                              float64 // smoothed, in microseconds
+	measured                           int     // measurements in floor
+	path                               uint32  // smallest time of the path lately, in microseconds
+	pathReports                        int
 	ramp                               float64 // share of the weight in use, 1 when warm
 	down                               bool
 	downUntil                          time.Time
@@ -197,6 +200,7 @@
 		state.returned += load.Returned
 		state.batches += load.Batches
 		state.batchSums += load.BatchSums
+		state.followPath(load.PathFloor)
 	}
 }
 
@@ -329,17 +333,32 @@
 	if state.batches < minBatches {
 		return
 	}
-	measured := float64(state.batchSums) / float64(state.batches)
+	measured := float64(state.batchSums)/float64(state.batches) - float64(state.path)
 	state.batches, state.batchSums = 0, 0
-	if measured == 0 {
+	if measured <= 0 || state.pathReports < minPathReports {
 		return
 	}
-	if state.floor == 0 {
-		state.floor = measured
+	state.measured++
+	share := max(floorSmoothing, 1/float64(state.measured))
+	state.floor += share * (measured - state.floor)
+}
+
+// followPath keeps the smallest time of the path, which slowly forgets so that a longer path shows.
+func (state *serverPolicy) followPath(floor uint32) {
+	if floor == 0 {
+		return
 	}
-	state.floor += floorSmoothing * (measured - state.floor)
+	state.pathReports++
+	if state.path == 0 || floor < state.path {
+		state.path = floor
+		return
+	}
+	state.path += (floor - state.path) / pathMemory
 }
 
+// pathMemory is the number of reports over which the path's time is forgotten.
+const pathMemory = 512
+
 // Weights returns the weights in use of a service by backend server, for reports.
 func (decider *Decider) Weights(name string) map[string]float64 {
 	weights := map[string]float64{}
--- a/decider/return.go
+++ b/decider/return.go
@@ -8,7 +8,7 @@
 )
 
 // responseBatchSize is the number of response times of which the smallest is reported.
-const responseBatchSize = 8
+const responseBatchSize = 4
 
 // responseBatch keeps the smallest of a few response times, which leaves the
 // waiting for a slot out of the measure of a backend server's strength.
@@ -115,6 +115,7 @@
 			server.load.Shed++
 		case packet.Flags&framer.FlagSYN != 0:
 			server.load.Accepted++
+			server.accepted(decider.microseconds(decider.now) - flow.sent)
 			flow.state = established
 		}
 	}
@@ -124,6 +125,13 @@
 	}
 }
 
+// accepted adds the time that an opening took, which no slot of the backend server has part in.
+func (server *server) accepted(microseconds uint32) {
+	if server.load.PathFloor == 0 || microseconds < server.load.PathFloor {
+		server.load.PathFloor = max(microseconds, 1)
+	}
+}
+
 // response adds one response time.
 func (server *server) response(elapsed time.Duration) {
 	microseconds := uint32(elapsed / time.Microsecond)
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -46,8 +46,8 @@
 	return sign(template, Pair{})
 }
 
-// Issue makes the key pair of the instance called name.
-func (authority Pair) Issue(name string, now time.Time) (Pair, error) {
+// Issue makes the key pair of the instance called name, signed by this authority.
+func (pair Pair) Issue(name string, now time.Time) (Pair, error) {
 	template := &x509.Certificate{
 		Subject:     pkix.Name{CommonName: name},
 		DNSNames:    []string{name},
@@ -56,7 +56,7 @@
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
-	return sign(template, authority)
+	return sign(template, pair)
 }
 
 // sign makes a key and signs template with parent, or with the new key itself when parent is empty.
@@ -78,7 +78,10 @@
 		return Pair{}, errors.Wrap(err, "certificate")
 	}
 	certificate, err := x509.ParseCertificate(der)
-	return Pair{Certificate: certificate, Key: key}, errors.Wrap(err, "certificate")
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "certificate")
+	}
+	return Pair{Certificate: certificate, Key: key}, nil
 }
 
 // Write stores the pair as NAME.crt and NAME.key in directory.
@@ -92,7 +95,10 @@
 		return errors.Wrap(err, "write certificate")
 	}
 	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})
-	return errors.Wrap(os.WriteFile(filepath.Join(directory, name+".key"), keyPEM, 0o600), "write key")
+	if err := os.WriteFile(filepath.Join(directory, name+".key"), keyPEM, 0o600); err != nil {
+		return errors.Wrap(err, "write key")
+	}
+	return nil
 }
 
 // Read loads NAME.crt and NAME.key from directory.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -118,8 +118,10 @@
 	if err != nil || object.Version == 0 {
 		return 0, document, err
 	}
-	err = json.Unmarshal(object.Value, &document)
-	return object.Version, document, errors.Wrap(err, "decode sheet")
+	if err := json.Unmarshal(object.Value, &document); err != nil {
+		return 0, document, errors.Wrap(err, "decode sheet")
+	}
+	return object.Version, document, nil
 }
 
 // get reads an object with retries; one that does not exist has version 0.
