--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,78 @@
+// Command experiment compares the product with simpler methods in virtual time.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pimentowind/pimentowind/internal/experimenter"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "experiment: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(arguments []string) error {
+	application := kingpin.New("experiment", "Measure broken flows, imbalance, relays and control traffic.")
+	seeds := application.Flag("seed", "Seed; may be given more than once.").Default("1").Uint64List()
+	methods := application.Flag("method", "Methods, separated by commas.").Default("modulo,rendezvous,local_table,product").String()
+	scenarios := application.Flag("scenario", "Scenarios, separated by commas; all unless given.").String()
+	connections := application.Flag("connections", "Open flows for each backend server.").Default("2000").Int()
+	counters := application.Flag("counters", "Print the product's counters too.").Bool()
+	if _, err := application.Parse(arguments); err != nil {
+		return err
+	}
+	chosen := experimenter.Scenarios()
+	if *scenarios != "" {
+		chosen = nil
+		for _, name := range strings.Split(*scenarios, ",") {
+			chosen = append(chosen, experimenter.Scenario(name))
+		}
+	}
+	deployment := experimenter.Teranga
+	deployment.Connections = *connections
+	results := runAll(deployment, chosen, strings.Split(*methods, ","), *seeds)
+	if err := experimenter.Print(os.Stdout, results); err != nil {
+		return err
+	}
+	for _, result := range results {
+		if *counters && result.Method == experimenter.Product {
+			fmt.Println(result.Scenario, result.Seed, result.Counters)
+		}
+	}
+	return nil
+}
+
+// runAll runs every combination, a few at a time, and returns the results in order.
+func runAll(deployment experimenter.Deployment, scenarios []experimenter.Scenario, methods []string, seeds []uint64) []*experimenter.Result {
+	var jobs []func() *experimenter.Result
+	for _, scenario := range scenarios {
+		for _, seed := range seeds {
+			for _, method := range methods {
+				jobs = append(jobs, func() *experimenter.Result {
+					return experimenter.Run(deployment, experimenter.Method(method), scenario, seed)
+				})
+			}
+		}
+	}
+	results := make([]*experimenter.Result, len(jobs))
+	limit := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	var group sync.WaitGroup
+	for i, job := range jobs {
+		group.Go(func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			results[i] = job()
+		})
+	}
+	group.Wait()
+	return results
+}
