Pin moved flows before an epoch becomes active

Cause: traces of broken flows (the new Explain) showed three. A view change during a scan left flows to a home that had scanned under the old view; a joiner missed pins of flows that agreed with the epoch at its joining and differed later; a flow was known to its home alone when the home died. Change: epochs are scanned, prepared (two barriers under one view digest) and then active; pins have a byte budget, and a move too large for it is asked of homes instead; instances that relay an opening remember it; joiners get all pins.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -27,6 +27,7 @@
 	scenarios := application.Flag("scenario", "Scenarios, separated by commas; all unless given.").String()
 	connections := application.Flag("connections", "Open flows for each backend server.").Default("2000").Int()
 	counters := application.Flag("counters", "Print the product's counters too.").Bool()
+	traces := application.Flag("trace", "Broken flows to explain in each run.").Default("0").Int()
 	if _, err := application.Parse(arguments); err != nil {
 		return err
 	}
@@ -39,11 +40,15 @@
 	}
 	deployment := experimenter.Teranga
 	deployment.Connections = *connections
+	deployment.Traces = *traces
 	results := runAll(deployment, chosen, strings.Split(*methods, ","), *seeds)
 	if err := experimenter.Print(os.Stdout, results); err != nil {
 		return err
 	}
 	for _, result := range results {
+		for _, trace := range result.Traces {
+			fmt.Println(result.Scenario, result.Seed, trace)
+		}
 		if *counters && result.Method == experimenter.Product {
 			fmt.Println(result.Scenario, result.Seed, result.Counters)
 		}
--- a/decider/config.go
+++ b/decider/config.go
@@ -11,15 +11,25 @@
 const (
 	HeartbeatInterval = 500 * time.Millisecond
 	FailureTimeout    = 1600 * time.Millisecond // three heartbeats and some delay
-	ActivationTimeout = 2 * time.Second
+	ActivationTimeout = 2500 * time.Millisecond
 	PauseThreshold    = time.Second // a tick later than this means that the process was paused
-	ReportInterval    = time.Second
-	WeightInterval    = 5 * time.Second
+	ReportInterval    = 2 * time.Second
+	WeightInterval    = 10 * time.Second
 	UncertainWindow   = 10 * time.Second // in which a caller may still retransmit an opening
 	ForgetTimeout     = 10 * time.Minute // after which an unlisted dead instance is forgotten
 	deadPeerInterval  = 2 * time.Second
 )
 
+// Limits of the background work between instances.
+const (
+	pinRate         = 2500  // bytes a second of pins
+	pinBurst        = 16384 // bytes of pins at once
+	shardsPerTick   = 8     // shards of the flow table that one tick scans
+	maxEpochsInUse  = 4     // of a service, above which its weights stay as they are
+	recentChange    = time.Second
+	regularInterval = 16 // heartbeats after which the sender's addresses are repeated
+)
+
 // Idle timeouts of flows by state.
 const (
 	openingTimeout     = 60 * time.Second
--- a/decider/counter.go
+++ b/decider/counter.go
@@ -37,6 +37,7 @@
 	CountRepairs
 	CountEpochsProposed
 	CountEpochsActivated
+	CountEpochsRetired
 	CountActivationTimeouts
 	CountPauses
 	CountMessagesFromUnknown
@@ -51,7 +52,7 @@
 	"refused_no_backend_server", "refused_backend_servers_full", "refused_outcome_unknown",
 	"pins_sent", "pins_received", "pins_unknown_backend_server", "orphans_sent", "orphans_received",
 	"members_joined", "members_lost", "stale_incarnations", "sheets_shared", "repairs",
-	"epochs_proposed", "epochs_activated", "activation_timeouts", "pauses", "messages_from_unknown",
+	"epochs_proposed", "epochs_activated", "epochs_retired", "activation_timeouts", "pauses", "messages_from_unknown",
 }
 
 // String returns the snake_case name of the counter.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/pimentowind/pimentowind/parser"
 )
@@ -36,8 +37,11 @@
 	oldView       []place
 	walk          []place // live instances
 	viewChangedAt time.Time
+	viewDigest    uint32
+	pinBudget     *rate.Limiter
 	orphanCursor  int
-	unmerged      int // live instances whose pins have not arrived
+	unmerged      int  // live instances whose pins have not arrived
+	merging       bool // one of them has opened flows
 	integrated    bool
 	integrateFrom time.Time
 	leaving       bool
@@ -79,6 +83,7 @@
 		servers:       map[uint32]*server{},
 		endpoints:     map[endpointKey]*server{},
 		flows:         newFlowTable(config.MaxFlows),
+		pinBudget:     rate.NewLimiter(pinRate, pinBurst),
 	}
 }
 
@@ -191,19 +196,11 @@
 
 // integrate makes this instance act as a home once every live instance has handed over.
 func (decider *Decider) integrate() {
-	alive, handedOver := 0, 0
-	for _, member := range decider.roster {
-		if member.alive {
-			alive++
-		}
-		if member.alive && member.handedOver {
-			handedOver++
-		}
-	}
-	decider.unmerged = alive - handedOver
-	if decider.integrated || handedOver < alive {
+	decider.countUnmerged()
+	if decider.integrated || decider.unmerged > 0 {
 		return
 	}
+	alive := len(decider.walk) - 1
 	if alive == 0 && decider.now.Sub(decider.integrateFrom) < startGrace {
 		return
 	}
@@ -213,6 +210,18 @@
 	decider.rebuildView()
 }
 
+// countUnmerged finds the live instances whose pins have not arrived. One that
+// was cut off has opened flows; one that just started has not.
+func (decider *Decider) countUnmerged() {
+	decider.unmerged, decider.merging = 0, false
+	for _, member := range decider.roster {
+		if member.alive && !member.handedOver {
+			decider.unmerged++
+			decider.merging = decider.merging || member.integrated
+		}
+	}
+}
+
 // settle records, while nothing is in motion, the epochs on which all instances agree.
 func (decider *Decider) settle() {
 	if decider.missing() > 0 || decider.now.Sub(decider.viewChangedAt) < UncertainWindow {
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -6,12 +6,6 @@
 	"github.com/pimentowind/pimentowind/picker"
 )
 
-// recentChange is how long a service stands in the heartbeats after it changed.
-const recentChange = 3 * time.Second
-
-// introduceEvery is how often a heartbeat repeats the sender's addresses.
-const introduceEvery = 16
-
 func (decider *Decider) sendHeartbeats(all bool) {
 	decider.beats++
 	heartbeat := decider.heartbeat()
@@ -20,7 +14,7 @@
 			continue
 		}
 		copied := heartbeat
-		if !member.introduced || decider.beats%introduceEvery == 0 {
+		if !member.introduced || decider.beats%regularInterval == 0 {
 			copied.Self = &decider.config.Self
 		}
 		member.lastSent = decider.now
@@ -38,18 +32,21 @@
 		Digest:       decider.digest(),
 	}
 	for _, service := range decider.catalogue {
-		if service.staged != nil || decider.now.Sub(service.changedAt) < recentChange {
-			heartbeat.Services = append(heartbeat.Services, service.state())
+		if len(service.epochs) > 1 || decider.now.Sub(service.changedAt) < recentChange {
+			heartbeat.Services = append(heartbeat.Services, decider.state(service))
 		}
 	}
 	return heartbeat
 }
 
-func (service *service) state() ServiceState {
-	state := ServiceState{Service: service.hash, Scanned: service.scanned, Prepared: service.prepared}
+func (decider *Decider) state(service *service) ServiceState {
+	state := ServiceState{Service: service.hash, View: decider.viewDigest, Scanned: service.scanned, Prepared: service.prepared}
 	if service.active != nil {
 		state.Active = service.active.ID
 	}
+	if newest := service.newest(); newest != nil {
+		state.Held = newest.ID
+	}
 	return state
 }
 
@@ -89,6 +86,7 @@
 	if fresh {
 		decider.greet(member)
 	}
+	decider.countUnmerged()
 	if fresh || viewFields != [...]bool{member.alive, member.leaving, member.integrated} {
 		decider.rebuildView()
 	}
@@ -122,7 +120,7 @@
 		}
 	}
 	for _, service := range decider.catalogue {
-		handover.Services = append(handover.Services, service.state())
+		handover.Services = append(handover.Services, decider.state(service))
 		for _, epoch := range service.epochs {
 			handover.Epochs = append(handover.Epochs, epoch.Epoch)
 		}
@@ -137,9 +135,8 @@
 			if flow.state == closed || !(flow.orphan || decider.isHome(key)) {
 				continue
 			}
-			server := decider.servers[flow.server]
-			certain := server.service.certain(key)
-			if certain == nil || certain.id != flow.server {
+			certain := decider.servers[flow.server].service.certain(key)
+			if flow.pinned || certain == nil || certain.id != flow.server {
 				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
 			}
 		}
@@ -209,13 +206,16 @@
 
 const sheetSenders = 2
 
+// repairAfter is how long epochs may differ before the whole state is sent.
+const repairAfter = 6 * time.Second
+
 // repair sends the whole state to an instance whose epochs stay different.
 func (decider *Decider) repair(member *member) {
 	if member.digest == decider.digest() {
 		member.differsSince = decider.now
 		return
 	}
-	if decider.now.Sub(member.differsSince) < 2*recentChange {
+	if decider.now.Sub(member.differsSince) < repairAfter {
 		return
 	}
 	member.differsSince = decider.now
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -114,6 +114,16 @@
 		return
 	}
 	decider.viewChangedAt = decider.now
+	decider.viewDigest = 0
+	for _, place := range view {
+		decider.viewDigest ^= uint32(place.hash)
+	}
+	for _, service := range decider.catalogue {
+		if len(service.epochs) > 1 {
+			service.restartScan()
+			decider.touch(service)
+		}
+	}
 	decider.oldView = old
 	decider.orphanCursor = 0
 	decider.event(EventViewChanged, "instances", len(view))
@@ -185,13 +195,21 @@
 	return count
 }
 
-// markOrphans marks, a shard a call, the flows whose home the last change of view has moved.
+// markOrphans marks, a few shards a call, the flows whose home the last change of view has moved.
 func (decider *Decider) markOrphans() {
 	if decider.orphanCursor >= flowShards {
 		return
 	}
-	shard := decider.flows.shards[decider.orphanCursor]
-	decider.orphanCursor++
+	for range shardsPerTick {
+		decider.markOrphansIn(decider.flows.shards[decider.orphanCursor])
+		decider.orphanCursor++
+	}
+}
+
+func (decider *Decider) markOrphansIn(shard map[uint64]flow) {
+	if len(decider.view) == 0 || len(decider.oldView) == 0 {
+		return
+	}
 	for key, flow := range shard {
 		if flow.pinned || flow.state == closed || topOf(decider.oldView, key) == decider.home(key) {
 			continue
--- a/decider/message.go
+++ b/decider/message.go
@@ -46,9 +46,11 @@
 type ServiceState struct {
 	_        struct{} `cbor:",toarray"`
 	Service  uint64   // hash of the name
+	View     uint32   // digest of the instances that the sender takes for homes
+	Held     EpochID
 	Active   EpochID
-	Scanned  EpochID // own table is scanned for this epoch
-	Prepared EpochID // every pin that this epoch needs has been sent
+	Scanned  EpochID
+	Prepared EpochID
 }
 
 // Pin binds a flow to a backend server; server 0 removes the binding.
--- a/decider/open.go
+++ b/decider/open.go
@@ -22,6 +22,7 @@
 		return decider.drop(CountNotReady)
 	}
 	if home := decider.home(key); home != nil && !packet.Relayed {
+		decider.witness(service, packet, key)
 		return decider.relay(home, 0, 0)
 	}
 	old, known := decider.flows.get(key)
@@ -35,6 +36,17 @@
 	return decider.openAt(service, packet, key, old, known)
 }
 
+// witness remembers a flow that another instance opens, as far as it is clear
+// where, so that the flow is known when its home dies right after.
+func (decider *Decider) witness(service *service, packet *framer.Packet, key uint64) {
+	if _, known := decider.flows.get(key); known || packet.Tuple.Protocol == framer.ProtocolUDP {
+		return
+	}
+	if server := service.certain(key); server != nil && decider.consistent() {
+		decider.learn(key, server, packet)
+	}
+}
+
 // reopens reports whether an opening on a known flow starts a new one.
 func (decider *Decider) reopens(packet *framer.Packet, old flow) bool {
 	if packet.Tuple.Protocol == framer.ProtocolUDP {
@@ -119,8 +131,9 @@
 	opened.seen = decider.seconds(decider.now)
 	opened.sent = decider.microseconds(decider.now)
 	decider.countFlow(&opened)
+	// Others may remember an earlier flow of this tuple, or go by another epoch.
 	moved := known && old.server != server.id
-	if moved || service.certain(key) == nil {
+	if moved || (service.clean && service.certain(key) == nil) {
 		opened.pinned = true
 		decider.broadcastPin(Pin{Flow: key, Server: server.id})
 		decider.flushPins()
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -262,7 +262,8 @@
 	}
 	policy.lastWeights = decider.now
 	warmed := decider.warm(service)
-	if service.learn() || warmed {
+	quiet := len(service.epochs) < maxEpochsInUse && decider.missing() == 0
+	if (quiet && service.learn()) || warmed {
 		decider.propose(service)
 	}
 }
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -162,7 +162,7 @@
 	if packet.Notice {
 		return Verdict{Kind: Drop, Reason: CountNotices}
 	}
-	if server := service.certain(key); server != nil && decider.consistent() {
+	if server := service.unpinned(key); server != nil && decider.consistent() {
 		return decider.forward(packet, key, decider.learn(key, server, packet))
 	}
 	if verdict, ok := decider.ask(packet, key); ok {
@@ -181,7 +181,7 @@
 }
 
 // consistent reports whether this instance holds every pin that the others rely on.
-func (decider *Decider) consistent() bool { return decider.integrated && decider.unmerged == 0 }
+func (decider *Decider) consistent() bool { return decider.integrated && !decider.merging }
 
 // ask passes a packet on to the next instance that may know its flow: the home
 // first, then the others in rank order.
--- a/decider/return.go
+++ b/decider/return.go
@@ -28,6 +28,9 @@
 	}
 	if isAccept(packet) && !packet.Relayed && len(decider.view) > 0 {
 		if home := decider.home(key); home != nil {
+			if service.certain(key) == server {
+				decider.witness(service, packet, key)
+			}
 			return decider.relay(home, 0, server.id)
 		}
 	}
--- a/decider/service.go
+++ b/decider/service.go
@@ -53,6 +53,7 @@
 	scanCursor  int       // shards scanned for the staged epoch
 	scanned     EpochID
 	prepared    EpochID
+	clean       bool   // every flow that differs from the active epoch is pinned everywhere
 	generation  uint16 // counts changes of the set of epochs
 	policy      policy
 }
@@ -123,6 +124,14 @@
 	return 0
 }
 
+// unpinned returns the backend server of a flow that has no pin, or nil when that is not certain.
+func (service *service) unpinned(key uint64) *server {
+	if service.clean && service.active != nil {
+		return service.active.pick(key)
+	}
+	return service.certain(key)
+}
+
 // certain returns the backend server on which every epoch in use agrees, or nil.
 func (service *service) certain(key uint64) *server {
 	if service.active == nil {
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -2,127 +2,201 @@
 
 import "slices"
 
-// shardsPerTick bounds how much of the flow table one tick scans.
-const shardsPerTick = 16
+// An epoch goes through four steps on every instance:
+//
+//	staged     it is known; homes pin the flows that they open and on which it differs
+//	scanned    the own table is compared with it, and the pins are sent
+//	prepared   every live instance has scanned, so every home has told its pins
+//	active     every live instance is prepared; homes open new flows by it
+//
+// Once it is active everywhere, older epochs are retired. A flow without a pin
+// is then with the backend server that the active epoch gives.
+//
+// When more flows move than the budget for pins allows, the epoch becomes active
+// after ActivationTimeout all the same. The service is then unclean: flows on
+// which the epochs in use differ are asked of their home until all are prepared.
 
 // stage takes in an epoch that is newer than the active one.
 func (decider *Decider) stage(wire Epoch) {
 	service := decider.serviceNamed(wire.Service)
 	if service.active != nil && wire.ID.Compare(service.active.ID) <= 0 {
+		decider.holdOlder(service, wire)
 		return
 	}
+	if !decider.hold(service, wire) {
+		return
+	}
+	newest := service.newest()
+	if service.staged == nil || service.staged.ID.Compare(newest.ID) < 0 {
+		service.staged = newest
+		service.stagedAt = decider.now
+	}
+	decider.event(EventEpochStaged, "service", service.name, "epoch", wire.ID)
+}
+
+// holdOlder keeps an epoch that is older than the active one in use while an
+// instance that was unheard may have opened flows by it.
+func (decider *Decider) holdOlder(service *service, wire Epoch) {
+	if decider.merging && decider.hold(service, wire) {
+		service.clean = false
+	}
+}
+
+// hold adds an epoch to those in use and reports whether it was new.
+func (decider *Decider) hold(service *service, wire Epoch) bool {
 	known := slices.ContainsFunc(service.epochs, func(epoch *epoch) bool { return epoch.ID == wire.ID })
 	if known {
-		return
+		return false
 	}
-	added := service.newEpoch(decider, wire)
-	service.epochs = append(service.epochs, added)
+	service.epochs = append(service.epochs, service.newEpoch(decider, wire))
 	slices.SortFunc(service.epochs, func(a, b *epoch) int { return a.ID.Compare(b.ID) })
 	service.generation++
-	if service.staged == nil || service.staged.ID.Compare(wire.ID) < 0 {
-		service.staged = added
-		service.stagedAt = decider.now
-		service.scanCursor = 0
-	}
+	service.restartScan()
 	decider.touch(service)
-	decider.event(EventEpochStaged, "service", service.name, "epoch", wire.ID)
+	return true
+}
+
+func (service *service) restartScan() {
+	service.scanCursor = 0
+	service.scanned, service.prepared = EpochID{}, EpochID{}
 }
 
-// touch puts a service into the next heartbeats.
+// touch puts a service into the next heartbeats; a change of the sheet does not wait for the next one.
 func (decider *Decider) touch(service *service) {
 	service.changedAt = decider.now
-	decider.heartbeatDue = true
+	if service.urgent() {
+		decider.heartbeatDue = true
+	}
+}
+
+// urgent reports whether the newest epoch follows another version of the sheet than the one before it.
+func (service *service) urgent() bool {
+	return service.newest() != nil && service.newest().Basis != service.epochs[0].Basis || len(service.epochs) == 1
+}
+
+// target is the epoch that the own table is to be compared with.
+func (service *service) target() *epoch {
+	if service.staged != nil {
+		return service.staged
+	}
+	return service.active
+}
+
+// advance moves every service as far along as the other instances allow.
+func (decider *Decider) advance() {
+	for _, service := range decider.catalogue {
+		decider.prepare(service)
+		decider.activateWhenPrepared(service)
+		decider.retire(service)
+	}
+	decider.settleInForce()
 }
 
-// scan compares the next shards of the flow table with the staged epoch.
+// scan compares the next shards of the flow table with the target epoch, as far
+// as the budget for pins allows.
 func (decider *Decider) scan(service *service) {
-	if service.staged == nil || service.scanned == service.staged.ID || decider.orphanCursor < flowShards {
+	target := service.target()
+	if len(service.epochs) < 2 || target == nil || service.scanned == target.ID || decider.orphanCursor < flowShards {
 		return
 	}
 	for range shardsPerTick {
-		if service.scanCursor >= flowShards {
+		if service.scanCursor >= flowShards || !decider.scanShard(service, target, decider.flows.shards[service.scanCursor]) {
 			break
 		}
-		decider.scanShard(service, decider.flows.shards[service.scanCursor])
 		service.scanCursor++
 	}
 	if service.scanCursor >= flowShards {
 		decider.flushPins()
-		service.scanned = service.staged.ID
+		service.scanned = target.ID
 		decider.touch(service)
 	}
 }
 
-// scanShard pins the flows that the staged epoch would give to another backend
-// server: to everybody those it is home of, to their home those the home may not know.
-func (decider *Decider) scanShard(service *service, shard map[uint64]flow) {
+// scanShard pins the flows that the target epoch would give to another backend
+// server: to everybody those it is home of, to their home those the home may not
+// know. It reports false when the budget ran out before the end.
+func (decider *Decider) scanShard(service *service, target *epoch, shard map[uint64]flow) bool {
 	for key, flow := range shard {
 		if flow.pinned || flow.state == closed || decider.servers[flow.server].service != service {
 			continue
 		}
-		if picked := service.staged.pick(key); picked != nil && picked.id == flow.server {
+		if picked := target.pick(key); picked != nil && picked.id == flow.server {
 			continue
 		}
-		home := decider.home(key)
+		home := decider.homeOrNil(key)
 		switch {
-		case home == nil && decider.integrated:
+		case decider.isHome(key):
+			if !decider.pinBudget.AllowN(decider.now, pinLength*max(1, len(decider.walk)-1)) {
+				return false
+			}
 			flow.pinned = true
 			shard[key] = flow
 			decider.broadcastPin(Pin{Flow: key, Server: flow.server})
 			decider.counters.add(CountPinsSent, 1)
 		case home != nil && flow.orphan:
+			if !decider.pinBudget.AllowN(decider.now, pinLength) {
+				return false
+			}
 			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
 			decider.pinsQueued = true
 			decider.counters.add(CountOrphansSent, 1)
 		}
 	}
+	return true
 }
 
-// advance moves every service as far along its staged epoch as the other instances allow.
-func (decider *Decider) advance() {
-	for _, service := range decider.catalogue {
-		decider.prepare(service)
-		decider.activateWhenReady(service)
-		decider.retire(service)
-	}
-	decider.settleInForce()
-}
-
+// prepare notes that every instance has told the homes what they may not have known.
 func (decider *Decider) prepare(service *service) {
-	if service.staged == nil || service.scanned != service.staged.ID || service.prepared == service.staged.ID {
+	target := service.target()
+	if target == nil || service.scanned != target.ID || service.prepared == target.ID {
 		return
 	}
-	if !decider.allReached(service, func(state ServiceState) EpochID { return state.Scanned }) {
+	if decider.lagging(service, func(state ServiceState) EpochID { return state.Scanned }) != nil {
 		return
 	}
 	decider.flushPins()
-	service.prepared = service.staged.ID
+	service.prepared = target.ID
 	decider.touch(service)
 }
 
-func (decider *Decider) activateWhenReady(service *service) {
-	if service.staged == nil || service.prepared != service.staged.ID {
-		return
-	}
-	if decider.allReached(service, func(state ServiceState) EpochID { return state.Prepared }) {
-		decider.activate(service, service.staged)
-	}
-}
-
-// allReached reports whether every live instance has come as far as the staged
-// epoch, or the time allowed for that is over.
-func (decider *Decider) allReached(service *service, reached func(ServiceState) EpochID) bool {
+// lagging returns a live instance that has not come as far as the target epoch
+// with the same instances in view, or nil. Another view would name other homes,
+// which have not pinned their flows.
+func (decider *Decider) lagging(service *service, reached func(ServiceState) EpochID) *member {
+	target := service.target().ID
 	for _, member := range decider.roster {
-		if !member.alive || reached(member.services[service.hash]).Compare(service.staged.ID) >= 0 {
+		if !member.alive {
+			continue
+		}
+		state := member.services[service.hash]
+		// One that is ahead has done all this for the target epoch already.
+		if state.Active.Compare(target) >= 0 {
 			continue
 		}
-		if decider.now.Sub(service.stagedAt) < ActivationTimeout {
-			return false
+		if reached(state).Compare(target) < 0 || state.View != decider.viewDigest {
+			return member
 		}
+	}
+	return nil
+}
+
+func (decider *Decider) activateWhenPrepared(service *service) {
+	if service.staged == nil {
+		return
+	}
+	first := len(service.epochs) == 1 // no flow can differ
+	prepared := service.prepared == service.staged.ID &&
+		decider.lagging(service, func(state ServiceState) EpochID { return state.Prepared }) == nil
+	switch {
+	case prepared || first:
+		service.clean = true
+		decider.activate(service, service.staged)
+	case decider.now.Sub(service.stagedAt) >= ActivationTimeout:
+		service.clean = false
 		decider.counters.add(CountActivationTimeouts, 1)
-		decider.event(EventActivationTimeout, "service", service.name, "instance", member.Name)
+		decider.event(EventActivationTimeout, "service", service.name, "epoch", service.staged.ID)
+		decider.activate(service, service.staged)
 	}
-	return true
 }
 
 func (decider *Decider) activate(service *service, epoch *epoch) {
@@ -140,25 +214,27 @@
 	decider.event(EventEpochActivated, "service", service.name, "epoch", epoch.ID)
 }
 
-// retire drops the epochs that no live instance uses any more.
+// retire drops the epochs before the active one once it is active everywhere
+// and every pin that it needs is known.
 func (decider *Decider) retire(service *service) {
-	if service.active == nil || len(service.epochs) < 2 {
+	if len(service.epochs) < 2 || service.active == nil || service.staged != nil || decider.unmerged > 0 {
 		return
 	}
-	lowest := service.active.ID
+	if service.prepared != service.active.ID {
+		return
+	}
+	active := service.active.ID
 	for _, member := range decider.roster {
-		if !member.alive {
-			continue
-		}
-		if active := member.services[service.hash].Active; active.Compare(lowest) < 0 {
-			lowest = active
+		state := member.services[service.hash]
+		done := state.Active.Compare(active) >= 0 && (service.clean || state.Prepared.Compare(active) >= 0)
+		if member.alive && !done {
+			return
 		}
 	}
-	kept := slices.DeleteFunc(slices.Clone(service.epochs), func(epoch *epoch) bool { return epoch.ID.Compare(lowest) < 0 })
-	if len(kept) < len(service.epochs) {
-		service.epochs = kept
-		service.generation++
-	}
+	service.epochs = slices.DeleteFunc(slices.Clone(service.epochs), func(epoch *epoch) bool { return epoch.ID.Compare(active) < 0 })
+	service.generation++
+	service.clean = true
+	decider.counters.add(CountEpochsRetired, 1)
 }
 
 // settleInForce records the sheet version that all services follow.
--- a/internal/experimenter/result.go
+++ b/internal/experimenter/result.go
@@ -35,6 +35,7 @@
 	LastNew           time.Duration
 	InForce           time.Duration
 	Counters          map[string]uint64 // of the product, added up
+	Traces            []string          // of the first broken flows
 
 	waits *hdrhistogram.Histogram
 }
@@ -42,8 +43,8 @@
 // imbalanceWindow is the time over which open flows are averaged.
 const imbalanceWindow = 10 // seconds
 
-func (result *Result) count(world *World, _ *backend) {
-	if world.measuring {
+func (result *Result) countFlow(measuring bool) {
+	if measuring {
 		result.Flows++
 	}
 }
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -41,6 +41,7 @@
 	Servers     [2]int
 	Warmup      time.Duration
 	Measure     time.Duration
+	Traces      int // broken flows to explain
 }
 
 // Teranga and Saltfish are today's deployments of the users.
@@ -60,6 +61,7 @@
 // Run measures one method in one scenario.
 func Run(deployment Deployment, method Method, scenario Scenario, seed uint64) *Result {
 	world := newWorld(deployment, method, seed)
+	world.traces = deployment.Traces
 	world.result.Scenario, world.result.Seed, world.result.Deployment = scenario, seed, deployment.Name
 	world.runUntil(deployment.Warmup)
 	world.startMeasuring()
--- a/internal/experimenter/traffic.go
+++ b/internal/experimenter/traffic.go
@@ -270,6 +270,7 @@
 		world.acceptOpening(at, flow)
 	case flow.ended:
 	case flow.server != at:
+		world.trace(flow, at)
 		world.breakFlow(flow, "sent to another backend server")
 	case packet.Flags&framer.FlagFIN != 0:
 		world.respond(at, flow, framer.Packet{Flags: framer.FlagFIN | framer.FlagACK})
@@ -332,7 +333,8 @@
 			flow.server = sender
 			sender.open++
 			sender.lastNew = world.now
-			world.result.count(world, sender)
+			world.result.countFlow(world.measuring)
+			world.fromCaller(flow, framer.Packet{Tuple: flow.tuple, Flags: framer.FlagACK, Sequence: flow.sequence})
 			world.after(world.exponential(flow.service.think), func() { world.request(flow) })
 		}
 	case packet.PayloadLength > 0 && packet.Acknowledge == flow.sequence+requestLength:
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -114,6 +114,7 @@
 	newest  uint64
 
 	measuring bool
+	traces    int // broken flows still to be explained
 	result    *Result
 }
 
