Measure strength without the path's time; hand over and say goodbye on a planned stop

Cause: weights settled far from the strengths (weight/strength 0.43 to 1.36): the path's time was taken as the fleet's smallest, while each instance sees its own. A planned stop broadcast every flow of the leaver as a pin, and relays went to it for 1.6 s after its end. A woken instance decided on held packets before its tick noticed the pause. Ruled out: too short a warm-up; the weights had settled, at wrong values. Change: each instance subtracts its own path's time; flows handed over at a stop are only told to their new homes; a last heartbeat says that an instance is gone; the pause is noticed before any decision; unknown flows are asked and then dropped, not guessed, while a failure domain is unheard.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,6 +19,9 @@
 	"github.com/pimentowind/pimentowind/ticker"
 )
 
+// closeTime is how long the last messages have to go out.
+const closeTime = 100 * time.Millisecond
+
 // lingerTime is how long a leaving instance goes on forwarding after the last packet.
 const lingerTime = 2 * time.Second
 
@@ -139,6 +142,8 @@
 	select {
 	case <-ctx.Done():
 		instance.drain()
+		instance.Engine.Close()
+		time.Sleep(closeTime)
 	case err = <-forwarding:
 	}
 	stopFollowing()
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -132,6 +132,11 @@
 	engine.do(func(decider *decider.Decider, now time.Time) { decider.Leave(now) })
 }
 
+// Close says the last word to the other instances.
+func (engine *Engine) Close() {
+	engine.do(func(decider *decider.Decider, now time.Time) { decider.Close(now) })
+}
+
 // Status returns what the instance knows.
 func (engine *Engine) Status() decider.Status {
 	engine.mutex.Lock()
--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -50,7 +50,8 @@
 			fmt.Println(result.Scenario, result.Seed, trace)
 		}
 		if *counters && result.Method == experimenter.Product {
-			fmt.Println(result.Scenario, result.Seed, result.Counters)
+			fmt.Println(result.Scenario, result.Seed, result.Counters, result.Kinds)
+			fmt.Println(strings.Join(result.Weights, "\n"))
 		}
 	}
 	return nil
--- a/decider/config.go
+++ b/decider/config.go
@@ -24,6 +24,7 @@
 const (
 	pinRate         = 2500  // bytes a second of pins
 	pinBurst        = 16384 // bytes of pins at once
+	maxPinDebt      = 65536 // bytes of pins that a new version of the sheet may borrow
 	shardsPerTick   = 8     // shards of the flow table that one tick scans
 	maxEpochsInUse  = 4     // of a service, above which its weights stay as they are
 	recentChange    = time.Second
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -41,11 +41,13 @@
 	pinBudget     *rate.Limiter
 	orphanCursor  int
 	unmerged      int  // live instances whose pins have not arrived
-	merging       bool // one of them has opened flows
+	merging       bool // an instance that was cut off has not sent all its pins
+	darkened      bool // a failure domain is unheard
 	integrated    bool
 	integrateFrom time.Time
 	leaving       bool
 	leftFlows     bool
+	gone          bool
 
 	services  map[uint64]*service
 	catalogue []*service // by name
@@ -100,7 +102,7 @@
 
 // Message takes in a message from another instance.
 func (decider *Decider) Message(now time.Time, from string, message Message) {
-	decider.now = now
+	decider.advanceClock(now)
 	member, known := decider.members[from]
 	if !known && message.Heartbeat != nil && message.Heartbeat.Self != nil && message.Heartbeat.Self.Name == from {
 		member = decider.addMember(*message.Heartbeat.Self)
@@ -124,18 +126,27 @@
 	}
 	decider.receivePins(message.Pins)
 	decider.receiveOrphans(message.Orphans)
+	decider.receiveFlows(message.Flows)
 	decider.receiveLoads(member, message.Loads)
 	decider.flushHeartbeat()
 }
 
-// Tick lets time pass; it is to be called every few tens of milliseconds.
-func (decider *Decider) Tick(now time.Time) {
+// advanceClock sets the time of what happens next, and notices a pause of the
+// process before anything is decided after it.
+func (decider *Decider) advanceClock(now time.Time) {
 	decider.now = now
 	if now.Sub(decider.lastTick) > PauseThreshold {
 		decider.resume()
+		decider.lastTick = now
 	}
+}
+
+// Tick lets time pass; it is to be called every few tens of milliseconds.
+func (decider *Decider) Tick(now time.Time) {
+	decider.advanceClock(now)
 	decider.lastTick = now
 	decider.expireMembers()
+	decider.darkened = decider.dark()
 	decider.integrate()
 	decider.markOrphans()
 	for _, service := range decider.catalogue {
@@ -205,6 +216,9 @@
 		return
 	}
 	decider.integrated = true
+	for _, service := range decider.catalogue {
+		service.clean = service.clean || len(service.epochs) == 1
+	}
 	decider.heartbeatDue = true
 	decider.event(EventIntegrated, "instances", alive+1)
 	decider.rebuildView()
@@ -215,11 +229,43 @@
 func (decider *Decider) countUnmerged() {
 	decider.unmerged, decider.merging = 0, false
 	for _, member := range decider.roster {
-		if member.alive && !member.handedOver {
+		if !member.alive {
+			continue
+		}
+		if !member.handedOver {
 			decider.unmerged++
-			decider.merging = decider.merging || member.integrated
+		}
+		if member.merging && member.handedOver && decider.pinned(member) {
+			member.merging = false
+		}
+		decider.merging = decider.merging || member.merging
+	}
+}
+
+// pinned reports whether a member has sent the pins that the active epochs need.
+func (decider *Decider) pinned(member *member) bool {
+	for _, service := range decider.catalogue {
+		state := member.services[service.hash]
+		if service.active != nil && state.Prepared.Compare(service.active.ID) < 0 && state.Active != service.active.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// dark reports whether every listed instance of some failure domain is unheard:
+// they may be cut off and open flows that nobody here can know.
+func (decider *Decider) dark() bool {
+	heard := map[string]bool{decider.config.Self.FailureDomain: true}
+	for _, member := range decider.roster {
+		heard[member.FailureDomain] = heard[member.FailureDomain] || member.alive
+	}
+	for _, member := range decider.roster {
+		if member.listed && !heard[member.FailureDomain] {
+			return true
 		}
 	}
+	return false
 }
 
 // settle records, while nothing is in motion, the epochs on which all instances agree.
@@ -302,6 +348,13 @@
 	decider.flushHeartbeat()
 }
 
+// Close says the last word to the other instances.
+func (decider *Decider) Close(now time.Time) {
+	decider.now = now
+	decider.gone = true
+	decider.sendHeartbeats(false)
+}
+
 // leaveFlows tells the new homes the flows of an instance that leaves.
 func (decider *Decider) leaveFlows() {
 	if !decider.leaving || decider.leftFlows || len(decider.view) == 0 {
@@ -314,7 +367,7 @@
 				continue
 			}
 			home := decider.home(key)
-			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
+			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
 		}
 	}
 	decider.pinsQueued = true
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -26,6 +26,7 @@
 	heartbeat := Heartbeat{
 		Incarnation:  decider.config.Incarnation,
 		Leaving:      decider.leaving,
+		Gone:         decider.gone,
 		Integrated:   decider.integrated,
 		SheetVersion: decider.sheetVersion,
 		InForce:      decider.InForce(),
@@ -76,6 +77,11 @@
 	member.incarnation = heartbeat.Incarnation
 	member.alive = true
 	member.leaving = heartbeat.Leaving
+	if heartbeat.Gone {
+		decider.lose(member)
+		decider.rebuildView()
+		return
+	}
 	member.integrated = heartbeat.Integrated
 	member.sheetVersion = heartbeat.SheetVersion
 	member.inForce = heartbeat.InForce
@@ -99,6 +105,8 @@
 func (decider *Decider) greet(member *member) {
 	member.handedOver = false
 	member.introduced = false
+	member.merging = member.integrated
+	member.joined = decider.now
 	member.services = map[uint64]ServiceState{}
 	member.lastSheetSent = 0
 	decider.counters.add(CountMembersJoined, 1)
@@ -128,15 +136,11 @@
 	decider.send(to, Message{Handover: handover})
 }
 
-// sendPins sends the flows whose backend server differs from what the epochs in use give.
+// sendPins sends the pins that this instance is home of.
 func (decider *Decider) sendPins(to *member) {
 	for _, shard := range decider.flows.shards {
 		for key, flow := range shard {
-			if flow.state == closed || !(flow.orphan || decider.isHome(key)) {
-				continue
-			}
-			certain := decider.servers[flow.server].service.certain(key)
-			if flow.pinned || certain == nil || certain.id != flow.server {
+			if flow.pinned && decider.isHome(key) {
 				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
 			}
 		}
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -23,12 +23,15 @@
 	integrated    bool // it says that it is up to date
 	handedOver    bool // its pins have arrived since it was last unheard
 	introduced    bool // it has heard this instance
+	merging       bool // it was cut off, and has opened flows that are not pinned yet
+	joined        time.Time
 	sheetVersion  uint64
 	inForce       uint64
 	digest        uint64
 	services      map[uint64]ServiceState
 	pins          []byte // queued for it
 	orphans       []byte // queued for it
+	flows         []byte // queued for it
 	lastSheetSent uint64
 	differsSince  time.Time
 }
@@ -168,11 +171,8 @@
 	changed := false
 	for _, member := range slices.Clone(decider.roster) {
 		if member.alive && decider.now.Sub(member.lastHeard) > FailureTimeout {
-			member.alive, member.handedOver, member.introduced = false, false, false
-			member.pins = nil
+			decider.lose(member)
 			changed = true
-			decider.counters.add(CountMembersLost, 1)
-			decider.event(EventMemberLost, "instance", member.Name)
 		}
 		forgotten := decider.now.Sub(member.lastHeard) > ForgetTimeout && decider.now.Sub(member.knownSince) > ForgetTimeout
 		if !member.alive && !member.listed && forgotten {
@@ -184,6 +184,14 @@
 	}
 }
 
+// lose notes that an instance is not heard any more.
+func (decider *Decider) lose(member *member) {
+	member.alive, member.handedOver, member.introduced = false, false, false
+	member.pins, member.orphans, member.flows = nil, nil, nil
+	decider.counters.add(CountMembersLost, 1)
+	decider.event(EventMemberLost, "instance", member.Name)
+}
+
 // missing counts the listed instances that are not heard.
 func (decider *Decider) missing() int {
 	count := 0
@@ -211,6 +219,9 @@
 		return
 	}
 	for key, flow := range shard {
+		if flow.pinned && decider.isHome(key) && topOf(decider.oldView, key) != nil {
+			decider.pinToJoiners(Pin{Flow: key, Server: flow.server})
+		}
 		if flow.pinned || flow.state == closed || topOf(decider.oldView, key) == decider.home(key) {
 			continue
 		}
@@ -219,6 +230,19 @@
 	}
 }
 
+// pinToJoiners repeats a pin of a lost home to the instances that may have
+// joined too late to hear it from that home.
+func (decider *Decider) pinToJoiners(pin Pin) {
+	for _, member := range decider.roster {
+		if member.alive && decider.now.Sub(member.joined) < joinWindow {
+			decider.queuePin(member, pin)
+		}
+	}
+}
+
+// joinWindow is how long a joiner may miss what a lost home had to tell it.
+const joinWindow = 4 * FailureTimeout
+
 // TunnelAddresses returns the tunnel addresses of all known instances.
 func (decider *Decider) TunnelAddresses() []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(decider.roster))
--- a/decider/message.go
+++ b/decider/message.go
@@ -64,6 +64,7 @@
 	Incarnation  uint64         `cbor:"1,keyasint"`
 	Self         *Instance      `cbor:"2,keyasint,omitempty"`
 	Leaving      bool           `cbor:"3,keyasint,omitempty"`
+	Gone         bool           `cbor:"9,keyasint,omitempty"` // the last word of an instance that stops
 	Integrated   bool           `cbor:"4,keyasint,omitempty"`
 	SheetVersion uint64         `cbor:"5,keyasint,omitempty"`
 	InForce      uint64         `cbor:"6,keyasint,omitempty"`
@@ -95,8 +96,7 @@
 	Returned  uint32 // packets that came back from it
 	Open      uint32 // flows open now, of those that this instance is home of
 	Batches   uint32 // batches of response times
-	BatchSums uint32 // sum of the batches' smallest response times, in microseconds
-	PathFloor uint32 // smallest time from an opening to its acceptance, in microseconds; 0 for none
+	BatchSums uint32 // sum of the batches' smallest response times less the path's, in microseconds
 }
 
 // Message is what instances send each other; exactly one field is set.
@@ -108,6 +108,7 @@
 	Sheet     *SheetUpdate `cbor:"5,keyasint,omitempty"`
 	Loads     []ServerLoad `cbor:"6,keyasint,omitempty"`
 	Orphans   []byte       `cbor:"7,keyasint,omitempty"` // packed pins for their new home, which tells the others
+	Flows     []byte       `cbor:"8,keyasint,omitempty"` // packed flows for their new home, which need no pin yet
 }
 
 // Outgoing is a message with the name of the instance that it is for.
--- a/decider/open.go
+++ b/decider/open.go
@@ -133,7 +133,8 @@
 	decider.countFlow(&opened)
 	// Others may remember an earlier flow of this tuple, or go by another epoch.
 	moved := known && old.server != server.id
-	if moved || (service.clean && service.certain(key) == nil) {
+	mayDiffer := service.clean || service.staged != nil
+	if moved || (mayDiffer && service.certain(key) == nil) {
 		opened.pinned = true
 		decider.broadcastPin(Pin{Flow: key, Server: server.id})
 		decider.flushPins()
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -10,11 +10,10 @@
 // Bounds of the weight policy.
 const (
 	weightStep       = 1.10 // largest change of one weight in one epoch
-	weightHysteresis = 0.05 // smaller relative errors are left alone
+	weightHysteresis = 0.08 // largest relative error that is left alone
 	weightRange      = 4.0  // largest factor between a weight and the sheet's
 	minBatches       = 6    // response batches before a strength is believed
-	floorSmoothing   = 0.1  // smallest share of the newest measurement in the smoothed one
-	minPathReports   = 3    // reports of the path's time before it is believed
+	floorSmoothing   = 0.2  // smallest share of the newest measurement in the smoothed one
 )
 
 // Bounds of the health policy.
@@ -41,8 +40,6 @@
 	batches, batchSums                 uint32  // since the last believed strength
 	floor                              float64 // smoothed, in microseconds
 	measured                           int     // measurements in floor
-	path                               uint32  // smallest time of the path lately, in microseconds
-	pathReports                        int
 	ramp                               float64 // share of the weight in use, 1 when warm
 	down                               bool
 	downUntil                          time.Time
@@ -200,7 +197,6 @@
 		state.returned += load.Returned
 		state.batches += load.Batches
 		state.batchSums += load.BatchSums
-		state.followPath(load.PathFloor)
 	}
 }
 
@@ -286,24 +282,27 @@
 	return changed
 }
 
-// learn moves each weight a step towards the strength that the response times show.
+// learn moves the weights a step towards the strengths that the response times
+// show, once one of them is far enough off.
 func (service *service) learn() bool {
 	targets := service.targets()
-	changed := false
+	due := false
 	for _, row := range service.spec.BackendServers {
-		state := service.policy.server(serverID(service.name, row.Address))
 		target, ok := targets[row.Name]
-		if !ok {
-			continue
-		}
-		current := policyWeight(state, row)
-		if math.Abs(target/current-1) <= weightHysteresis {
-			continue
+		current := policyWeight(service.policy.server(serverID(service.name, row.Address)), row)
+		due = due || (ok && math.Abs(target/current-1) > weightHysteresis)
+	}
+	if !due {
+		return false
+	}
+	for _, row := range service.spec.BackendServers {
+		if target, ok := targets[row.Name]; ok {
+			state := service.policy.server(serverID(service.name, row.Address))
+			current := policyWeight(state, row)
+			state.learned = min(max(target, current/weightStep), current*weightStep)
 		}
-		state.learned = min(max(target, current/weightStep), current*weightStep)
-		changed = changed || state.learned != current
 	}
-	return changed
+	return true
 }
 
 // targets turns the smoothed response floors into weights with the sheet's total.
@@ -334,9 +333,9 @@
 	if state.batches < minBatches {
 		return
 	}
-	measured := float64(state.batchSums)/float64(state.batches) - float64(state.path)
+	measured := float64(state.batchSums) / float64(state.batches)
 	state.batches, state.batchSums = 0, 0
-	if measured <= 0 || state.pathReports < minPathReports {
+	if measured <= 0 {
 		return
 	}
 	state.measured++
@@ -344,22 +343,6 @@
 	state.floor += share * (measured - state.floor)
 }
 
-// followPath keeps the smallest time of the path, which slowly forgets so that a longer path shows.
-func (state *serverPolicy) followPath(floor uint32) {
-	if floor == 0 {
-		return
-	}
-	state.pathReports++
-	if state.path == 0 || floor < state.path {
-		state.path = floor
-		return
-	}
-	state.path += (floor - state.path) / pathMemory
-}
-
-// pathMemory is the number of reports over which the path's time is forgotten.
-const pathMemory = 512
-
 // Weights returns the weights in use of a service by backend server, for reports.
 func (decider *Decider) Weights(name string) map[string]float64 {
 	weights := map[string]float64{}
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -37,7 +37,7 @@
 
 // Packet decides about one packet.
 func (decider *Decider) Packet(now time.Time, packet *framer.Packet) Verdict {
-	decider.now = now
+	decider.advanceClock(now)
 	destination := serviceAddress{packet.Tuple.Destination, packet.Tuple.DestinationPort, packet.Tuple.Protocol}
 	if service, ok := decider.addresses[destination]; ok {
 		return decider.fromCaller(service, packet, flowKey(packet.Tuple))
@@ -169,7 +169,9 @@
 		return verdict
 	}
 	oldest := service.oldest()
-	if oldest == nil {
+	if oldest == nil || decider.darkened {
+		// The flow may have been opened beyond a cut. Silence lets the caller's
+		// next copy find its way; a wrong backend server would reset the flow.
 		return decider.drop(CountUnknownFlow)
 	}
 	server := oldest.pick(key)
@@ -181,7 +183,9 @@
 }
 
 // consistent reports whether this instance holds every pin that the others rely on.
-func (decider *Decider) consistent() bool { return decider.integrated && !decider.merging }
+func (decider *Decider) consistent() bool {
+	return decider.integrated && !decider.merging && !decider.darkened
+}
 
 // ask passes a packet on to the next instance that may know its flow: the home
 // first, then the others in rank order.
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -58,6 +58,10 @@
 		decider.send(member, Message{Orphans: member.orphans})
 		member.orphans = nil
 	}
+	if len(member.flows) > 0 {
+		decider.send(member, Message{Flows: member.flows})
+		member.flows = nil
+	}
 }
 
 // receivePins stores the pins that an instance has sent to everybody.
@@ -86,6 +90,23 @@
 	})
 }
 
+// receiveFlows stores the flows that a leaving home hands over.
+func (decider *Decider) receiveFlows(packed []byte) {
+	eachPin(packed, func(pin Pin) {
+		server, ok := decider.servers[pin.Server]
+		if _, known := decider.flows.get(pin.Flow); known || !ok {
+			return
+		}
+		decider.counters.add(CountFlowsTakenOver, 1)
+		taken := newFlow(established)
+		taken.server = pin.Server
+		taken.generation = server.service.generation
+		taken.seen = decider.seconds(decider.now)
+		decider.countFlow(&taken)
+		decider.putFlow(pin.Flow, taken)
+	})
+}
+
 // takePin stores a pin and reports whether its backend server is known.
 func (decider *Decider) takePin(pin Pin) bool {
 	if _, ok := decider.servers[pin.Server]; !ok {
--- a/decider/return.go
+++ b/decider/return.go
@@ -128,16 +128,26 @@
 	}
 }
 
-// accepted adds the time that an opening took, which no slot of the backend server has part in.
+// accepted takes the time that an opening took, in which no slot of the backend
+// server has part: the smallest is that of the path, and is slowly forgotten.
 func (server *server) accepted(microseconds uint32) {
-	if server.load.PathFloor == 0 || microseconds < server.load.PathFloor {
-		server.load.PathFloor = max(microseconds, 1)
+	if server.path == 0 || microseconds < server.path {
+		server.path = max(microseconds, 1)
+		return
 	}
+	server.path += (microseconds - server.path) / pathMemory
 }
 
-// response adds one response time.
+// pathMemory is the number of openings over which the path's time is forgotten.
+const pathMemory = 4096
+
+// response adds one response time, less the time of the path.
 func (server *server) response(elapsed time.Duration) {
+	if server.path == 0 {
+		return
+	}
 	microseconds := uint32(elapsed / time.Microsecond)
+	microseconds -= min(microseconds, server.path)
 	batch := &server.batch
 	if batch.count == 0 || microseconds < batch.smallest {
 		batch.smallest = microseconds
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -20,7 +20,6 @@
 func (decider *Decider) stage(wire Epoch) {
 	service := decider.serviceNamed(wire.Service)
 	if service.active != nil && wire.ID.Compare(service.active.ID) <= 0 {
-		decider.holdOlder(service, wire)
 		return
 	}
 	if !decider.hold(service, wire) {
@@ -34,14 +33,6 @@
 	decider.event(EventEpochStaged, "service", service.name, "epoch", wire.ID)
 }
 
-// holdOlder keeps an epoch that is older than the active one in use while an
-// instance that was unheard may have opened flows by it.
-func (decider *Decider) holdOlder(service *service, wire Epoch) {
-	if decider.merging && decider.hold(service, wire) {
-		service.clean = false
-	}
-}
-
 // hold adds an epoch to those in use and reports whether it was new.
 func (decider *Decider) hold(service *service, wire Epoch) bool {
 	known := slices.ContainsFunc(service.epochs, func(epoch *epoch) bool { return epoch.ID == wire.ID })
@@ -126,7 +117,7 @@
 		home := decider.homeOrNil(key)
 		switch {
 		case decider.isHome(key):
-			if !decider.pinBudget.AllowN(decider.now, pinLength*max(1, len(decider.walk)-1)) {
+			if !decider.mayPin(service, len(decider.walk)-1) {
 				return false
 			}
 			flow.pinned = true
@@ -134,7 +125,7 @@
 			decider.broadcastPin(Pin{Flow: key, Server: flow.server})
 			decider.counters.add(CountPinsSent, 1)
 		case home != nil && flow.orphan:
-			if !decider.pinBudget.AllowN(decider.now, pinLength) {
+			if !decider.mayPin(service, 1) {
 				return false
 			}
 			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
@@ -145,6 +136,17 @@
 	return true
 }
 
+// mayPin takes the bytes of a pin for so many instances from the budget. A new
+// version of the sheet may run it into debt, which later weights then pay.
+func (decider *Decider) mayPin(service *service, instances int) bool {
+	bytes := pinLength * max(1, instances)
+	if service.urgent() && decider.pinBudget.TokensAt(decider.now) > -maxPinDebt {
+		decider.pinBudget.ReserveN(decider.now, bytes)
+		return true
+	}
+	return decider.pinBudget.AllowN(decider.now, bytes)
+}
+
 // prepare notes that every instance has told the homes what they may not have known.
 func (decider *Decider) prepare(service *service) {
 	target := service.target()
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -80,7 +80,7 @@
 		byAddress: map[netip.AddrPort]*backend{},
 		flows:     map[framer.Tuple]*flow{},
 		cut:       map[string]bool{},
-		result:    &Result{Method: method, Why: map[string]int{}, waits: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)},
+		result:    &Result{Method: method, Why: map[string]int{}, Kinds: map[string]int{}, waits: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)},
 	}
 	world.addServices(deployment)
 	for _, domain := range domains {
@@ -216,6 +216,15 @@
 	world.list()
 }
 
+// stop lets an instance that has left say so and end.
+func (world *World) stop(instance *instance) {
+	if talker, ok := instance.node.(talker); ok {
+		talker.Close(world.clock())
+		world.carryMessages(instance)
+	}
+	world.kill(instance)
+}
+
 // wake delivers what a frozen instance has missed; its clock has gone on.
 func (world *World) wake(instance *instance) {
 	instance.frozen = false
@@ -238,6 +247,6 @@
 			talker.Leave(world.clock())
 			world.carryMessages(old)
 		}
-		world.after(3*time.Second, func() { world.kill(old) })
+		world.after(3*time.Second, func() { world.stop(old) })
 	})
 }
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -44,6 +44,7 @@
 	InForce() uint64
 	Status() decider.Status
 	Leave(now time.Time)
+	Close(now time.Time)
 	Counters() map[string]uint64
 }
 
@@ -207,6 +208,9 @@
 			panic(fmt.Sprintf("message cannot be encoded: %v", err))
 		}
 		from.sent += len(encoded) + messageOverhead
+		if world.measuring {
+			world.result.Kinds[kindOf(outgoing.Message)] += len(encoded) + messageOverhead
+		}
 		from.window += len(encoded) + messageOverhead
 		to, known := world.byName[outgoing.To.Name]
 		if !known || !world.reachable(from.FailureDomain, to.FailureDomain) {
@@ -224,6 +228,27 @@
 	}
 }
 
+func kindOf(message decider.Message) string {
+	switch {
+	case message.Heartbeat != nil:
+		return "heartbeat"
+	case message.Handover != nil:
+		return "handover"
+	case message.Epochs != nil:
+		return "epochs"
+	case message.Pins != nil:
+		return "pins"
+	case message.Orphans != nil:
+		return "orphans"
+	case message.Flows != nil:
+		return "flows"
+	case message.Sheet != nil:
+		return "sheet"
+	default:
+		return "loads"
+	}
+}
+
 // deliver runs an arrival at an instance: now, when it wakes, or never.
 func (world *World) deliver(to *instance, arrival func()) {
 	switch {
