Let a replica in the backend server's failure domain know each accepted flow

Cause: in a cut, a failure domain did not know young flows of its own backend servers; openings that were never accepted were pinned and overruled the home's own knowledge; a woken instance acted as a home before it had caught up. Ruled out: guessing the pick while a domain is unheard, which resets flows. Change: the home shows each acceptance to a replica; openings are pinned when accepted; orphans are told to the home first and pinned by it in a second pass.

--- a/decider/config.go
+++ b/decider/config.go
@@ -22,7 +22,7 @@
 
 // Limits of the background work between instances.
 const (
-	pinRate         = 2500  // bytes a second of pins
+	pinRate         = 2000  // bytes a second of pins
 	pinBurst        = 16384 // bytes of pins at once
 	maxPinDebt      = 65536 // bytes of pins that a new version of the sheet may borrow
 	shardsPerTick   = 8     // shards of the flow table that one tick scans
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -125,7 +125,6 @@
 		decider.takeSheet(message.Sheet.Version, message.Sheet.Content)
 	}
 	decider.receivePins(message.Pins)
-	decider.receiveOrphans(message.Orphans)
 	decider.receiveFlows(message.Flows)
 	decider.receiveLoads(member, message.Loads)
 	decider.flushHeartbeat()
@@ -192,6 +191,9 @@
 	for _, member := range decider.roster {
 		member.alive, member.handedOver, member.introduced = false, false, false
 	}
+	for _, service := range decider.catalogue {
+		service.clean = false
+	}
 	for _, shard := range decider.flows.shards {
 		for key, flow := range shard {
 			flow.pinned = false
@@ -208,7 +210,7 @@
 // integrate makes this instance act as a home once every live instance has handed over.
 func (decider *Decider) integrate() {
 	decider.countUnmerged()
-	if decider.integrated || decider.unmerged > 0 {
+	if decider.integrated || decider.unmerged > 0 || decider.behind() {
 		return
 	}
 	alive := len(decider.walk) - 1
@@ -242,6 +244,20 @@
 	}
 }
 
+// behind reports whether another instance uses a newer epoch.
+func (decider *Decider) behind() bool {
+	for _, member := range decider.roster {
+		for hash, state := range member.services {
+			service := decider.services[hash]
+			newer := service == nil || service.active == nil || state.Active.Compare(service.active.ID) > 0
+			if member.alive && newer && state.Active != (EpochID{}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // pinned reports whether a member has sent the pins that the active epochs need.
 func (decider *Decider) pinned(member *member) bool {
 	for _, service := range decider.catalogue {
@@ -323,7 +339,7 @@
 	service.listed = true
 	decider.addresses[specAddress(spec)] = service
 	for _, row := range spec.BackendServers {
-		service.server(decider, row.Name, row.Address)
+		service.server(decider, row.Name, row.Address).domain = row.FailureDomain
 	}
 }
 
@@ -367,7 +383,7 @@
 				continue
 			}
 			home := decider.home(key)
-			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
+			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
 		}
 	}
 	decider.pinsQueued = true
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -88,6 +88,7 @@
 	member.digest = heartbeat.Digest
 	for _, state := range heartbeat.Services {
 		member.services[state.Service] = state
+		decider.adoptActive(state)
 	}
 	if fresh {
 		decider.greet(member)
@@ -167,10 +168,13 @@
 	decider.advance()
 }
 
-// adoptActive lets an instance without an active epoch start with one that another uses.
+// adoptActive lets an instance that decides nothing yet take the epoch that another uses.
 func (decider *Decider) adoptActive(state ServiceState) {
 	service := decider.services[state.Service]
-	if service == nil || service.active != nil {
+	if service == nil || decider.integrated {
+		return
+	}
+	if service.active != nil && state.Active.Compare(service.active.ID) <= 0 {
 		return
 	}
 	for _, epoch := range service.epochs {
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -31,7 +31,6 @@
 	services      map[uint64]ServiceState
 	pins          []byte // queued for it
 	orphans       []byte // queued for it
-	flows         []byte // queued for it
 	lastSheetSent uint64
 	differsSince  time.Time
 }
@@ -187,7 +186,7 @@
 // lose notes that an instance is not heard any more.
 func (decider *Decider) lose(member *member) {
 	member.alive, member.handedOver, member.introduced = false, false, false
-	member.pins, member.orphans, member.flows = nil, nil, nil
+	member.pins, member.orphans = nil, nil
 	decider.counters.add(CountMembersLost, 1)
 	decider.event(EventMemberLost, "instance", member.Name)
 }
--- a/decider/message.go
+++ b/decider/message.go
@@ -107,8 +107,7 @@
 	Pins      []byte       `cbor:"4,keyasint,omitempty"` // packed, see AppendPin
 	Sheet     *SheetUpdate `cbor:"5,keyasint,omitempty"`
 	Loads     []ServerLoad `cbor:"6,keyasint,omitempty"`
-	Orphans   []byte       `cbor:"7,keyasint,omitempty"` // packed pins for their new home, which tells the others
-	Flows     []byte       `cbor:"8,keyasint,omitempty"` // packed flows for their new home, which need no pin yet
+	Flows     []byte       `cbor:"7,keyasint,omitempty"` // packed like pins, for their new home alone
 }
 
 // Outgoing is a message with the name of the instance that it is for.
--- a/decider/open.go
+++ b/decider/open.go
@@ -131,10 +131,10 @@
 	opened.seen = decider.seconds(decider.now)
 	opened.sent = decider.microseconds(decider.now)
 	decider.countFlow(&opened)
-	// Others may remember an earlier flow of this tuple, or go by another epoch.
+	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
 	moved := known && old.server != server.id
-	mayDiffer := service.clean || service.staged != nil
-	if moved || (mayDiffer && service.certain(key) == nil) {
+	if moved || (!isTCP && decider.needsPin(service, key)) {
+		// Others may remember an earlier flow of this tuple, or go by another epoch.
 		opened.pinned = true
 		decider.broadcastPin(Pin{Flow: key, Server: server.id})
 		decider.flushPins()
@@ -146,6 +146,11 @@
 	return Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
 }
 
+// needsPin reports whether instances that go by another epoch in use would send the flow elsewhere.
+func (decider *Decider) needsPin(service *service, key uint64) bool {
+	return (service.clean || service.staged != nil) && service.certain(key) == nil
+}
+
 func countOfRefusal(reason framer.Reason) Count {
 	switch reason {
 	case framer.ReasonBackendServersFull:
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -10,10 +10,10 @@
 // Bounds of the weight policy.
 const (
 	weightStep       = 1.10 // largest change of one weight in one epoch
-	weightHysteresis = 0.08 // largest relative error that is left alone
+	weightHysteresis = 0.10 // largest relative error that is left alone
 	weightRange      = 4.0  // largest factor between a weight and the sheet's
 	minBatches       = 6    // response batches before a strength is believed
-	floorSmoothing   = 0.2  // smallest share of the newest measurement in the smoothed one
+	floorSmoothing   = 0.12 // smallest share of the newest measurement in the smoothed one
 )
 
 // Bounds of the health policy.
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -76,6 +76,9 @@
 		return decider.open(service, packet, key)
 	}
 	flow, known := decider.lookup(service, key)
+	if known && flow.state == opening && !decider.explains(service, key, flow) {
+		known = false // another home may have opened it
+	}
 	if !known && packet.Hint != 0 {
 		flow, known = decider.learnHint(service, packet, key)
 	}
@@ -88,6 +91,12 @@
 	return decider.unknown(service, packet, key)
 }
 
+// explains reports whether an opening whose acceptance has not been seen can be believed.
+func (decider *Decider) explains(service *service, key uint64, flow flow) bool {
+	server := service.unpinned(key)
+	return decider.consistent() && server != nil && server.id == flow.server
+}
+
 // lookup returns what this instance knows of a flow; an entry that no epoch
 // explains and no home has pinned is left from a flow that has ended.
 func (decider *Decider) lookup(service *service, key uint64) (flow, bool) {
@@ -169,7 +178,7 @@
 		return verdict
 	}
 	oldest := service.oldest()
-	if oldest == nil || decider.darkened {
+	if oldest == nil || decider.darkened || decider.merging {
 		// The flow may have been opened beyond a cut. Silence lets the caller's
 		// next copy find its way; a wrong backend server would reset the flow.
 		return decider.drop(CountUnknownFlow)
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -55,13 +55,9 @@
 		member.pins = nil
 	}
 	if len(member.orphans) > 0 {
-		decider.send(member, Message{Orphans: member.orphans})
+		decider.send(member, Message{Flows: member.orphans})
 		member.orphans = nil
 	}
-	if len(member.flows) > 0 {
-		decider.send(member, Message{Flows: member.flows})
-		member.flows = nil
-	}
 }
 
 // receivePins stores the pins that an instance has sent to everybody.
@@ -76,21 +72,8 @@
 	})
 }
 
-// receiveOrphans stores the flows that this instance has become home of without
-// knowing them, and tells the others.
-func (decider *Decider) receiveOrphans(packed []byte) {
-	eachPin(packed, func(pin Pin) {
-		decider.counters.add(CountOrphansReceived, 1)
-		if _, known := decider.flows.get(pin.Flow); known {
-			return
-		}
-		if decider.takePin(pin) {
-			decider.broadcastPin(pin)
-		}
-	})
-}
-
-// receiveFlows stores the flows that a leaving home hands over.
+// receiveFlows stores flows that this instance has become home of without
+// knowing them.
 func (decider *Decider) receiveFlows(packed []byte) {
 	eachPin(packed, func(pin Pin) {
 		server, ok := decider.servers[pin.Server]
@@ -107,13 +90,18 @@
 	})
 }
 
-// takePin stores a pin and reports whether its backend server is known.
-func (decider *Decider) takePin(pin Pin) bool {
+// takePin stores a pin.
+func (decider *Decider) takePin(pin Pin) {
 	if _, ok := decider.servers[pin.Server]; !ok {
 		decider.counters.add(CountPinUnknownServer, 1)
-		return false
+		return
 	}
 	flow, known := decider.flows.get(pin.Flow)
+	if known && flow.server != pin.Server && flow.counted && flow.state != opening && decider.isHome(pin.Flow) {
+		// The backend server accepted the flow that this home opened.
+		decider.counters.add(CountPinConflicts, 1)
+		return
+	}
 	if known && flow.server != pin.Server {
 		decider.dropFlow(pin.Flow, flow)
 		flow, known = newFlow(established), false
@@ -126,7 +114,6 @@
 	flow.orphan = false
 	flow.seen = decider.seconds(decider.now)
 	decider.putFlow(pin.Flow, flow)
-	return true
 }
 
 func (decider *Decider) unpin(key uint64) {
--- a/decider/return.go
+++ b/decider/return.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/framer"
+	"github.com/pimentowind/pimentowind/picker"
 )
 
 // responseBatchSize is the number of response times of which the smallest is reported.
@@ -76,6 +77,9 @@
 // returnUnknown handles a packet from a backend server on a flow that this instance does not know.
 func (decider *Decider) returnUnknown(service *service, server *server, packet *framer.Packet, key uint64) Verdict {
 	if packet.Notice {
+		if isAccept(packet) && !isShed(packet) {
+			decider.learn(key, server, packet)
+		}
 		return Verdict{Kind: Drop, Reason: CountNotices}
 	}
 	explained := service.anyEpochPicks(key, server.id)
@@ -96,7 +100,13 @@
 // toCaller passes a backend server's packet on to the caller.
 func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
 	flow.seen = decider.seconds(decider.now)
+	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
 	decider.observe(server, packet, &flow)
+	if accepted && !flow.pinned && decider.needsPin(server.service, key) {
+		flow.pinned = true
+		decider.broadcastPin(Pin{Flow: key, Server: server.id})
+		decider.flushPins()
+	}
 	flow.end(packet.Flags, false)
 	decider.putFlow(key, flow)
 	if packet.Notice {
@@ -107,9 +117,32 @@
 	if !isAccept(packet) {
 		decider.noticeHome(&verdict, packet, key)
 	}
+	if accepted {
+		decider.noticeReplica(&verdict, server, key)
+	}
 	return verdict
 }
 
+// noticeReplica lets one more instance see that a backend server has accepted a
+// flow: the first in rank of the backend server's failure domain, so that a
+// domain that is cut off knows the flows of its own backend servers.
+func (decider *Decider) noticeReplica(verdict *Verdict, server *server, key uint64) {
+	var replica *member
+	best := uint64(0)
+	for _, place := range decider.view {
+		if place.member == nil || place.member.FailureDomain != server.domain {
+			continue
+		}
+		if score := picker.Mix(key, place.hash); score >= best {
+			replica, best = place.member, score
+		}
+	}
+	if replica != nil {
+		verdict.Notice = replica.Tunnel
+		decider.counters.add(CountNoticesSent, 1)
+	}
+}
+
 // observe takes the signals of load and health that the packet carries.
 func (decider *Decider) observe(server *server, packet *framer.Packet, flow *flow) {
 	if flow.state == opening {
--- a/decider/service.go
+++ b/decider/service.go
@@ -27,6 +27,7 @@
 	open     int // flows that this instance opened and that are still open
 	load     ServerLoad
 	batch    responseBatch
+	domain   string // failure domain, from the sheet
 	path     uint32 // microseconds that a packet takes to it and back
 }
 
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -4,9 +4,9 @@
 
 // An epoch goes through four steps on every instance:
 //
-//	staged     it is known; homes pin the flows that they open and on which it differs
-//	scanned    the own table is compared with it, and the pins are sent
-//	prepared   every live instance has scanned, so every home has told its pins
+//	staged     it is known
+//	scanned    flows that their home may not know, and on which it differs, are told to their home
+//	prepared   every live instance has scanned, and the pins of the flows on which it differs are sent
 //	active     every live instance is prepared; homes open new flows by it
 //
 // Once it is active everywhere, older epochs are retired. A flow without a pin
@@ -76,39 +76,55 @@
 // advance moves every service as far along as the other instances allow.
 func (decider *Decider) advance() {
 	for _, service := range decider.catalogue {
-		decider.prepare(service)
 		decider.activateWhenPrepared(service)
 		decider.retire(service)
 	}
 	decider.settleInForce()
 }
 
-// scan compares the next shards of the flow table with the target epoch, as far
-// as the budget for pins allows.
+// scan compares the next shards of the flow table with the target epoch: in the
+// first pass for flows that homes may not know, in the second for those to pin.
 func (decider *Decider) scan(service *service) {
 	target := service.target()
-	if len(service.epochs) < 2 || target == nil || service.scanned == target.ID || decider.orphanCursor < flowShards {
+	if len(service.epochs) < 2 || target == nil || service.prepared == target.ID || decider.orphanCursor < flowShards {
+		return
+	}
+	pinning := service.scanned == target.ID
+	if pinning && decider.lagging(service, func(state ServiceState) EpochID { return state.Scanned }) != nil {
 		return
 	}
 	for range shardsPerTick {
-		if service.scanCursor >= flowShards || !decider.scanShard(service, target, decider.flows.shards[service.scanCursor]) {
+		if service.scanCursor >= flowShards {
 			break
 		}
+		shard := decider.flows.shards[service.scanCursor]
+		if !decider.scanShard(service, target, shard, pinning) {
+			return
+		}
 		service.scanCursor++
 	}
-	if service.scanCursor >= flowShards {
-		decider.flushPins()
+	if service.scanCursor < flowShards {
+		return
+	}
+	decider.flushPins()
+	service.scanCursor = 0
+	if pinning {
+		service.prepared = target.ID
+	} else {
 		service.scanned = target.ID
-		decider.touch(service)
 	}
+	decider.touch(service)
 }
 
-// scanShard pins the flows that the target epoch would give to another backend
-// server: to everybody those it is home of, to their home those the home may not
-// know. It reports false when the budget ran out before the end.
-func (decider *Decider) scanShard(service *service, target *epoch, shard map[uint64]flow) bool {
+// scanShard looks for the flows that the target epoch would give to another
+// backend server. It reports false when the budget ran out before the end.
+func (decider *Decider) scanShard(service *service, target *epoch, shard map[uint64]flow, pinning bool) bool {
 	for key, flow := range shard {
-		if flow.pinned || flow.state == closed || decider.servers[flow.server].service != service {
+		// An opening that is not accepted yet is pinned when it is.
+		if flow.pinned || flow.state == closed || flow.state == opening || (!pinning && !flow.orphan) {
+			continue
+		}
+		if decider.servers[flow.server].service != service {
 			continue
 		}
 		if picked := target.pick(key); picked != nil && picked.id == flow.server {
@@ -116,7 +132,7 @@
 		}
 		home := decider.homeOrNil(key)
 		switch {
-		case decider.isHome(key):
+		case pinning && decider.isHome(key):
 			if !decider.mayPin(service, len(decider.walk)-1) {
 				return false
 			}
@@ -124,7 +140,7 @@
 			shard[key] = flow
 			decider.broadcastPin(Pin{Flow: key, Server: flow.server})
 			decider.counters.add(CountPinsSent, 1)
-		case home != nil && flow.orphan:
+		case !pinning && home != nil:
 			if !decider.mayPin(service, 1) {
 				return false
 			}
@@ -147,20 +163,6 @@
 	return decider.pinBudget.AllowN(decider.now, bytes)
 }
 
-// prepare notes that every instance has told the homes what they may not have known.
-func (decider *Decider) prepare(service *service) {
-	target := service.target()
-	if target == nil || service.scanned != target.ID || service.prepared == target.ID {
-		return
-	}
-	if decider.lagging(service, func(state ServiceState) EpochID { return state.Scanned }) != nil {
-		return
-	}
-	decider.flushPins()
-	service.prepared = target.ID
-	decider.touch(service)
-}
-
 // lagging returns a live instance that has not come as far as the target epoch
 // with the same instances in view, or nil. Another view would name other homes,
 // which have not pinned their flows.
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -238,8 +238,6 @@
 		return "epochs"
 	case message.Pins != nil:
 		return "pins"
-	case message.Orphans != nil:
-		return "orphans"
 	case message.Flows != nil:
 		return "flows"
 	case message.Sheet != nil:
