Keep joiners and woken instances from deciding early

Cause: a new instance took its still empty walk for a view without others and integrated at once (replace_3); an instance without a view passed acceptances to callers past the home; a home that learned of an exception did not pin it. Ruled out: missing hand-over pins; the trace shows the joiner's own epoch. Change: the view is built at the start; the last view names homes while there is none; a home pins exceptions that it meets; epochs of weights wait for their pins, urgent ones do not.

--- a/decider/config.go
+++ b/decider/config.go
@@ -12,7 +12,8 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	FailureTimeout    = 1600 * time.Millisecond // three heartbeats and some delay
 	ActivationTimeout = 2500 * time.Millisecond
-	PauseThreshold    = time.Second // a tick later than this means that the process was paused
+	patientTimeout    = 30 * time.Second // for epochs that are not urgent
+	PauseThreshold    = time.Second      // a tick later than this means that the process was paused
 	ReportInterval    = 2 * time.Second
 	WeightInterval    = 10 * time.Second
 	UncertainWindow   = 10 * time.Second // in which a caller may still retransmit an opening
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -34,8 +34,9 @@
 	members       map[string]*member
 	roster        []*member // by name, so that every run goes the same way
 	view          []place   // instances that can be home of a flow
-	oldView       []place
-	walk          []place // live instances
+	oldView       []place   // before the last change
+	lastView      []place   // last that was not empty
+	walk          []place   // live instances
 	viewChangedAt time.Time
 	viewDigest    uint32
 	pinBudget     *rate.Limiter
@@ -71,7 +72,7 @@
 
 // NewDecider returns a Decider that starts at now.
 func NewDecider(config Config, now time.Time) *Decider {
-	return &Decider{
+	decider := &Decider{
 		config:        config,
 		selfHash:      hashName(config.Self.Name),
 		started:       now,
@@ -87,6 +88,8 @@
 		flows:         newFlowTable(config.MaxFlows),
 		pinBudget:     rate.NewLimiter(pinRate, pinBurst),
 	}
+	decider.rebuildView()
+	return decider
 }
 
 // TakeOutbox returns the messages to send since the last call.
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -115,6 +115,9 @@
 	if slices.Equal(old, view) {
 		return
 	}
+	if len(view) > 0 {
+		decider.lastView = view
+	}
 	decider.viewChangedAt = decider.now
 	decider.viewDigest = 0
 	for _, place := range view {
@@ -147,6 +150,15 @@
 	return winner
 }
 
+// homeOrNil returns the home of a flow as far as this instance has ever known,
+// or nil when it is the instance itself or nobody was ever heard.
+func (decider *Decider) homeOrNil(key uint64) *member {
+	if len(decider.view) > 0 {
+		return decider.home(key)
+	}
+	return topOf(decider.lastView, key)
+}
+
 // isHome reports whether this instance decides for a flow.
 func (decider *Decider) isHome(key uint64) bool {
 	return decider.integrated && !decider.leaving && decider.home(key) == nil
--- a/decider/message.go
+++ b/decider/message.go
@@ -25,6 +25,7 @@
 	Service string        `cbor:"2,keyasint"`
 	Basis   uint64        `cbor:"3,keyasint"` // digest of the service's rows in the sheet
 	Servers []EpochServer `cbor:"4,keyasint"`
+	Urgent  bool          `cbor:"5,keyasint,omitempty"` // a backend server joins, leaves or is down
 }
 
 // EpochServer is a backend server in an epoch; weight 0 takes no new flows.
--- a/decider/open.go
+++ b/decider/open.go
@@ -18,13 +18,13 @@
 
 // open decides about the first packet of a flow, at its home.
 func (decider *Decider) open(service *service, packet *framer.Packet, key uint64) Verdict {
-	if len(decider.view) == 0 {
-		return decider.drop(CountNotReady)
-	}
-	if home := decider.home(key); home != nil && !packet.Relayed {
+	if home := decider.homeOrNil(key); home != nil && !packet.Relayed {
 		decider.witness(service, packet, key)
 		return decider.relay(home, 0, 0)
 	}
+	if len(decider.view) == 0 {
+		return decider.drop(CountNotReady)
+	}
 	old, known := decider.flows.get(key)
 	if known && !decider.reopens(packet, old) {
 		return decider.reforward(service, packet, key, old)
@@ -135,9 +135,7 @@
 	moved := known && old.server != server.id
 	if moved || (!isTCP && decider.needsPin(service, key)) {
 		// Others may remember an earlier flow of this tuple, or go by another epoch.
-		opened.pinned = true
-		decider.broadcastPin(Pin{Flow: key, Server: server.id})
-		decider.flushPins()
+		decider.pin(key, &opened)
 	}
 	decider.putFlow(key, opened)
 	server.load.Openings++
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -111,7 +111,7 @@
 	if newest != nil {
 		service.warmNewServers(newest)
 	}
-	decider.propose(service)
+	decider.propose(service, true)
 }
 
 // warmNewServers lets backend servers that join a running service start with a small share.
@@ -125,12 +125,12 @@
 }
 
 // propose stages a new epoch everywhere, with the weights that the policy gives.
-func (decider *Decider) propose(service *service) {
+func (decider *Decider) propose(service *service, urgent bool) {
 	id := EpochID{SheetVersion: decider.sheetVersion, Owner: uint32(decider.selfHash)}
 	if newest := service.newest(); newest != nil && newest.ID.SheetVersion == decider.sheetVersion {
 		id.Revision = newest.ID.Revision + 1
 	}
-	wire := Epoch{ID: id, Service: service.name, Basis: service.basis}
+	wire := Epoch{ID: id, Service: service.name, Basis: service.basis, Urgent: urgent}
 	for _, row := range service.spec.BackendServers {
 		weight := service.policy.weight(service, row)
 		wire.Servers = append(wire.Servers, EpochServer{
@@ -216,7 +216,7 @@
 		state.openings, state.accepted, state.shed, state.returned = 0, 0, 0, 0
 	}
 	if changed {
-		decider.propose(service)
+		decider.propose(service, true)
 	}
 }
 
@@ -260,7 +260,7 @@
 	warmed := decider.warm(service)
 	quiet := len(service.epochs) < maxEpochsInUse && decider.missing() == 0
 	if (quiet && service.learn()) || warmed {
-		decider.propose(service)
+		decider.propose(service, false)
 	}
 }
 
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -131,14 +131,38 @@
 	learned.server = server.id
 	learned.generation = server.service.generation
 	learned.seen = decider.seconds(decider.now)
+	decider.tellExceptions(key, server, &learned)
 	decider.putFlow(key, learned)
 	return learned
 }
 
+// tellExceptions spreads a flow that was met on a backend server to which
+// instances that do not know it might not send it.
+func (decider *Decider) tellExceptions(key uint64, server *server, learned *flow) {
+	if !decider.consistent() || !server.service.clean || server.service.certain(key) == server {
+		return
+	}
+	if decider.isHome(key) {
+		decider.pin(key, learned)
+		return
+	}
+	if home := decider.homeOrNil(key); home != nil {
+		home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: server.id})
+		decider.pinsQueued = true
+	}
+}
+
 // forward sends a caller's packet to the backend server of its flow.
 func (decider *Decider) forward(packet *framer.Packet, key uint64, flow flow) Verdict {
 	server := decider.servers[flow.server]
 	flow.seen = decider.seconds(decider.now)
+	if flow.state == opening && packet.Tuple.Protocol == framer.ProtocolTCP {
+		// The caller has seen the acceptance, which may have gone past this home.
+		flow.state = established
+		if !flow.pinned && decider.isHome(key) && decider.needsPin(server.service, key) {
+			decider.pin(key, &flow)
+		}
+	}
 	if packet.PayloadLength > 0 && packet.Tuple.Protocol == framer.ProtocolTCP {
 		flow.pending = true
 		flow.expect = packet.Sequence + uint32(packet.PayloadLength)
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// pin tells every instance the backend server of a flow that this one is home of.
+func (decider *Decider) pin(key uint64, flow *flow) {
+	flow.pinned = true
+	decider.broadcastPin(Pin{Flow: key, Server: flow.server})
+	decider.flushPins()
+}
+
 func (decider *Decider) flushPins() {
 	if !decider.pinsQueued {
 		return
@@ -85,6 +92,9 @@
 		taken.server = pin.Server
 		taken.generation = server.service.generation
 		taken.seen = decider.seconds(decider.now)
+		if decider.isHome(pin.Flow) {
+			decider.tellExceptions(pin.Flow, server, &taken)
+		}
 		decider.countFlow(&taken)
 		decider.putFlow(pin.Flow, taken)
 	})
--- a/decider/return.go
+++ b/decider/return.go
@@ -27,8 +27,8 @@
 	if !packet.Relayed {
 		server.load.Returned++
 	}
-	if isAccept(packet) && !packet.Relayed && len(decider.view) > 0 {
-		if home := decider.home(key); home != nil {
+	if isAccept(packet) && !packet.Relayed {
+		if home := decider.homeOrNil(key); home != nil {
 			if service.certain(key) == server {
 				decider.witness(service, packet, key)
 			}
@@ -90,22 +90,13 @@
 	return decider.toCaller(server, packet, key, decider.learn(key, server, packet))
 }
 
-func (decider *Decider) homeOrNil(key uint64) *member {
-	if len(decider.view) == 0 {
-		return nil
-	}
-	return decider.home(key)
-}
-
 // toCaller passes a backend server's packet on to the caller.
 func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
 	flow.seen = decider.seconds(decider.now)
 	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
 	decider.observe(server, packet, &flow)
 	if accepted && !flow.pinned && decider.needsPin(server.service, key) {
-		flow.pinned = true
-		decider.broadcastPin(Pin{Flow: key, Server: server.id})
-		decider.flushPins()
+		decider.pin(key, &flow)
 	}
 	flow.end(packet.Flags, false)
 	decider.putFlow(key, flow)
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -1,6 +1,9 @@
 package decider
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // An epoch goes through four steps on every instance:
 //
@@ -60,9 +63,9 @@
 	}
 }
 
-// urgent reports whether the newest epoch follows another version of the sheet than the one before it.
+// urgent reports whether an epoch in use is one that must not wait.
 func (service *service) urgent() bool {
-	return service.newest() != nil && service.newest().Basis != service.epochs[0].Basis || len(service.epochs) == 1
+	return slices.ContainsFunc(service.epochs, func(epoch *epoch) bool { return epoch.Urgent && epoch != service.epochs[0] })
 }
 
 // target is the epoch that the own table is to be compared with.
@@ -144,6 +147,8 @@
 			if !decider.mayPin(service, 1) {
 				return false
 			}
+			flow.orphan = false
+			shard[key] = flow
 			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
 			decider.pinsQueued = true
 			decider.counters.add(CountOrphansSent, 1)
@@ -152,11 +157,16 @@
 	return true
 }
 
+// sheetChanges reports whether epochs of two versions of the sheet are in use.
+func (service *service) sheetChanges() bool {
+	return service.epochs[0].Basis != service.newest().Basis
+}
+
 // mayPin takes the bytes of a pin for so many instances from the budget. A new
 // version of the sheet may run it into debt, which later weights then pay.
 func (decider *Decider) mayPin(service *service, instances int) bool {
 	bytes := pinLength * max(1, instances)
-	if service.urgent() && decider.pinBudget.TokensAt(decider.now) > -maxPinDebt {
+	if service.sheetChanges() && decider.pinBudget.TokensAt(decider.now) > -maxPinDebt {
 		decider.pinBudget.ReserveN(decider.now, bytes)
 		return true
 	}
@@ -195,7 +205,7 @@
 	case prepared || first:
 		service.clean = true
 		decider.activate(service, service.staged)
-	case decider.now.Sub(service.stagedAt) >= ActivationTimeout:
+	case decider.now.Sub(service.stagedAt) >= service.staged.timeout():
 		service.clean = false
 		decider.counters.add(CountActivationTimeouts, 1)
 		decider.event(EventActivationTimeout, "service", service.name, "epoch", service.staged.ID)
@@ -203,6 +213,14 @@
 	}
 }
 
+// timeout is how long the epoch may be staged.
+func (epoch *epoch) timeout() time.Duration {
+	if epoch.Urgent {
+		return ActivationTimeout
+	}
+	return patientTimeout
+}
+
 func (decider *Decider) activate(service *service, epoch *epoch) {
 	service.active = epoch
 	if service.staged == epoch {
