Find flows across a cut that has just healed

Cause: traces show that most flows counted as broken in a cut lost packets in the first seconds after it healed, before the sides had heard each other; the others were openings that one side believed in and the other had accepted. Ruled out: missing replicas; the far side knew the flows. Change: while a failure domain is unheard, heartbeats to it keep their pace and unknown packets are tried at the instance that would be home beyond the cut; openings without a seen acceptance are not trusted; pins gather for 200 ms.

--- a/decider/config.go
+++ b/decider/config.go
@@ -23,13 +23,14 @@
 
 // Limits of the background work between instances.
 const (
-	pinRate         = 2000  // bytes a second of pins
-	pinBurst        = 16384 // bytes of pins at once
-	maxPinDebt      = 65536 // bytes of pins that a new version of the sheet may borrow
-	shardsPerTick   = 8     // shards of the flow table that one tick scans
-	maxEpochsInUse  = 4     // of a service, above which its weights stay as they are
-	recentChange    = time.Second
-	regularInterval = 16 // heartbeats after which the sender's addresses are repeated
+	pinRate          = 2000  // bytes a second of pins
+	pinBurst         = 16384 // bytes of pins at once
+	maxPinDebt       = 65536 // bytes of pins that a new version of the sheet may borrow
+	shardsPerTick    = 8     // shards of the flow table that one tick scans
+	pinFlushInterval = 200 * time.Millisecond
+	maxEpochsInUse   = 4 // of a service, above which its weights stay as they are
+	recentChange     = time.Second
+	regularInterval  = 16 // heartbeats after which the sender's addresses are repeated
 )
 
 // Idle timeouts of flows by state.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -28,6 +28,7 @@
 	lastTick   time.Time
 	lastBeat   time.Time
 	lastLoad   time.Time
+	lastFlush  time.Time
 	lastExpire time.Time
 	beats      int
 
@@ -158,7 +159,7 @@
 	decider.advance()
 	decider.runOwned()
 	decider.leaveFlows()
-	decider.flushPins()
+	decider.flushPinsLater()
 	if now.Sub(decider.lastLoad) >= ReportInterval {
 		decider.lastLoad = now
 		decider.sendLoads()
@@ -180,7 +181,7 @@
 	decider.flushPins()
 	decider.heartbeatDue = false
 	decider.lastBeat = decider.now
-	decider.sendHeartbeats(false)
+	decider.sendHeartbeats()
 }
 
 // resume puts an instance that was paused back to where a new one starts, with
@@ -197,12 +198,6 @@
 	for _, service := range decider.catalogue {
 		service.clean = false
 	}
-	for _, shard := range decider.flows.shards {
-		for key, flow := range shard {
-			flow.pinned = false
-			shard[key] = flow
-		}
-	}
 	for _, service := range decider.catalogue {
 		service.generation++
 	}
@@ -371,7 +366,7 @@
 func (decider *Decider) Close(now time.Time) {
 	decider.now = now
 	decider.gone = true
-	decider.sendHeartbeats(false)
+	decider.sendHeartbeats()
 }
 
 // leaveFlows tells the new homes the flows of an instance that leaves.
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -6,11 +6,12 @@
 	"github.com/pimentowind/pimentowind/picker"
 )
 
-func (decider *Decider) sendHeartbeats(all bool) {
+func (decider *Decider) sendHeartbeats() {
 	decider.beats++
 	heartbeat := decider.heartbeat()
 	for _, member := range decider.roster {
-		if !member.alive && !all && decider.now.Sub(member.lastSent) < deadPeerInterval {
+		waits := !member.listed || !decider.darkened
+		if !member.alive && waits && decider.now.Sub(member.lastSent) < deadPeerInterval {
 			continue
 		}
 		copied := heartbeat
--- a/decider/open.go
+++ b/decider/open.go
@@ -146,7 +146,11 @@
 
 // needsPin reports whether instances that go by another epoch in use would send the flow elsewhere.
 func (decider *Decider) needsPin(service *service, key uint64) bool {
-	return (service.clean || service.staged != nil) && service.certain(key) == nil
+	if service.clean {
+		return service.certain(key) == nil
+	}
+	// Flows on which older epochs differ are asked of their home.
+	return service.staged != nil && service.active.pick(key) != service.staged.pick(key)
 }
 
 func countOfRefusal(reason framer.Reason) Count {
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -35,6 +35,9 @@
 // maxWalk bounds how many instances one packet may visit.
 const maxWalk = 12
 
+// farRank marks a packet that was sent across what may be a cut.
+const farRank = 255
+
 // Packet decides about one packet.
 func (decider *Decider) Packet(now time.Time, packet *framer.Packet) Verdict {
 	decider.advanceClock(now)
@@ -76,7 +79,7 @@
 		return decider.open(service, packet, key)
 	}
 	flow, known := decider.lookup(service, key)
-	if known && flow.state == opening && !decider.explains(service, key, flow) {
+	if known && flow.state == opening && !flow.pinned && !decider.explains(service, key, flow) {
 		known = false // another home may have opened it
 	}
 	if !known && packet.Hint != 0 {
@@ -125,6 +128,9 @@
 
 func (decider *Decider) learn(key uint64, server *server, packet *framer.Packet) flow {
 	learned := newFlow(established)
+	if isOpening(packet) {
+		learned.state = opening
+	}
 	if packet.Tuple.Protocol == framer.ProtocolUDP {
 		learned.state = datagram
 	}
@@ -202,8 +208,8 @@
 		return verdict
 	}
 	oldest := service.oldest()
-	if oldest == nil || decider.darkened || decider.merging {
-		// The flow may have been opened beyond a cut. Silence lets the caller's
+	if oldest == nil || !decider.consistent() {
+		// The flow may have been opened beyond a cut, or during a pause. Silence lets the caller's
 		// next copy find its way; a wrong backend server would reset the flow.
 		return decider.drop(CountUnknownFlow)
 	}
@@ -223,6 +229,9 @@
 // ask passes a packet on to the next instance that may know its flow: the home
 // first, then the others in rank order.
 func (decider *Decider) ask(packet *framer.Packet, key uint64) (Verdict, bool) {
+	if home := decider.homeOrNil(key); len(decider.walk) == 1 && home != nil && !packet.Relayed {
+		return decider.relay(home, 0, 0), true // nobody is heard yet
+	}
 	ranked := decider.ranked(key)
 	rank := 0
 	if packet.Relayed {
@@ -234,7 +243,25 @@
 		}
 		return decider.relay(ranked[rank], rank, 0), true
 	}
-	return Verdict{}, false
+	return decider.askUnheard(packet, key)
+}
+
+// askUnheard passes a packet that nobody on this side of a cut knows to the
+// instance that would be its home on the other side: the cut may just have healed.
+func (decider *Decider) askUnheard(packet *framer.Packet, key uint64) (Verdict, bool) {
+	if !decider.darkened || packet.RelayRank == farRank {
+		return Verdict{}, false
+	}
+	var unheard []place
+	for _, member := range decider.roster {
+		if member.listed && !member.alive {
+			unheard = append(unheard, place{hash: member.hash, member: member})
+		}
+	}
+	if len(unheard) == 0 {
+		return Verdict{}, false
+	}
+	return decider.relay(topOf(unheard, key), farRank, 0), true
 }
 
 func (decider *Decider) relay(to *member, rank int, hint uint32) Verdict {
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -46,10 +46,18 @@
 	decider.flushPins()
 }
 
+// flushPinsLater sends the queued pins once enough time has passed to fill a message.
+func (decider *Decider) flushPinsLater() {
+	if decider.now.Sub(decider.lastFlush) >= pinFlushInterval {
+		decider.flushPins()
+	}
+}
+
 func (decider *Decider) flushPins() {
 	if !decider.pinsQueued {
 		return
 	}
+	decider.lastFlush = decider.now
 	decider.pinsQueued = false
 	for _, member := range decider.roster {
 		decider.flushMember(member)
@@ -119,6 +127,9 @@
 	if !known {
 		flow = newFlow(established)
 	}
+	if flow.state == opening {
+		flow.state = established
+	}
 	flow.server = pin.Server
 	flow.pinned = true
 	flow.orphan = false
--- a/decider/return.go
+++ b/decider/return.go
@@ -146,6 +146,9 @@
 			flow.state = established
 		}
 	}
+	if flow.state == opening && !isAccept(packet) {
+		flow.state = established
+	}
 	if flow.pending && packet.PayloadLength > 0 && packet.Acknowledge == flow.expect {
 		flow.pending = false
 		server.response(time.Duration(decider.microseconds(decider.now)-flow.sent) * time.Microsecond)
--- a/internal/experimenter/scenario.go
+++ b/internal/experimenter/scenario.go
@@ -172,6 +172,7 @@
 	for _, instance := range world.instances {
 		instance.sent = 0
 	}
+	world.result.before = world.counters()
 }
 
 // begin sets off what the scenario is about.
