Let new homes learn the flows that they have witnessed only at their opening

Cause: an instance that had relayed an opening kept it as not accepted, and ignored what others told it of the flow once it had become its home; flows met after a change of view were not told to the new home at all. Ruled out: lost messages; the others had sent the flow. Change: what others tell replaces an unaccepted opening; flows met later count as unknown to a home that a recent view did not name; a leaver hands over every flow that it is home of.

--- a/decider/config.go
+++ b/decider/config.go
@@ -27,6 +27,8 @@
 	pinBurst         = 16384 // bytes of pins at once
 	maxPinDebt       = 65536 // bytes of pins that a new version of the sheet may borrow
 	shardsPerTick    = 8     // shards of the flow table that one tick scans
+	maxOldViews      = 4
+	oldViewsLifetime = 10 * time.Minute
 	pinFlushInterval = 200 * time.Millisecond
 	maxEpochsInUse   = 4 // of a service, above which its weights stay as they are
 	recentChange     = time.Second
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -35,7 +35,7 @@
 	members       map[string]*member
 	roster        []*member // by name, so that every run goes the same way
 	view          []place   // instances that can be home of a flow
-	oldView       []place   // before the last change
+	oldViews      [][]place // of late, oldest first
 	lastView      []place   // last that was not empty
 	walk          []place   // live instances
 	viewChangedAt time.Time
@@ -150,6 +150,7 @@
 	decider.lastTick = now
 	decider.expireMembers()
 	decider.darkened = decider.dark()
+	decider.forgetOldViews()
 	decider.integrate()
 	decider.markOrphans()
 	for _, service := range decider.catalogue {
@@ -377,7 +378,7 @@
 	decider.leftFlows = true
 	for _, shard := range decider.flows.shards {
 		for key, flow := range shard {
-			if !flow.counted || flow.pinned {
+			if flow.pinned || flow.state == closed || topOf(decider.lastView, key) != nil {
 				continue
 			}
 			home := decider.home(key)
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -142,7 +142,7 @@
 func (decider *Decider) sendPins(to *member) {
 	for _, shard := range decider.flows.shards {
 		for key, flow := range shard {
-			if flow.pinned && decider.isHome(key) {
+			if flow.pinned && flow.state != closed && decider.isHome(key) {
 				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
 			}
 		}
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -115,7 +115,10 @@
 	if slices.Equal(old, view) {
 		return
 	}
-	if len(view) > 0 {
+	switch {
+	case decider.leaving:
+		decider.lastView = old
+	case len(view) > 0:
 		decider.lastView = view
 	}
 	decider.viewChangedAt = decider.now
@@ -129,7 +132,7 @@
 			decider.touch(service)
 		}
 	}
-	decider.oldView = old
+	decider.rememberView(old)
 	decider.orphanCursor = 0
 	decider.event(EventViewChanged, "instances", len(view))
 }
@@ -214,6 +217,36 @@
 	return count
 }
 
+// rememberView keeps the last few views, whose homes may have opened flows that today's homes do not know.
+func (decider *Decider) rememberView(view []place) {
+	if len(view) == 0 {
+		return
+	}
+	decider.oldViews = append(decider.oldViews, view)
+	decider.oldViews = decider.oldViews[max(0, len(decider.oldViews)-maxOldViews):]
+}
+
+// movedHome reports whether a flow had another home under a view of late.
+func (decider *Decider) movedHome(key uint64) bool {
+	if len(decider.view) == 0 {
+		return false
+	}
+	home := decider.home(key)
+	for _, view := range decider.oldViews {
+		if topOf(view, key) != home {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetOldViews lets go of the old views once flows of their time are known.
+func (decider *Decider) forgetOldViews() {
+	if decider.now.Sub(decider.viewChangedAt) > oldViewsLifetime {
+		decider.oldViews = nil
+	}
+}
+
 // markOrphans marks, a few shards a call, the flows whose home the last change of view has moved.
 func (decider *Decider) markOrphans() {
 	if decider.orphanCursor >= flowShards {
@@ -226,18 +259,20 @@
 }
 
 func (decider *Decider) markOrphansIn(shard map[uint64]flow) {
-	if len(decider.view) == 0 || len(decider.oldView) == 0 {
+	if len(decider.view) == 0 {
 		return
 	}
 	for key, flow := range shard {
-		if flow.pinned && decider.isHome(key) && topOf(decider.oldView, key) != nil {
+		if flow.state == closed || !decider.movedHome(key) {
+			continue
+		}
+		if flow.pinned && decider.isHome(key) {
 			decider.pinToJoiners(Pin{Flow: key, Server: flow.server})
 		}
-		if flow.pinned || flow.state == closed || topOf(decider.oldView, key) == decider.home(key) {
-			continue
+		if !flow.pinned {
+			flow.orphan = true
+			shard[key] = flow
 		}
-		flow.orphan = true
-		shard[key] = flow
 	}
 }
 
--- a/decider/open.go
+++ b/decider/open.go
@@ -136,6 +136,7 @@
 	if moved || (!isTCP && decider.needsPin(service, key)) {
 		// Others may remember an earlier flow of this tuple, or go by another epoch.
 		decider.pin(key, &opened)
+		decider.flushPins()
 	}
 	decider.putFlow(key, opened)
 	server.load.Openings++
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -137,6 +137,7 @@
 	learned.server = server.id
 	learned.generation = server.service.generation
 	learned.seen = decider.seconds(decider.now)
+	learned.orphan = learned.state != opening && decider.movedHome(key)
 	decider.tellExceptions(key, server, &learned)
 	decider.putFlow(key, learned)
 	return learned
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -43,7 +43,6 @@
 func (decider *Decider) pin(key uint64, flow *flow) {
 	flow.pinned = true
 	decider.broadcastPin(Pin{Flow: key, Server: flow.server})
-	decider.flushPins()
 }
 
 // flushPinsLater sends the queued pins once enough time has passed to fill a message.
@@ -92,9 +91,13 @@
 func (decider *Decider) receiveFlows(packed []byte) {
 	eachPin(packed, func(pin Pin) {
 		server, ok := decider.servers[pin.Server]
-		if _, known := decider.flows.get(pin.Flow); known || !ok {
+		old, known := decider.flows.get(pin.Flow)
+		if !ok || (known && old.state != opening) {
 			return
 		}
+		if known {
+			decider.dropFlow(pin.Flow, old)
+		}
 		decider.counters.add(CountFlowsTakenOver, 1)
 		taken := newFlow(established)
 		taken.server = pin.Server
--- a/decider/return.go
+++ b/decider/return.go
@@ -97,6 +97,7 @@
 	decider.observe(server, packet, &flow)
 	if accepted && !flow.pinned && decider.needsPin(server.service, key) {
 		decider.pin(key, &flow)
+		decider.flushPins()
 	}
 	flow.end(packet.Flags, false)
 	decider.putFlow(key, flow)
