Pin flows accepted after their epoch is retired

Cause: with heartbeats at every step an epoch can be retired between an opening and its acceptance; the home then compared the epochs in use with each other and not with the flow's backend server. Ruled out: a lost pin; none was sent.

--- a/decider/config.go
+++ b/decider/config.go
@@ -29,8 +29,8 @@
 	shardsPerTick    = 8     // shards of the flow table that one tick scans
 	maxOldViews      = 4
 	oldViewsLifetime = 10 * time.Minute
-	pinFlushInterval = 200 * time.Millisecond
-	maxEpochsInUse   = 4 // of a service, above which its weights stay as they are
+	flushInterval    = time.Second // between messages with what can wait
+	maxEpochsInUse   = 4           // of a service, above which its weights stay as they are
 	recentChange     = time.Second
 	regularInterval  = 16 // heartbeats after which the sender's addresses are repeated
 )
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -160,7 +160,7 @@
 	decider.advance()
 	decider.runOwned()
 	decider.leaveFlows()
-	decider.flushPinsLater()
+	decider.flushLater()
 	if now.Sub(decider.lastLoad) >= ReportInterval {
 		decider.lastLoad = now
 		decider.sendLoads()
@@ -382,7 +382,7 @@
 				continue
 			}
 			home := decider.home(key)
-			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
+			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
 		}
 	}
 	decider.pinsQueued = true
--- a/decider/flows.go
+++ b/decider/flows.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		if flow.pinned && decider.home(key) == decider.self {
-			decider.broadcastPin(Pin{Flow: key})
+			decider.unpinEverywhere(key)
 		}
 		decider.dropFlow(key, flow)
 		decider.counters.add(CountFlowsExpired, 1)
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -30,7 +30,8 @@
 	digest        uint64
 	services      map[uint64]ServiceState
 	pins          []byte // queued for it
-	orphans       []byte // queued for it
+	unpins        []byte // queued for it
+	flows         []byte // queued for it as their home
 	lastSheetSent uint64
 	differsSince  time.Time
 }
@@ -201,7 +202,7 @@
 // lose notes that an instance is not heard any more.
 func (decider *Decider) lose(member *member) {
 	member.alive, member.handedOver, member.introduced = false, false, false
-	member.pins, member.orphans = nil, nil
+	member.pins, member.unpins, member.flows = nil, nil, nil
 	decider.counters.add(CountMembersLost, 1)
 	decider.event(EventMemberLost, "instance", member.Name)
 }
--- a/decider/open.go
+++ b/decider/open.go
@@ -133,7 +133,7 @@
 	decider.countFlow(&opened)
 	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
 	moved := known && old.server != server.id
-	if moved || (!isTCP && decider.needsPin(service, key)) {
+	if moved || (!isTCP && service.needsPin(key, server)) {
 		// Others may remember an earlier flow of this tuple, or go by another epoch.
 		decider.pin(key, &opened)
 		decider.flushPins()
@@ -145,13 +145,14 @@
 	return Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
 }
 
-// needsPin reports whether instances that go by another epoch in use would send the flow elsewhere.
-func (decider *Decider) needsPin(service *service, key uint64) bool {
+// needsPin reports whether an instance that does not know the flow would send it
+// to another backend server, by the active epoch or by the staged one.
+func (service *service) needsPin(key uint64, server *server) bool {
 	if service.clean {
-		return service.certain(key) == nil
+		return service.certain(key) != server
 	}
 	// Flows on which older epochs differ are asked of their home.
-	return service.staged != nil && service.active.pick(key) != service.staged.pick(key)
+	return service.staged != nil && service.staged.pick(key) != server
 }
 
 func countOfRefusal(reason framer.Reason) Count {
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -146,7 +146,7 @@
 // tellExceptions spreads a flow that was met on a backend server to which
 // instances that do not know it might not send it.
 func (decider *Decider) tellExceptions(key uint64, server *server, learned *flow) {
-	if !decider.consistent() || !server.service.clean || server.service.certain(key) == server {
+	if !decider.consistent() || !server.service.needsPin(key, server) {
 		return
 	}
 	if decider.isHome(key) {
@@ -154,7 +154,7 @@
 		return
 	}
 	if home := decider.homeOrNil(key); home != nil {
-		home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: server.id})
+		home.flows = AppendPin(home.flows, Pin{Flow: key, Server: server.id})
 		decider.pinsQueued = true
 	}
 }
@@ -166,7 +166,7 @@
 	if flow.state == opening && packet.Tuple.Protocol == framer.ProtocolTCP {
 		// The caller has seen the acceptance, which may have gone past this home.
 		flow.state = established
-		if !flow.pinned && decider.isHome(key) && decider.needsPin(server.service, key) {
+		if !flow.pinned && decider.isHome(key) && server.service.needsPin(key, server) {
 			decider.pin(key, &flow)
 		}
 	}
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -45,18 +45,36 @@
 	decider.broadcastPin(Pin{Flow: key, Server: flow.server})
 }
 
-// flushPinsLater sends the queued pins once enough time has passed to fill a message.
-func (decider *Decider) flushPinsLater() {
-	if decider.now.Sub(decider.lastFlush) >= pinFlushInterval {
-		decider.flushPins()
+// unpinEverywhere lets the instances forget the pin of a flow that has ended; it can wait.
+func (decider *Decider) unpinEverywhere(key uint64) {
+	for _, member := range decider.roster {
+		if member.alive {
+			member.unpins = AppendPin(member.unpins, Pin{Flow: key})
+		}
+	}
+}
+
+// flushLater sends what is queued once enough time has passed to fill messages.
+func (decider *Decider) flushLater() {
+	if decider.now.Sub(decider.lastFlush) < flushInterval {
+		return
+	}
+	decider.lastFlush = decider.now
+	decider.flushPins()
+	for _, member := range decider.roster {
+		decider.flushFlows(member)
+		if len(member.unpins) > 0 {
+			decider.send(member, Message{Pins: member.unpins})
+			member.unpins = nil
+		}
 	}
 }
 
+// flushPins sends the queued pins, which others wait for.
 func (decider *Decider) flushPins() {
 	if !decider.pinsQueued {
 		return
 	}
-	decider.lastFlush = decider.now
 	decider.pinsQueued = false
 	for _, member := range decider.roster {
 		decider.flushMember(member)
@@ -68,9 +86,12 @@
 		decider.send(member, Message{Pins: member.pins})
 		member.pins = nil
 	}
-	if len(member.orphans) > 0 {
-		decider.send(member, Message{Flows: member.orphans})
-		member.orphans = nil
+}
+
+func (decider *Decider) flushFlows(member *member) {
+	if len(member.flows) > 0 {
+		decider.send(member, Message{Flows: member.flows})
+		member.flows = nil
 	}
 }
 
--- a/decider/return.go
+++ b/decider/return.go
@@ -95,7 +95,7 @@
 	flow.seen = decider.seconds(decider.now)
 	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
 	decider.observe(server, packet, &flow)
-	if accepted && !flow.pinned && decider.needsPin(server.service, key) {
+	if accepted && !flow.pinned && server.service.needsPin(key, server) {
 		decider.pin(key, &flow)
 		decider.flushPins()
 	}
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -55,17 +55,11 @@
 	service.scanned, service.prepared = EpochID{}, EpochID{}
 }
 
-// touch puts a service into the next heartbeats; a change of the sheet does not wait for the next one.
+// touch puts a service into the heartbeats, at once: the longer an epoch is
+// staged, the more openings need pins.
 func (decider *Decider) touch(service *service) {
 	service.changedAt = decider.now
-	if service.urgent() {
-		decider.heartbeatDue = true
-	}
-}
-
-// urgent reports whether an epoch in use is one that must not wait.
-func (service *service) urgent() bool {
-	return slices.ContainsFunc(service.epochs, func(epoch *epoch) bool { return epoch.Urgent && epoch != service.epochs[0] })
+	decider.heartbeatDue = true
 }
 
 // target is the epoch that the own table is to be compared with.
@@ -110,6 +104,9 @@
 		return
 	}
 	decider.flushPins()
+	for _, member := range decider.roster {
+		decider.flushFlows(member)
+	}
 	service.scanCursor = 0
 	if pinning {
 		service.prepared = target.ID
@@ -149,7 +146,7 @@
 			}
 			flow.orphan = false
 			shard[key] = flow
-			home.orphans = AppendPin(home.orphans, Pin{Flow: key, Server: flow.server})
+			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
 			decider.pinsQueued = true
 			decider.counters.add(CountOrphansSent, 1)
 		}
--- a/internal/experimenter/traffic.go
+++ b/internal/experimenter/traffic.go
@@ -132,10 +132,8 @@
 	if flow.ended {
 		return
 	}
-	if world.measuring {
-		world.result.Broken++
-		world.result.Why[why]++
-	}
+	world.result.Broken++
+	world.result.Why[why]++
 	world.replace(flow)
 }
 
