Forget measurements that a backend server gave under another load

Cause: a backend server whose sheet weight is twice too high queues at first; the smoothed response time remembered that for minutes, and its weight sank to 0.63 of its strength. Ruled out: clamping; the weight was inside its range. Change: after a change of a weight by 5% or more its older measurements count for three.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -9,11 +9,13 @@
 
 // Bounds of the weight policy.
 const (
-	weightStep       = 1.10 // largest change of one weight in one epoch
-	weightHysteresis = 0.10 // largest relative error that is left alone
-	weightRange      = 4.0  // largest factor between a weight and the sheet's
-	minBatches       = 6    // response batches before a strength is believed
-	floorSmoothing   = 0.12 // smallest share of the newest measurement in the smoothed one
+	weightStep        = 1.10 // largest change of one weight in one epoch
+	weightHysteresis  = 0.10 // largest relative error that is left alone
+	staleChange       = 0.05 // change of a weight after which older measurements count for less
+	staleMeasurements = 3    // that they count for then
+	weightRange       = 4.0  // largest factor between a weight and the sheet's
+	minBatches        = 6    // response batches before a strength is believed
+	floorSmoothing    = 0.12 // smallest share of the newest measurement in the smoothed one
 )
 
 // Bounds of the health policy.
@@ -300,6 +302,10 @@
 			state := service.policy.server(serverID(service.name, row.Address))
 			current := policyWeight(state, row)
 			state.learned = min(max(target, current/weightStep), current*weightStep)
+			if math.Abs(state.learned/current-1) > staleChange {
+				// What was measured under another load counts for less.
+				state.measured = min(state.measured, staleMeasurements)
+			}
 		}
 	}
 	return true
