Treat an instance that another has overtaken as asking, and weigh one change at a time

Cause: when the owner proposed an epoch while others had not activated the last, a flow opened by the old epoch at its home had no pin for those that had gone on. A new owner started measuring from nothing and changed every weight at once. Ruled out: lost pins; needsPin did not ask for them. Change: an instance behind another asks; a home pins whenever epochs in use disagree, within the budget while flows are asked; weights wait until the last epoch is retired; a new owner measures before it changes measured weights.

--- a/decider/config.go
+++ b/decider/config.go
@@ -30,7 +30,6 @@
 	maxOldViews      = 4
 	oldViewsLifetime = 10 * time.Minute
 	flushInterval    = time.Second // between messages with what can wait
-	maxEpochsInUse   = 4           // of a service, above which its weights stay as they are
 	recentChange     = time.Second
 	regularInterval  = 16 // heartbeats after which the sender's addresses are repeated
 )
--- a/decider/counter.go
+++ b/decider/counter.go
@@ -26,6 +26,10 @@
 	CountRefusedFull
 	CountRefusedOutcomeUnknown
 	CountPinsSent
+	CountPinsAtAccept
+	CountPinsMet
+	CountPinsToJoiners
+	CountUnpins
 	CountPinsReceived
 	CountPinUnknownServer
 	CountOrphansSent
@@ -51,7 +55,7 @@
 	"dropped_unknown_service", "dropped_unknown_backend_server", "dropped_unknown_flow",
 	"dropped_stale_return", "flows_stale", "dropped_not_ready", "flow_table_full", "flows_expired",
 	"refused_no_backend_server", "refused_backend_servers_full", "refused_outcome_unknown",
-	"pins_sent", "pins_received", "pins_unknown_backend_server", "orphans_sent", "pin_conflicts", "flows_taken_over",
+	"pins_sent", "pins_at_accept", "pins_met", "pins_to_joiners", "unpins", "pins_received", "pins_unknown_backend_server", "orphans_sent", "pin_conflicts", "flows_taken_over",
 	"members_joined", "members_lost", "stale_incarnations", "sheets_shared", "repairs",
 	"epochs_proposed", "epochs_activated", "epochs_retired", "activation_timeouts", "pauses", "messages_from_unknown",
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -39,6 +39,7 @@
 	lastView      []place   // last that was not empty
 	walk          []place   // live instances
 	viewChangedAt time.Time
+	lostAt        time.Time // when an instance was last lost without a word
 	viewDigest    uint32
 	pinBudget     *rate.Limiter
 	orphanCursor  int
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -143,6 +143,7 @@
 	for _, shard := range decider.flows.shards {
 		for key, flow := range shard {
 			if flow.pinned && flow.state != closed && decider.isHome(key) {
+				decider.counters.add(CountPinsToJoiners, 1)
 				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
 			}
 		}
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -187,6 +187,7 @@
 	for _, member := range slices.Clone(decider.roster) {
 		if member.alive && decider.now.Sub(member.lastHeard) > FailureTimeout {
 			decider.lose(member)
+			decider.lostAt = decider.now
 			changed = true
 		}
 		forgotten := decider.now.Sub(member.lastHeard) > ForgetTimeout && decider.now.Sub(member.knownSince) > ForgetTimeout
@@ -267,7 +268,7 @@
 		if flow.state == closed || !decider.movedHome(key) {
 			continue
 		}
-		if flow.pinned && decider.isHome(key) {
+		if flow.pinned && decider.now.Sub(decider.lostAt) < joinWindow && decider.isHome(key) {
 			decider.pinToJoiners(Pin{Flow: key, Server: flow.server})
 		}
 		if !flow.pinned {
@@ -282,6 +283,7 @@
 func (decider *Decider) pinToJoiners(pin Pin) {
 	for _, member := range decider.roster {
 		if member.alive && decider.now.Sub(member.joined) < joinWindow {
+			decider.counters.add(CountPinsToJoiners, 1)
 			decider.queuePin(member, pin)
 		}
 	}
--- a/decider/open.go
+++ b/decider/open.go
@@ -133,7 +133,7 @@
 	decider.countFlow(&opened)
 	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
 	moved := known && old.server != server.id
-	if moved || (!isTCP && service.needsPin(key, server)) {
+	if moved || (!isTCP && decider.needsPin(service, key, server)) {
 		// Others may remember an earlier flow of this tuple, or go by another epoch.
 		decider.pin(key, &opened)
 		decider.flushPins()
@@ -147,12 +147,12 @@
 
 // needsPin reports whether an instance that does not know the flow would send it
 // to another backend server, by the active epoch or by the staged one.
-func (service *service) needsPin(key uint64, server *server) bool {
-	if service.clean {
-		return service.certain(key) != server
+func (decider *Decider) needsPin(service *service, key uint64, server *server) bool {
+	if service.certain(key) == server {
+		return false
 	}
-	// Flows on which older epochs differ are asked of their home.
-	return service.staged != nil && service.staged.pick(key) != server
+	// While flows are asked of their home, pins only save the asking.
+	return service.clean || decider.mayPin(service, len(decider.walk)-1)
 }
 
 func countOfRefusal(reason framer.Reason) Count {
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -9,13 +9,14 @@
 
 // Bounds of the weight policy.
 const (
-	weightStep        = 1.10 // largest change of one weight in one epoch
-	weightHysteresis  = 0.10 // largest relative error that is left alone
-	staleChange       = 0.05 // change of a weight after which older measurements count for less
-	staleMeasurements = 3    // that they count for then
-	weightRange       = 4.0  // largest factor between a weight and the sheet's
-	minBatches        = 6    // response batches before a strength is believed
-	floorSmoothing    = 0.12 // smallest share of the newest measurement in the smoothed one
+	weightStep            = 1.10 // largest change of one weight in one epoch
+	weightHysteresis      = 0.10 // largest relative error that is left alone
+	staleChange           = 0.05 // change of a weight after which older measurements count for less
+	staleMeasurements     = 3    // that they count for then
+	inheritedMeasurements = 6    // before a new owner changes weights that an earlier one measured
+	weightRange           = 4.0  // largest factor between a weight and the sheet's
+	minBatches            = 6    // response batches before a strength is believed
+	floorSmoothing        = 0.12 // smallest share of the newest measurement in the smoothed one
 )
 
 // Bounds of the health policy.
@@ -34,6 +35,7 @@
 	lastWeights time.Time
 	servers     map[uint32]*serverPolicy
 	owned       bool
+	inherited   bool // the weights in use were measured by an earlier owner
 }
 
 // serverPolicy is what the owner knows of one backend server.
@@ -82,9 +84,19 @@
 		if weight > 0 {
 			state.learned = weight
 		}
+		service.policy.inherited = service.policy.inherited || weight != service.sheetWeight(server)
 	}
 }
 
+func (service *service) sheetWeight(server *server) float64 {
+	for _, row := range service.spec.BackendServers {
+		if row.Address == server.endpoint {
+			return float64(float32(row.Weight))
+		}
+	}
+	return 0
+}
+
 func (policy *policy) server(id uint32) *serverPolicy {
 	known, ok := policy.servers[id]
 	if !ok {
@@ -255,13 +267,12 @@
 // runWeights moves the weights towards the measured strengths, and warms up cold backend servers.
 func (decider *Decider) runWeights(service *service) {
 	policy := &service.policy
-	if decider.now.Sub(policy.lastWeights) < WeightInterval || service.staged != nil {
+	if decider.now.Sub(policy.lastWeights) < WeightInterval || len(service.epochs) > 1 {
 		return
 	}
 	policy.lastWeights = decider.now
 	warmed := decider.warm(service)
-	quiet := len(service.epochs) < maxEpochsInUse && decider.missing() == 0
-	if (quiet && service.learn()) || warmed {
+	if (decider.missing() == 0 && service.learn()) || warmed {
 		decider.propose(service, false)
 	}
 }
@@ -314,11 +325,15 @@
 // targets turns the smoothed response floors into weights with the sheet's total.
 func (service *service) targets() map[string]float64 {
 	targets := map[string]float64{}
+	needed := 1
+	if service.policy.inherited {
+		needed = inheritedMeasurements
+	}
 	totalWeight, totalStrength := 0.0, 0.0
 	for _, row := range service.spec.BackendServers {
 		state := service.policy.server(serverID(service.name, row.Address))
 		state.smooth()
-		if row.State != parser.Active || state.floor == 0 {
+		if row.State != parser.Active || state.measured < needed {
 			continue
 		}
 		targets[row.Name] = 1 / state.floor
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -146,10 +146,11 @@
 // tellExceptions spreads a flow that was met on a backend server to which
 // instances that do not know it might not send it.
 func (decider *Decider) tellExceptions(key uint64, server *server, learned *flow) {
-	if !decider.consistent() || !server.service.needsPin(key, server) {
+	if !decider.consistent() || !decider.needsPin(server.service, key, server) {
 		return
 	}
 	if decider.isHome(key) {
+		decider.counters.add(CountPinsMet, 1)
 		decider.pin(key, learned)
 		return
 	}
@@ -166,7 +167,7 @@
 	if flow.state == opening && packet.Tuple.Protocol == framer.ProtocolTCP {
 		// The caller has seen the acceptance, which may have gone past this home.
 		flow.state = established
-		if !flow.pinned && decider.isHome(key) && server.service.needsPin(key, server) {
+		if !flow.pinned && decider.isHome(key) && decider.needsPin(server.service, key, server) {
 			decider.pin(key, &flow)
 		}
 	}
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -47,6 +47,7 @@
 
 // unpinEverywhere lets the instances forget the pin of a flow that has ended; it can wait.
 func (decider *Decider) unpinEverywhere(key uint64) {
+	decider.counters.add(CountUnpins, 1)
 	for _, member := range decider.roster {
 		if member.alive {
 			member.unpins = AppendPin(member.unpins, Pin{Flow: key})
--- a/decider/return.go
+++ b/decider/return.go
@@ -95,7 +95,8 @@
 	flow.seen = decider.seconds(decider.now)
 	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
 	decider.observe(server, packet, &flow)
-	if accepted && !flow.pinned && server.service.needsPin(key, server) {
+	if accepted && !flow.pinned && decider.needsPin(server.service, key, server) {
+		decider.counters.add(CountPinsAtAccept, 1)
 		decider.pin(key, &flow)
 		decider.flushPins()
 	}
--- a/decider/service.go
+++ b/decider/service.go
@@ -56,6 +56,7 @@
 	scanned     EpochID
 	prepared    EpochID
 	clean       bool   // every flow that differs from the active epoch is pinned everywhere
+	behind      bool   // another instance opens flows by a newer epoch
 	generation  uint16 // counts changes of the set of epochs
 	policy      policy
 }
@@ -128,7 +129,7 @@
 
 // unpinned returns the backend server of a flow that has no pin, or nil when that is not certain.
 func (service *service) unpinned(key uint64) *server {
-	if service.clean && service.active != nil {
+	if service.clean && !service.behind && service.active != nil {
 		return service.active.pick(key)
 	}
 	return service.certain(key)
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -73,6 +73,7 @@
 // advance moves every service as far along as the other instances allow.
 func (decider *Decider) advance() {
 	for _, service := range decider.catalogue {
+		service.behind = decider.overtaken(service)
 		decider.activateWhenPrepared(service)
 		decider.retire(service)
 	}
@@ -191,6 +192,19 @@
 	return nil
 }
 
+// overtaken reports whether another instance opens flows by a newer epoch already.
+func (decider *Decider) overtaken(service *service) bool {
+	if service.active == nil {
+		return false
+	}
+	for _, member := range decider.roster {
+		if member.alive && member.services[service.hash].Active.Compare(service.active.ID) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (decider *Decider) activateWhenPrepared(service *service) {
 	if service.staged == nil {
 		return
