Wait for the other side of a healed cut to be clean

Cause: after a cut one side took the other for merged although it still went by several epochs that it had never heard of. Ruled out: lost pins; the flows were never pinned, they were to be asked. Change: a service state says whether every flow that differs is pinned; flows are asked of others until all are.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -262,7 +262,7 @@
 func (decider *Decider) pinned(member *member) bool {
 	for _, service := range decider.catalogue {
 		state := member.services[service.hash]
-		if service.active != nil && state.Prepared.Compare(service.active.ID) < 0 && state.Active != service.active.ID {
+		if service.active != nil && (!state.Clean || state.Active.Compare(service.active.ID) < 0) {
 			return false
 		}
 	}
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -42,7 +42,7 @@
 }
 
 func (decider *Decider) state(service *service) ServiceState {
-	state := ServiceState{Service: service.hash, View: decider.viewDigest, Scanned: service.scanned, Prepared: service.prepared}
+	state := ServiceState{Service: service.hash, Clean: service.clean && !service.behind, View: decider.viewDigest, Scanned: service.scanned, Prepared: service.prepared}
 	if service.active != nil {
 		state.Active = service.active.ID
 	}
--- a/decider/message.go
+++ b/decider/message.go
@@ -52,6 +52,7 @@
 	Active   EpochID
 	Scanned  EpochID
 	Prepared EpochID
+	Clean    bool // every flow that differs from Active is pinned
 }
 
 // Pin binds a flow to a backend server; server 0 removes the binding.
--- a/internal/experimenter/world.go
+++ b/internal/experimenter/world.go
@@ -73,12 +73,14 @@
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 func (eventQueue eventQueue) Len() int { return len(eventQueue) }
+
 func (eventQueue eventQueue) Less(i, j int) bool {
 	if eventQueue[i].at != eventQueue[j].at {
 		return eventQueue[i].at < eventQueue[j].at
 	}
 	return eventQueue[i].rank < eventQueue[j].rank
 }
+
 func (eventQueue eventQueue) Swap(i, j int) {
 	eventQueue[i], eventQueue[j] = eventQueue[j], eventQueue[i]
 }
