--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,171 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/storer"
+)
+
+// fakeStore is an object store in memory whose calls fail as told.
+type fakeStore struct {
+	objects    map[string]storer.Object
+	failing    int // calls to fail
+	loseAnswer bool
+	beforePut  func()
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]storer.Object{}} }
+
+func (fakeStore *fakeStore) Get(_ context.Context, name string) (storer.Object, error) {
+	if fakeStore.failing > 0 {
+		fakeStore.failing--
+		return storer.Object{}, &storer.UnavailableError{Call: "GET", Cause: errors.New("down")}
+	}
+	object, ok := fakeStore.objects[name]
+	if !ok {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return object, nil
+}
+
+func (fakeStore *fakeStore) Put(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
+	if before := fakeStore.beforePut; before != nil {
+		fakeStore.beforePut = nil
+		before()
+	}
+	if fakeStore.failing > 0 {
+		fakeStore.failing--
+		return 0, &storer.UnavailableError{Call: "PUT", Cause: errors.New("down")}
+	}
+	if fakeStore.objects[name].Version != version {
+		return 0, storer.ErrConflict
+	}
+	fakeStore.objects[name] = storer.Object{Version: version + 1, Value: value}
+	if fakeStore.loseAnswer {
+		fakeStore.loseAnswer = false
+		return 0, &storer.UnavailableError{Call: "PUT", Cause: errors.New("answer lost")}
+	}
+	return version + 1, nil
+}
+
+func (fakeStore *fakeStore) store(t *testing.T, name string, value any) {
+	t.Helper()
+	content, err := json.Marshal(value)
+	assert.NilError(t, err)
+	fakeStore.objects[name] = storer.Object{Version: fakeStore.objects[name].Version + 1, Value: content}
+}
+
+// sheet has one backend server a service, at the endpoints given.
+func sheet(endpoints map[string]string) *parser.Sheet {
+	result := &parser.Sheet{FailureDomains: []string{"a"}}
+	for _, name := range []string{"desk-sync", "report-desk"} {
+		endpoint, ok := endpoints[name]
+		if !ok {
+			continue
+		}
+		result.Services = append(result.Services, parser.Service{Name: name, BackendServers: []parser.BackendServer{
+			{Name: name + "-1", Address: netip.MustParseAddrPort(endpoint), Weight: 1, State: parser.Active},
+		}})
+	}
+	return result
+}
+
+func TestLoadSheetThroughFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*fakeStore)
+	}{
+		{"none", func(*fakeStore) {}},
+		{"platform down for three calls", func(store *fakeStore) { store.failing = 3 }},
+		{"answer lost after the write", func(store *fakeStore) { store.loseAnswer = true }},
+		{"down at the write, then answer lost", func(store *fakeStore) {
+			store.beforePut = func() { store.failing = 2 }
+			store.loseAnswer = true
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				c.fault(store)
+				version, err := NewLoader(store, "awa").LoadSheet(context.Background(), sheet(map[string]string{"desk-sync": "10.0.0.1:1"}))
+				assert.NilError(t, err)
+				assert.Equal(t, version, uint64(1))
+				assert.Equal(t, store.objects[SheetObject].Version, uint64(1), "the sheet was written once")
+			})
+		})
+	}
+}
+
+func TestLoadSheetTellsTheLoserOfARace(t *testing.T) {
+	store := newFakeStore()
+	theirs := sheet(map[string]string{"desk-sync": "10.0.0.1:1"})
+	ours := sheet(map[string]string{"desk-sync": "10.0.0.2:1"})
+	store.beforePut = func() {
+		_, err := NewLoader(store, "awa").LoadSheet(context.Background(), theirs)
+		assert.NilError(t, err)
+	}
+	_, err := NewLoader(store, "marlon").LoadSheet(context.Background(), ours)
+	var lostRaceError *LostRaceError
+	assert.Assert(t, errors.As(err, &lostRaceError))
+	assert.Equal(t, lostRaceError.Winner, "awa")
+	assert.Equal(t, lostRaceError.Version, uint64(1))
+	assert.ErrorContains(t, err, "backend server desk-sync-1 of desk-sync: loaded 10.0.0.1:1 weight 1 active, yours 10.0.0.2:1 weight 1 active")
+}
+
+func TestEndpointsChangeServiceInTwoSteps(t *testing.T) {
+	ctx := context.Background()
+	store := newFakeStore()
+	loader := NewLoader(store, "awa")
+	load := func(endpoints map[string]string) error {
+		_, err := loader.LoadSheet(ctx, sheet(endpoints))
+		return err
+	}
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.0.1:1", "report-desk": "10.0.0.2:1"}))
+	err := load(map[string]string{"desk-sync": "10.0.0.3:1", "report-desk": "10.0.0.1:1"})
+	assert.ErrorContains(t, err, `endpoint 10.0.0.1:1 serves service "desk-sync" in version 1`)
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.0.3:1", "report-desk": "10.0.0.2:1"}))
+
+	moved := map[string]string{"desk-sync": "10.0.0.3:1", "report-desk": "10.0.0.1:1"}
+	store.store(t, InstancesObject, InstanceList{Instances: []decider.Instance{{Name: "lb-1", FailureDomain: "a"}}})
+	store.store(t, StatusObject("a"), DomainStatus{Instances: []InstanceStatus{{Name: "lb-1", Alive: true, InForce: 1}}})
+	assert.ErrorContains(t, load(moved), "wait until version 2 is in force everywhere")
+	store.store(t, StatusObject("a"), DomainStatus{Instances: []InstanceStatus{{Name: "lb-1", Alive: true, InForce: 2}}})
+	assert.NilError(t, load(moved))
+}
+
+func TestProgressNamesWhoIsMissing(t *testing.T) {
+	store := newFakeStore()
+	store.store(t, InstancesObject, InstanceList{Instances: []decider.Instance{
+		{Name: "lb-1", FailureDomain: "a"}, {Name: "lb-2", FailureDomain: "a"}, {Name: "lb-3", FailureDomain: "b"}, {Name: "lb-4", FailureDomain: "a"},
+	}})
+	store.store(t, StatusObject("a"), DomainStatus{Instances: []InstanceStatus{
+		{Name: "lb-1", Alive: true, InForce: 4}, {Name: "lb-2", Alive: false, InForce: 4}, {Name: "lb-4", Alive: true, InForce: 3},
+	}})
+	progress, err := NewLoader(store, "awa").Progress(context.Background(), 4)
+	assert.NilError(t, err)
+	assert.Equal(t, progress.String(), "version 4 in force on 1 of 4 instances; missing: lb-2 (not heard), lb-3 (no status), lb-4 (at version 3)")
+}
+
+func TestWaitEndsWithWhatIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.store(t, InstancesObject, InstanceList{Instances: []decider.Instance{{Name: "lb-1", FailureDomain: "a"}}})
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		progress, err := NewLoader(store, "awa").Wait(ctx, 1)
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+		assert.Assert(t, strings.Contains(progress.String(), "missing: lb-1"))
+	})
+}
--- /dev/null
+++ b/picker/picker_test.go
@@ -0,0 +1,71 @@
+package picker
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func candidates(t *rapid.T) []Candidate {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Candidate {
+		return Candidate{ID: rapid.Uint64().Draw(t, "id"), Weight: rapid.Float64Range(0, 8).Draw(t, "weight")}
+	}), 1, 12).Draw(t, "candidates")
+}
+
+func TestPickMovesOnlyKeysOfTheChangedCandidate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := candidates(t)
+		key := rapid.Uint64().Draw(t, "key")
+		changed := rapid.IntRange(0, len(before)-1).Draw(t, "changed")
+		after := append([]Candidate(nil), before...)
+		after[changed].Weight = rapid.Float64Range(0, 8).Draw(t, "new weight")
+		first, second := Pick(key, before), Pick(key, after)
+		if first != second {
+			assert.Assert(t, first == changed || second == changed)
+		}
+	})
+}
+
+func TestPickNeverTakesWeightZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(t)
+		picked := Pick(rapid.Uint64().Draw(t, "key"), all)
+		if picked == None {
+			for _, candidate := range all {
+				assert.Assert(t, candidate.Weight <= 0)
+			}
+			return
+		}
+		assert.Assert(t, all[picked].Weight > 0)
+	})
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	all := []Candidate{{ID: 11, Weight: 1}, {ID: 22, Weight: 2}, {ID: 33, Weight: 5}}
+	const keys = 80_000
+	counts := make([]float64, len(all))
+	for key := range uint64(keys) {
+		counts[Pick(Mix(key, 7), all)]++
+	}
+	for i, candidate := range all {
+		want := candidate.Weight / 8 * keys
+		assert.Assert(t, math.Abs(counts[i]-want) < 5*math.Sqrt(want), "candidate %d got %v of %v", i, counts[i], want)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{4, 15, 60, 240} {
+		all := make([]Candidate, count)
+		for i := range all {
+			all[i] = Candidate{ID: Mix(uint64(i), 1), Weight: float64(1 + i%8)}
+		}
+		b.Run(fmt.Sprintf("backend_servers=%d", count), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				Pick(uint64(i), all)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/storer/storer_test.go
@@ -0,0 +1,110 @@
+package storer
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/internal/standin"
+)
+
+func start(t *testing.T) (*standin.Platform, *Storer) {
+	t.Helper()
+	platform := standin.NewPlatform("secret")
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	store, cleanup := NewStorer(server.URL, "secret", 200*time.Millisecond)
+	t.Cleanup(cleanup)
+	return platform, store
+}
+
+func TestPutIsConditional(t *testing.T) {
+	_, store := start(t)
+	ctx := context.Background()
+	_, err := store.Get(ctx, "sheet")
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	first, err := store.Put(ctx, "sheet", 0, []byte("a"))
+	assert.NilError(t, err)
+	_, err = store.Put(ctx, "sheet", 0, []byte("b"))
+	assert.Assert(t, errors.Is(err, ErrConflict))
+	second, err := store.Put(ctx, "sheet", first, []byte("c"))
+	assert.NilError(t, err)
+	assert.Assert(t, second > first)
+	_, err = store.Put(ctx, "sheet", first, []byte("d"))
+	assert.Assert(t, errors.Is(err, ErrConflict))
+	object, err := store.Get(ctx, "sheet")
+	assert.NilError(t, err)
+	assert.Equal(t, string(object.Value), "c")
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  standin.Faults
+		written bool // the write has taken effect all the same
+	}{
+		{"down", standin.Faults{Down: true}, false},
+		{"answer lost after the write", standin.Faults{LoseAnswers: 1}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			platform, store := start(t)
+			platform.SetFaults(c.faults)
+			_, err := store.Put(context.Background(), "sheet", 0, []byte("a"))
+			var unavailableError *UnavailableError
+			assert.Assert(t, errors.As(err, &unavailableError))
+			platform.SetFaults(standin.Faults{})
+			_, err = store.Get(context.Background(), "sheet")
+			assert.Equal(t, err == nil, c.written)
+		})
+	}
+}
+
+func TestTooSlowIsUnavailable(t *testing.T) {
+	platform, store := start(t)
+	platform.SetFaults(standin.Faults{Slow: time.Second})
+	_, err := store.Get(context.Background(), "sheet")
+	var unavailableError *UnavailableError
+	assert.Assert(t, errors.As(err, &unavailableError))
+}
+
+func TestWrongTokenIsUnavailable(t *testing.T) {
+	platform := standin.NewPlatform("other")
+	server := httptest.NewServer(platform.Handler())
+	defer server.Close()
+	store, cleanup := NewStorer(server.URL, "secret", time.Second)
+	defer cleanup()
+	_, err := store.Get(context.Background(), "sheet")
+	assert.ErrorContains(t, err, "401")
+}
+
+func TestTooLargeIsRefusedBeforeTheCall(t *testing.T) {
+	platform, store := start(t)
+	_, err := store.Put(context.Background(), "sheet", 0, make([]byte, maxObject+1))
+	assert.Assert(t, errors.Is(err, ErrTooLarge))
+	assert.Equal(t, platform.Calls()["PUT"], 0)
+}
+
+func TestWatchSeesTheNextVersion(t *testing.T) {
+	_, store := start(t)
+	ctx := context.Background()
+	version, err := store.Put(ctx, "sheet", 0, []byte("a"))
+	assert.NilError(t, err)
+	_, err = store.Watch(ctx, "sheet", version, 10*time.Millisecond)
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	seen := make(chan Object, 1)
+	go func() {
+		object, err := store.Watch(ctx, "sheet", version, 20*time.Second)
+		if err == nil {
+			seen <- object
+		}
+		close(seen)
+	}()
+	_, err = store.Put(ctx, "sheet", version, []byte("b"))
+	assert.NilError(t, err)
+	assert.Equal(t, string((<-seen).Value), "b")
+}
