--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -27,6 +27,7 @@
 	scenarios := application.Flag("scenario", "Scenarios, separated by commas; all unless given.").String()
 	connections := application.Flag("connections", "Open flows for each backend server.").Default("2000").Int()
 	counters := application.Flag("counters", "Print the product's counters too.").Bool()
+	warmup := application.Flag("warmup", "Time before the measurement.").Default(experimenter.Teranga.Warmup.String()).Duration()
 	traces := application.Flag("trace", "Broken flows to explain in each run.").Default("0").Int()
 	if _, err := application.Parse(arguments); err != nil {
 		return err
@@ -41,6 +42,7 @@
 	deployment := experimenter.Teranga
 	deployment.Connections = *connections
 	deployment.Traces = *traces
+	deployment.Warmup = *warmup
 	results := runAll(deployment, chosen, strings.Split(*methods, ","), *seeds)
 	if err := experimenter.Print(os.Stdout, results); err != nil {
 		return err
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -377,14 +377,14 @@
 		return
 	}
 	decider.leftFlows = true
-	for _, shard := range decider.flows.shards {
-		for key, flow := range shard {
-			if flow.pinned || flow.state == closed || topOf(decider.lastView, key) != nil {
-				continue
+	for i := range decider.flows.shards {
+		decider.flows.shards[i].each(func(key uint64, flow *flow) bool {
+			if !flow.pinned && flow.state != closed && topOf(decider.lastView, key) == nil {
+				home := decider.home(key)
+				home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
 			}
-			home := decider.home(key)
-			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
-		}
+			return true
+		})
 	}
 	decider.pinsQueued = true
 }
--- /dev/null
+++ b/decider/decider_test.go
@@ -0,0 +1,316 @@
+package decider
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+	"pgregory.net/rapid"
+
+	"github.com/pimentowind/pimentowind/framer"
+	"github.com/pimentowind/pimentowind/parser"
+)
+
+func TestEveryInstanceSendsAFlowToTheSameServer(t *testing.T) {
+	fleet := started(t)
+	for port := 1; port <= 200; port++ {
+		first := fleet.send(fleet.names[port%5], openingPacket(port))
+		assert.Equal(t, first.Kind, ToBackendServer)
+		fleet.accept(fleet.names[(port+1)%5], openingPacket(port).Tuple, first.Address)
+		for _, name := range fleet.names {
+			assert.Equal(t, fleet.send(name, dataPacket(port)).Address, first.Address)
+		}
+	}
+}
+
+func TestFlowsOutliveADrain(t *testing.T) {
+	fleet := started(t)
+	servers := map[int]Verdict{}
+	for port := 1; port <= 200; port++ {
+		servers[port] = fleet.send("a1", openingPacket(port))
+		fleet.accept("b1", openingPacket(port).Tuple, servers[port].Address)
+	}
+	fleet.load(2, testSheet(2))
+	fleet.run(4 * time.Second)
+	leaver := testServer(2, parser.Leaving).Address
+	for port := 1; port <= 200; port++ {
+		for _, name := range fleet.names {
+			assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
+		}
+		assert.Assert(t, fleet.send("c1", openingPacket(1000+port)).Address != leaver, "new work for a leaving server")
+	}
+}
+
+func TestFlowsOutliveTheirHomeAndADrain(t *testing.T) {
+	for _, dead := range []string{"a1", "a2", "b1", "b2", "c1"} {
+		t.Run(dead, func(t *testing.T) {
+			fleet := started(t)
+			servers := map[int]Verdict{}
+			for port := 1; port <= 100; port++ {
+				servers[port] = fleet.send(fleet.names[port%5], openingPacket(port))
+				fleet.accept(fleet.names[(port+2)%5], openingPacket(port).Tuple, servers[port].Address)
+			}
+			fleet.load(2, testSheet(3))
+			fleet.stopped[dead] = true
+			fleet.run(6 * time.Second)
+			for port := 1; port <= 100; port++ {
+				for _, name := range fleet.names {
+					if name != dead {
+						assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestARepeatedOpeningGoesWhereTheFirstCopyWent(t *testing.T) {
+	fleet := started(t)
+	for port := 1; port <= 60; port++ {
+		first := fleet.send("a1", openingPacket(port))
+		second := fleet.send("b2", openingPacket(port))
+		assert.Equal(t, first.Address, second.Address)
+	}
+}
+
+func TestARepeatedOpeningIsNotRefusedWhenAllAreFull(t *testing.T) {
+	fleet := started(t)
+	var forwarded []int
+	refused := 0
+	for port := 1; port <= 2400; port++ {
+		verdict := fleet.send("a1", openingPacket(port))
+		switch verdict.Kind {
+		case ToBackendServer:
+			forwarded = append(forwarded, port)
+		case Refuse:
+			refused++
+			assert.Equal(t, verdict.Refusal.Reason, framer.ReasonBackendServersFull)
+			assert.Assert(t, verdict.Refusal.RetryAfter > 0)
+		}
+	}
+	assert.Assert(t, refused > 0)
+	for _, port := range forwarded {
+		assert.Equal(t, fleet.send("b1", openingPacket(port)).Kind, ToBackendServer)
+	}
+}
+
+func TestANonIdempotentDatagramIsOfferedToOneServer(t *testing.T) {
+	cases := []struct {
+		name    string
+		between func(*fleet)
+	}{
+		{"nothing between the copies", func(*fleet) {}},
+		{"a drain", func(fleet *fleet) { fleet.load(2, testSheet(1)); fleet.run(3 * time.Second) }},
+		{"the death of an instance", func(fleet *fleet) { fleet.stopped["a2"] = true; fleet.run(3 * time.Second) }},
+		{"a drain and a death", func(fleet *fleet) {
+			fleet.load(2, testSheet(1))
+			fleet.stopped["a2"] = true
+			fleet.run(5 * time.Second)
+		}},
+		{"a join and a drain", func(fleet *fleet) {
+			fleet.add("c2")
+			fleet.run(2 * time.Second)
+			fleet.load(2, testSheet(1))
+			fleet.run(3 * time.Second)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := started(t)
+			first := map[int]Verdict{}
+			for port := 1; port <= 80; port++ {
+				first[port] = fleet.send("b1", logPacket(port))
+				assert.Equal(t, first[port].Kind, ToBackendServer)
+			}
+			c.between(fleet)
+			for port := 1; port <= 80; port++ {
+				second := fleet.send("c1", logPacket(port))
+				switch second.Kind {
+				case ToBackendServer:
+					assert.Equal(t, second.Address, first[port].Address)
+				case Refuse:
+					assert.Equal(t, second.Refusal.Reason, framer.ReasonOutcomeUnknown)
+				}
+			}
+		})
+	}
+}
+
+func TestLatePacketsOfAnEarlierFlowAreDropped(t *testing.T) {
+	fleet := started(t)
+	first := fleet.send("a1", openingPacket(1))
+	fleet.accept("a2", openingPacket(1).Tuple, first.Address)
+	for number := 1; number <= 4; number++ {
+		other := testServer(number, parser.Active).Address
+		if other == first.Address {
+			continue
+		}
+		late := framer.Packet{Tuple: openingPacket(1).Tuple.Reverse(), Flags: framer.FlagACK, PayloadLength: 5, TunnelSource: other}
+		assert.Equal(t, fleet.send("b1", late).Kind, Drop)
+	}
+}
+
+func TestPacketsOfNoServiceAndStrangersAreDropped(t *testing.T) {
+	fleet := started(t)
+	stranger := openingPacket(1)
+	stranger.Tuple.DestinationPort = 444
+	verdict := fleet.send("a1", stranger)
+	assert.Equal(t, verdict.Kind, Drop)
+	assert.Equal(t, verdict.Reason, CountUnknownService)
+
+	first := fleet.send("a1", openingPacket(1))
+	answer := framer.Packet{Tuple: openingPacket(1).Tuple.Reverse(), Flags: framer.FlagACK, TunnelSource: testServer(11, parser.Active).Address}
+	assert.Equal(t, fleet.send("a1", answer).Reason, CountUnknownBackendServer, "a server of another service answers")
+	answer.TunnelSource = first.Address
+	assert.Equal(t, fleet.send("a1", answer).Kind, ToCaller)
+}
+
+func TestAJoinerListensBeforeItDecides(t *testing.T) {
+	fleet := started(t)
+	joiner := fleet.add("c2")
+	joiner.Tick(fleet.now)
+	assert.Equal(t, joiner.Status().Integrated, false)
+	fleet.run(time.Second)
+	assert.Equal(t, joiner.Status().Integrated, true)
+	assert.Equal(t, joiner.Status().SheetVersion, uint64(1), "the sheet comes from the others")
+}
+
+func TestALoneInstanceWaitsForOthersAndThenServes(t *testing.T) {
+	fleet := newFleet(t, "a1")
+	fleet.load(1, testSheet())
+	fleet.run(startGrace - 10*testTick)
+	assert.Equal(t, fleet.send("a1", openingPacket(1)).Kind, Drop)
+	fleet.run(time.Second)
+	assert.Equal(t, fleet.send("a1", openingPacket(1)).Kind, ToBackendServer)
+}
+
+func TestAPausedInstanceDoesNotDecideWhenItWakes(t *testing.T) {
+	fleet := started(t)
+	fleet.stopped["b1"] = true
+	fleet.run(2 * time.Second)
+	fleet.load(2, testSheet(1))
+	fleet.run(4 * time.Second)
+	fleet.stopped["b1"] = false
+	verdict := fleet.deciders["b1"].Packet(fleet.now, &framer.Packet{Tuple: openingPacket(7).Tuple, Flags: framer.FlagSYN})
+	assert.Equal(t, verdict.Kind, ToInstance, "the opening is left to another instance")
+	assert.Equal(t, fleet.deciders["b1"].Status().Integrated, false)
+	fleet.run(3 * time.Second)
+	assert.Equal(t, fleet.deciders["b1"].InForce(), uint64(2))
+}
+
+func TestAnAcceptedSheetNeverReverts(t *testing.T) {
+	fleet := started(t)
+	fleet.load(3, testSheet(1))
+	fleet.run(4 * time.Second)
+	fleet.load(2, testSheet())
+	old := fleet.deciders["a1"].services[hashName("counter")].active.Epoch
+	old.ID.SheetVersion = 1
+	fleet.deciders["a1"].Message(fleet.now, "b1", Message{Epochs: []Epoch{old}})
+	fleet.run(4 * time.Second)
+	for _, name := range fleet.names {
+		assert.Equal(t, fleet.deciders[name].InForce(), uint64(3))
+		assert.Equal(t, fleet.deciders[name].services[hashName("counter")].active.ID.SheetVersion, uint64(3))
+	}
+}
+
+func TestAnUnreadableSheetLeavesTheOldOneInForce(t *testing.T) {
+	fleet := started(t)
+	fleet.deciders["a1"].Sheet(fleet.now, 9, []byte("{"))
+	fleet.run(time.Second)
+	assert.Equal(t, fleet.deciders["a1"].InForce(), uint64(1))
+	assert.Equal(t, fleet.send("a1", openingPacket(1)).Kind, ToBackendServer)
+}
+
+func TestASilentServerIsAvoidedAndTriedAgain(t *testing.T) {
+	fleet := started(t)
+	silent := testServer(1, parser.Active).Address
+	weight := func() float32 {
+		service := fleet.deciders["a1"].services[hashName("counter")]
+		return service.active.weight(serverID("counter", silent))
+	}
+	lowest := float32(1)
+	for port := 1; port <= 400; port++ {
+		verdict := fleet.send(fleet.names[port%5], openingPacket(port))
+		if verdict.Kind == ToBackendServer && verdict.Address != silent {
+			fleet.accept("a1", openingPacket(port).Tuple, verdict.Address)
+			fin := dataPacket(port)
+			fin.Flags |= framer.FlagRST
+			fleet.send(fleet.names[port%5], fin)
+		}
+		fleet.run(40 * time.Millisecond)
+		lowest = min(lowest, weight())
+	}
+	assert.Equal(t, lowest, float32(0))
+	fleet.run(firstHold + 4*time.Second)
+	assert.Assert(t, weight() > 0, "the server is tried again")
+}
+
+func TestIdleFlowsAreForgotten(t *testing.T) {
+	fleet := started(t)
+	for port := 1; port <= 50; port++ {
+		fleet.send("a1", openingPacket(port))
+	}
+	fleet.run(openingTimeout + 30*time.Second)
+	for _, name := range fleet.names {
+		assert.Equal(t, fleet.deciders[name].Status().Flows, 0)
+	}
+}
+
+func TestTheFlowTableIsBounded(t *testing.T) {
+	table := newFlowTable(10)
+	for key := uint64(1); key <= 20; key++ {
+		assert.Equal(t, table.put(key, flow{}), key <= 10)
+	}
+	assert.Equal(t, table.size, 10)
+}
+
+func TestTheFlowTableIsAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, model := newFlowTable(1<<20), map[uint64]uint32{}
+		// Few keys in one shard, so that runs of slots meet and wrap round.
+		key := rapid.Custom(func(t *rapid.T) uint64 {
+			return rapid.Uint64Range(1, 40).Draw(t, "key")<<16 | flowShards
+		})
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			chosen := key.Draw(t, "chosen")
+			if rapid.Bool().Draw(t, "put") {
+				model[chosen]++
+				table.put(chosen, flow{server: model[chosen]})
+			} else {
+				delete(model, chosen)
+				table.remove(chosen)
+			}
+			assert.Equal(t, table.size, len(model))
+			for want, server := range model {
+				got, known := table.get(want)
+				assert.Assert(t, known && got.server == server)
+			}
+		}
+	})
+}
+
+func TestSessionEvents(t *testing.T) {
+	fleet := newFleet(t, "a1", "b1", "c1")
+	fleet.load(1, testSheet())
+	fleet.run(5 * time.Second)
+	fleet.load(2, testSheet(4))
+	fleet.run(3 * time.Second)
+	fleet.add("c2")
+	fleet.run(2 * time.Second)
+	fleet.stopped["b1"] = true
+	fleet.run(4 * time.Second)
+	golden.Assert(t, strings.Join(fleet.events, "\n")+"\n", "session.golden")
+}
+
+func TestOnlyOneInstanceOfADomainLeads(t *testing.T) {
+	fleet := started(t)
+	leaders := map[string]int{}
+	for _, name := range fleet.names {
+		if fleet.deciders[name].Leads() {
+			leaders[name[:1]]++
+		}
+	}
+	assert.DeepEqual(t, leaders, map[string]int{"a": 1, "b": 1, "c": 1})
+}
--- /dev/null
+++ b/decider/fleet_test.go
@@ -0,0 +1,196 @@
+package decider
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/framer"
+	"github.com/pimentowind/pimentowind/parser"
+)
+
+var testStart = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+const testTick = 20 * time.Millisecond
+
+// fleet is a few deciders whose messages arrive one tick after they are sent.
+type fleet struct {
+	t        *testing.T
+	now      time.Time
+	names    []string
+	deciders map[string]*Decider
+	stopped  map[string]bool // dead, frozen or cut off
+	events   []string
+	listed   []Instance
+}
+
+func testInstance(name string) Instance {
+	number := byte(len(name) + int(name[len(name)-1]))
+	address := netip.AddrFrom4([4]byte{10, 9, name[0], number})
+	return Instance{Name: name, FailureDomain: name[:1], Peer: netip.AddrPortFrom(address, 7000), Tunnel: netip.AddrPortFrom(address, 6081)}
+}
+
+func newFleet(t *testing.T, names ...string) *fleet {
+	fleet := &fleet{t: t, now: testStart, deciders: map[string]*Decider{}, stopped: map[string]bool{}}
+	for _, name := range names {
+		fleet.add(name)
+	}
+	return fleet
+}
+
+func (fleet *fleet) add(name string) *Decider {
+	instance := testInstance(name)
+	added := NewDecider(Config{Self: instance, Incarnation: uint64(fleet.now.UnixNano()), MaxFlows: 10_000}, fleet.now)
+	fleet.names = append(fleet.names, name)
+	fleet.deciders[name] = added
+	fleet.listed = append(fleet.listed, instance)
+	for _, other := range fleet.names {
+		fleet.deciders[other].Members(fleet.now, fleet.listed)
+	}
+	return added
+}
+
+// run lets time pass.
+func (fleet *fleet) run(duration time.Duration) {
+	for end := fleet.now.Add(duration); fleet.now.Before(end); {
+		fleet.now = fleet.now.Add(testTick)
+		for _, name := range fleet.names {
+			if !fleet.stopped[name] {
+				fleet.deciders[name].Tick(fleet.now)
+			}
+		}
+		fleet.exchange()
+	}
+}
+
+func (fleet *fleet) exchange() {
+	for _, name := range fleet.names {
+		for _, event := range fleet.deciders[name].TakeEvents() {
+			fleet.events = append(fleet.events, fmt.Sprintf("%v %s %d %v", fleet.now.Sub(testStart), name, event.Kind, event.Fields))
+		}
+		for _, outgoing := range fleet.deciders[name].TakeOutbox() {
+			to := fleet.deciders[outgoing.To.Name]
+			if to != nil && !fleet.stopped[name] && !fleet.stopped[outgoing.To.Name] {
+				to.Message(fleet.now, name, outgoing.Message)
+			}
+		}
+	}
+}
+
+// load gives the sheet to every running instance.
+func (fleet *fleet) load(version uint64, sheet parser.Sheet) {
+	content, err := json.Marshal(sheet)
+	assert.NilError(fleet.t, err)
+	for _, name := range fleet.names {
+		if !fleet.stopped[name] {
+			fleet.deciders[name].Sheet(fleet.now, version, content)
+		}
+	}
+}
+
+// send carries a packet, from any instance, over its relays to its last verdict.
+func (fleet *fleet) send(at string, packet framer.Packet) Verdict {
+	for range maxWalk {
+		verdict := fleet.deciders[at].Packet(fleet.now, &packet)
+		fleet.exchange()
+		if verdict.Notice.IsValid() && !fleet.stopped[fleet.at(verdict.Notice)] {
+			copied := packet
+			copied.Relayed, copied.Notice, copied.Hint = true, true, verdict.Hint
+			fleet.deciders[fleet.at(verdict.Notice)].Packet(fleet.now, &copied)
+			fleet.exchange()
+		}
+		if verdict.Kind != ToInstance {
+			return verdict
+		}
+		packet.Relayed, packet.RelayRank, packet.Hint = true, verdict.Rank, verdict.Hint
+		at = fleet.at(verdict.Address)
+		if fleet.stopped[at] {
+			return Verdict{Kind: Drop}
+		}
+	}
+	fleet.t.Fatal("a packet went round in circles")
+	return Verdict{}
+}
+
+func (fleet *fleet) at(tunnel netip.AddrPort) string {
+	for _, name := range fleet.names {
+		if testInstance(name).Tunnel == tunnel {
+			return name
+		}
+	}
+	return ""
+}
+
+// accept lets the backend server at address accept the flow, with the packet seen by at.
+func (fleet *fleet) accept(at string, tuple framer.Tuple, address netip.AddrPort) Verdict {
+	return fleet.send(at, framer.Packet{
+		Tuple: tuple.Reverse(), Flags: framer.FlagSYN | framer.FlagACK, Sequence: 1, TunnelSource: address,
+	})
+}
+
+func testServer(number int, state parser.State) parser.BackendServer {
+	return parser.BackendServer{
+		Name: fmt.Sprintf("server-%d", number), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(number)}), 6081),
+		Weight: 1, FailureDomain: "a", State: state, Connections: 300,
+	}
+}
+
+var (
+	testTCP = netip.MustParseAddrPort("10.1.0.1:443")
+	testUDP = netip.MustParseAddrPort("10.1.0.2:53")
+)
+
+// testSheet has two services of four backend servers each; those named leave.
+func testSheet(leaving ...int) parser.Sheet {
+	sheet := parser.Sheet{FailureDomains: []string{"a", "b", "c"}}
+	for i, service := range []parser.Service{
+		{Name: "counter", Address: testTCP, Protocol: parser.TCP},
+		{Name: "desk-log", Address: testUDP, Protocol: parser.UDP},
+	} {
+		for number := 1; number <= 4; number++ {
+			state := parser.Active
+			for _, leaver := range leaving {
+				if leaver == number {
+					state = parser.Leaving
+				}
+			}
+			service.BackendServers = append(service.BackendServers, testServer(10*i+number, state))
+		}
+		sheet.Services = append(sheet.Services, service)
+	}
+	return sheet
+}
+
+func testTuple(service netip.AddrPort, protocol uint8, port int) framer.Tuple {
+	return framer.Tuple{
+		Source: [4]byte{198, 51, 100, 1}, SourcePort: uint16(port),
+		Destination: service.Addr().As4(), DestinationPort: service.Port(), Protocol: protocol,
+	}
+}
+
+func openingPacket(port int) framer.Packet {
+	return framer.Packet{Tuple: testTuple(testTCP, framer.ProtocolTCP, port), Flags: framer.FlagSYN}
+}
+
+func dataPacket(port int) framer.Packet {
+	return framer.Packet{Tuple: testTuple(testTCP, framer.ProtocolTCP, port), Flags: framer.FlagACK, PayloadLength: 10}
+}
+
+func logPacket(port int) framer.Packet {
+	return framer.Packet{Tuple: testTuple(testUDP, framer.ProtocolUDP, port), PayloadLength: 10}
+}
+
+// started is a fleet with sheet version 1 in force.
+func started(t *testing.T) *fleet {
+	fleet := newFleet(t, "a1", "a2", "b1", "b2", "c1")
+	fleet.load(1, testSheet())
+	fleet.run(6 * time.Second)
+	for _, name := range fleet.names {
+		assert.Equal(t, fleet.deciders[name].InForce(), uint64(1), name)
+	}
+	return fleet
+}
--- a/decider/flows.go
+++ b/decider/flows.go
@@ -6,8 +6,6 @@
 	"github.com/pimentowind/pimentowind/framer"
 )
 
-const flowShards = 64
-
 // flowState is how far the life of a flow has come.
 type flowState uint8
 
@@ -49,47 +47,6 @@
 
 func newFlow(state flowState) flow { return flow{state: state} }
 
-// flowTable is sharded so that a scan or a map's growth stays short.
-type flowTable struct {
-	shards [flowShards]map[uint64]flow
-	size   int
-	limit  int
-}
-
-func newFlowTable(limit int) *flowTable {
-	flowTable := &flowTable{limit: limit}
-	for i := range flowTable.shards {
-		flowTable.shards[i] = map[uint64]flow{}
-	}
-	return flowTable
-}
-
-func (flowTable *flowTable) get(key uint64) (flow, bool) {
-	flow, known := flowTable.shards[key%flowShards][key]
-	return flow, known
-}
-
-// put stores a flow and reports false when the table is full and the flow is new.
-func (flowTable *flowTable) put(key uint64, flow flow) bool {
-	shard := flowTable.shards[key%flowShards]
-	before := len(shard)
-	if flowTable.size >= flowTable.limit {
-		if _, known := shard[key]; !known {
-			return false
-		}
-	}
-	shard[key] = flow
-	flowTable.size += len(shard) - before
-	return true
-}
-
-func (flowTable *flowTable) remove(key uint64) {
-	shard := flowTable.shards[key%flowShards]
-	before := len(shard)
-	delete(shard, key)
-	flowTable.size += len(shard) - before
-}
-
 // idle returns the time without packets after which a flow in this state is forgotten.
 func (flow flow) idle() time.Duration {
 	switch flow.state {
@@ -142,14 +99,19 @@
 
 // expire forgets the idle flows of one shard.
 func (decider *Decider) expire(now time.Time) {
-	shard := decider.flows.shards[decider.expireCursor]
+	shard := &decider.flows.shards[decider.expireCursor]
 	decider.expireCursor = (decider.expireCursor + 1) % flowShards
 	seconds := decider.seconds(now)
-	for key, flow := range shard {
-		if time.Duration(seconds-flow.seen)*time.Second <= flow.idle() {
-			continue
+	var idle []uint64
+	shard.each(func(key uint64, flow *flow) bool {
+		if time.Duration(seconds-flow.seen)*time.Second > flow.idle() {
+			idle = append(idle, key)
 		}
-		if flow.pinned && decider.home(key) == decider.self {
+		return true
+	})
+	for _, key := range idle {
+		flow, _ := decider.flows.get(key)
+		if flow.pinned && decider.isHome(key) {
 			decider.unpinEverywhere(key)
 		}
 		decider.dropFlow(key, flow)
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -138,15 +138,17 @@
 	decider.send(to, Message{Handover: handover})
 }
 
-// sendPins sends the pins that this instance is home of.
+// sendPins sends the pins that this instance is, or was of late, home of: the
+// instances that it greets one after another change its view.
 func (decider *Decider) sendPins(to *member) {
-	for _, shard := range decider.flows.shards {
-		for key, flow := range shard {
-			if flow.pinned && flow.state != closed && decider.isHome(key) {
+	for i := range decider.flows.shards {
+		decider.flows.shards[i].each(func(key uint64, flow *flow) bool {
+			if flow.pinned && flow.state != closed && decider.wasHome(key) {
 				decider.counters.add(CountPinsToJoiners, 1)
 				decider.queuePin(to, Pin{Flow: key, Server: flow.server})
 			}
-		}
+			return true
+		})
 	}
 	decider.flushMember(to)
 }
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -242,6 +242,19 @@
 	return false
 }
 
+// wasHome reports whether this instance decides for a flow, or did under a view of late.
+func (decider *Decider) wasHome(key uint64) bool {
+	if decider.isHome(key) {
+		return true
+	}
+	for _, view := range decider.oldViews {
+		if topOf(view, key) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetOldViews lets go of the old views once flows of their time are known.
 func (decider *Decider) forgetOldViews() {
 	if decider.now.Sub(decider.viewChangedAt) > oldViewsLifetime {
@@ -255,27 +268,25 @@
 		return
 	}
 	for range shardsPerTick {
-		decider.markOrphansIn(decider.flows.shards[decider.orphanCursor])
+		decider.markOrphansIn(&decider.flows.shards[decider.orphanCursor])
 		decider.orphanCursor++
 	}
 }
 
-func (decider *Decider) markOrphansIn(shard map[uint64]flow) {
+func (decider *Decider) markOrphansIn(shard *flowShard) {
 	if len(decider.view) == 0 {
 		return
 	}
-	for key, flow := range shard {
+	shard.each(func(key uint64, flow *flow) bool {
 		if flow.state == closed || !decider.movedHome(key) {
-			continue
+			return true
 		}
 		if flow.pinned && decider.now.Sub(decider.lostAt) < joinWindow && decider.isHome(key) {
 			decider.pinToJoiners(Pin{Flow: key, Server: flow.server})
 		}
-		if !flow.pinned {
-			flow.orphan = true
-			shard[key] = flow
-		}
-	}
+		flow.orphan = !flow.pinned
+		return true
+	})
 }
 
 // pinToJoiners repeats a pin of a lost home to the instances that may have
--- a/decider/message.go
+++ b/decider/message.go
@@ -1,6 +1,9 @@
 package decider
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // EpochID orders the epochs of a service; an instance never goes back to a lower one.
 type EpochID struct {
@@ -19,6 +22,11 @@
 	)
 }
 
+// String returns the ID as version.revision/owner, as logs show it.
+func (epochID EpochID) String() string {
+	return fmt.Sprintf("%d.%d/%08x", epochID.SheetVersion, epochID.Revision, epochID.Owner)
+}
+
 // Epoch is one set of weights for the backend servers of a service.
 type Epoch struct {
 	ID      EpochID       `cbor:"1,keyasint"`
--- a/decider/open.go
+++ b/decider/open.go
@@ -1,9 +1,11 @@
 package decider
 
 import (
+	"math"
 	"time"
 
 	"github.com/pimentowind/pimentowind/framer"
+	"github.com/pimentowind/pimentowind/parser"
 )
 
 // Times to come back that a refusal tells.
@@ -56,11 +58,21 @@
 	return old.state == closed || (old.state != opening && silent > reopenAfter)
 }
 
-// reforward sends a repeated opening where the first copy went, unless it is
-// certain that the backend server did not accept that copy and takes no new work.
+// isDown reports whether a backend server that the sheet wants in service takes no new flows.
+func (service *service) isDown(id uint32) bool {
+	for _, row := range service.spec.BackendServers {
+		if serverID(service.name, row.Address) == id {
+			return row.State == parser.Active && service.active != nil && service.active.weight(id) == 0
+		}
+	}
+	return false
+}
+
+// reforward sends a repeated opening where the first copy went, unless the
+// backend server has not accepted that copy and answers nobody.
 func (decider *Decider) reforward(service *service, packet *framer.Packet, key uint64, old flow) Verdict {
 	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
-	if isTCP && old.state == opening && service.active != nil && service.active.weight(old.server) == 0 {
+	if isTCP && old.state == opening && service.isDown(old.server) {
 		decider.counters.add(CountReopened, 1)
 		if _, refused := decider.admit(service, packet, key); !refused {
 			return decider.openAt(service, packet, key, old, true)
@@ -75,8 +87,17 @@
 	return Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
 }
 
-// admit says why an opening is refused, when it is.
+// admit says why an opening is refused, when it is. What another home may have
+// let run is never told to have not run.
 func (decider *Decider) admit(service *service, packet *framer.Packet, key uint64) (framer.Refusal, bool) {
+	refusal, refused := decider.admitHere(service, key)
+	if decider.uncertain(service, packet, key, refused) {
+		return framer.Refusal{Reason: framer.ReasonOutcomeUnknown, RetryAfter: retryAfterUnknown}, true
+	}
+	return refusal, refused
+}
+
+func (decider *Decider) admitHere(service *service, key uint64) (framer.Refusal, bool) {
 	if service.active == nil || !service.listed {
 		return framer.Refusal{Reason: framer.ReasonNoBackendServer, RetryAfter: retryAfterNone}, true
 	}
@@ -84,33 +105,37 @@
 	if server == nil {
 		return framer.Refusal{Reason: framer.ReasonNoBackendServer, RetryAfter: retryAfterNone}, true
 	}
-	if decider.uncertain(service, packet, key, server) {
-		return framer.Refusal{Reason: framer.ReasonOutcomeUnknown, RetryAfter: retryAfterUnknown}, true
-	}
 	if server.open >= decider.connectionShare(service, server) {
 		return framer.Refusal{Reason: framer.ReasonBackendServersFull, RetryAfter: retryAfterFull}, true
 	}
 	return framer.Refusal{}, false
 }
 
-// uncertain reports whether another home may have sent this non-idempotent
-// datagram to another backend server, now or within the caller's retransmission time.
-func (decider *Decider) uncertain(service *service, packet *framer.Packet, key uint64, server *server) bool {
-	if packet.Tuple.Protocol != framer.ProtocolUDP || service.spec.Idempotent {
+// uncertain reports whether this non-idempotent datagram may have been sent by
+// another home, now or within the caller's retransmission time, to a backend
+// server that this home would not send it to.
+func (decider *Decider) uncertain(service *service, packet *framer.Packet, key uint64, refused bool) bool {
+	if packet.Tuple.Protocol != framer.ProtocolUDP || service.spec.Idempotent || service.active == nil {
 		return false
 	}
+	recent := decider.missing() > 0 || decider.now.Sub(decider.viewChangedAt) < UncertainWindow
+	if refused {
+		return recent && decider.movedHome(key)
+	}
 	if service.settled == nil || service.settled == service.active {
 		return false
 	}
 	before := service.settled.pick(key)
-	return before != nil && before != server
+	return before != nil && before != service.active.pick(key)
 }
 
 // connectionShare returns how many flows this instance may have open at a backend server.
 func (decider *Decider) connectionShare(service *service, server *server) int {
 	for _, row := range service.spec.BackendServers {
 		if row.Address == server.endpoint {
-			return row.Connections/len(decider.view) + 1
+			share := float64(row.Connections) / float64(len(decider.view))
+			// Homes get uneven shares of the flows: three standard deviations are allowed for.
+			return int(share + 3*math.Sqrt(share) + 1)
 		}
 	}
 	return 0
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -164,7 +164,7 @@
 // weight is the weight of a sheet's row in the next epoch.
 func (policy *policy) weight(service *service, row parser.BackendServer) float64 {
 	state := policy.server(serverID(service.name, row.Address))
-	if row.State != parser.Active || state.down {
+	if row.State != parser.Active || (state.down && !policy.allDown(service)) {
 		return 0
 	}
 	weight := row.Weight
@@ -174,6 +174,17 @@
 	return weight * state.ramp
 }
 
+// allDown reports whether no backend server answers, which speaks of the way to
+// them or of silent callers rather than of the servers; then none is left out.
+func (policy *policy) allDown(service *service) bool {
+	for _, row := range service.spec.BackendServers {
+		if row.State == parser.Active && !policy.server(serverID(service.name, row.Address)).down {
+			return false
+		}
+	}
+	return true
+}
+
 // sendLoads tells each service's owner what this instance saw.
 func (decider *Decider) sendLoads() {
 	for _, service := range decider.catalogue {
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -146,7 +146,7 @@
 // tellExceptions spreads a flow that was met on a backend server to which
 // instances that do not know it might not send it.
 func (decider *Decider) tellExceptions(key uint64, server *server, learned *flow) {
-	if !decider.consistent() || !decider.needsPin(server.service, key, server) {
+	if !decider.integrated || server.service.certain(key) == server {
 		return
 	}
 	if decider.isHome(key) {
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -95,7 +95,7 @@
 		if service.scanCursor >= flowShards {
 			break
 		}
-		shard := decider.flows.shards[service.scanCursor]
+		shard := &decider.flows.shards[service.scanCursor]
 		if !decider.scanShard(service, target, shard, pinning) {
 			return
 		}
@@ -119,38 +119,45 @@
 
 // scanShard looks for the flows that the target epoch would give to another
 // backend server. It reports false when the budget ran out before the end.
-func (decider *Decider) scanShard(service *service, target *epoch, shard map[uint64]flow, pinning bool) bool {
-	for key, flow := range shard {
-		// An opening that is not accepted yet is pinned when it is.
-		if flow.pinned || flow.state == closed || flow.state == opening || (!pinning && !flow.orphan) {
-			continue
-		}
-		if decider.servers[flow.server].service != service {
-			continue
+func (decider *Decider) scanShard(service *service, target *epoch, shard *flowShard, pinning bool) bool {
+	finished := true
+	shard.each(func(key uint64, flow *flow) bool {
+		if flow.differs(decider, service, target, key) {
+			finished = decider.tellFlow(service, key, flow, pinning)
 		}
-		if picked := target.pick(key); picked != nil && picked.id == flow.server {
-			continue
+		return finished
+	})
+	return finished
+}
+
+// differs reports whether an unpinned flow is elsewhere than the target epoch
+// would send it. An opening that is not accepted yet is pinned when it is.
+func (flow *flow) differs(decider *Decider, service *service, target *epoch, key uint64) bool {
+	if flow.pinned || flow.state == closed || flow.state == opening || decider.servers[flow.server].service != service {
+		return false
+	}
+	picked := target.pick(key)
+	return picked == nil || picked.id != flow.server
+}
+
+// tellFlow pins a flow of this home, or tells a flow to the home that may not
+// know it. It reports false when the budget does not allow that.
+func (decider *Decider) tellFlow(service *service, key uint64, flow *flow, pinning bool) bool {
+	home := decider.homeOrNil(key)
+	switch {
+	case pinning && decider.isHome(key):
+		if !decider.mayPin(service, len(decider.walk)-1) {
+			return false
 		}
-		home := decider.homeOrNil(key)
-		switch {
-		case pinning && decider.isHome(key):
-			if !decider.mayPin(service, len(decider.walk)-1) {
-				return false
-			}
-			flow.pinned = true
-			shard[key] = flow
-			decider.broadcastPin(Pin{Flow: key, Server: flow.server})
-			decider.counters.add(CountPinsSent, 1)
-		case !pinning && home != nil:
-			if !decider.mayPin(service, 1) {
-				return false
-			}
-			flow.orphan = false
-			shard[key] = flow
-			home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
-			decider.pinsQueued = true
-			decider.counters.add(CountOrphansSent, 1)
+		decider.pin(key, flow)
+		decider.counters.add(CountPinsSent, 1)
+	case !pinning && flow.orphan && home != nil:
+		if !decider.mayPin(service, 1) {
+			return false
 		}
+		flow.orphan = false
+		home.flows = AppendPin(home.flows, Pin{Flow: key, Server: flow.server})
+		decider.counters.add(CountOrphansSent, 1)
 	}
 	return true
 }
@@ -182,7 +189,7 @@
 		}
 		state := member.services[service.hash]
 		// One that is ahead has done all this for the target epoch already.
-		if state.Active.Compare(target) >= 0 {
+		if state.Active.Compare(target) >= 0 && state.Clean {
 			continue
 		}
 		if reached(state).Compare(target) < 0 || state.View != decider.viewDigest {
