--- a/decider/decider.go
+++ b/decider/decider.go
@@ -22,7 +22,6 @@
 type Decider struct {
 	config     Config
 	selfHash   uint64
-	self       *member // nil, which stands for this instance in a view
 	started    time.Time
 	now        time.Time
 	lastTick   time.Time
@@ -161,6 +160,7 @@
 	decider.advance()
 	decider.runOwned()
 	decider.leaveFlows()
+	decider.flushPins()
 	decider.flushLater()
 	if now.Sub(decider.lastLoad) >= ReportInterval {
 		decider.lastLoad = now
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,136 @@
+package messenger
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/issuer"
+)
+
+// patience is how long a test waits for a state; it judges no time.
+const patience = 20 * time.Second
+
+type received struct {
+	from    string
+	message decider.Message
+}
+
+// inbox keeps what arrives.
+type inbox chan received
+
+func (inbox inbox) Receive(from string, message decider.Message) {
+	select {
+	case inbox <- received{from, message}:
+	default:
+	}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	defer socket.Close()
+	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func newAuthority(t *testing.T) issuer.Pair {
+	t.Helper()
+	authority, err := issuer.NewAuthority(time.Now())
+	assert.NilError(t, err)
+	return authority
+}
+
+func keys(t *testing.T, authority issuer.Pair, name string) *tls.Config {
+	t.Helper()
+	directory := t.TempDir()
+	pair, err := authority.Issue(name, time.Now())
+	assert.NilError(t, err)
+	assert.NilError(t, authority.Write(directory, issuer.AuthorityName))
+	assert.NilError(t, pair.Write(directory, name))
+	file := func(name string) string { return filepath.Join(directory, name) }
+	config, err := issuer.TLS(file("ca.crt"), file(name+".crt"), file(name+".key"))
+	assert.NilError(t, err)
+	return config
+}
+
+func start(t *testing.T, authority issuer.Pair, name string) (*Messenger, decider.Instance, inbox) {
+	t.Helper()
+	box := make(inbox, 100)
+	address := freeAddress(t)
+	messenger, cleanup, err := NewMessenger(address, keys(t, authority, name), box)
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	return messenger, decider.Instance{Name: name, Peer: address}, box
+}
+
+// sendUntil repeats a message until something arrives.
+func sendUntil(t *testing.T, messenger *Messenger, to decider.Instance, box inbox, message decider.Message) received {
+	t.Helper()
+	deadline := time.After(patience)
+	for {
+		assert.NilError(t, messenger.Send(to, message))
+		select {
+		case got := <-box:
+			return got
+		case <-deadline:
+			t.Fatal("nothing arrived")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func TestMessagesArriveWithTheNameInTheCertificate(t *testing.T) {
+	authority := newAuthority(t)
+	first, _, _ := start(t, authority, "lb-1")
+	_, second, box := start(t, authority, "lb-2")
+	message := decider.Message{Heartbeat: &decider.Heartbeat{Incarnation: 7, SheetVersion: 3}, Pins: []byte("0123456789ab")}
+	got := sendUntil(t, first, second, box, message)
+	assert.Equal(t, got.from, "lb-1")
+	assert.DeepEqual(t, got.message, message)
+}
+
+func TestAnInstanceOfAnotherAuthorityGetsNothing(t *testing.T) {
+	stranger, _, _ := start(t, newAuthority(t), "lb-1")
+	_, second, box := start(t, newAuthority(t), "lb-2")
+	deadline := time.Now().Add(patience)
+	for stranger.Stats().DialFailures.Load() < 2 && time.Now().Before(deadline) {
+		assert.NilError(t, stranger.Send(second, decider.Message{Heartbeat: &decider.Heartbeat{}}))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, stranger.Stats().DialFailures.Load() >= 2)
+	assert.Equal(t, len(box), 0)
+}
+
+func TestAnInstanceUnderAnotherNameIsNotTalkedTo(t *testing.T) {
+	authority := newAuthority(t)
+	first, _, _ := start(t, authority, "lb-1")
+	_, second, box := start(t, authority, "lb-2")
+	second.Name = "lb-3"
+	deadline := time.Now().Add(patience)
+	for first.Stats().DialFailures.Load() < 2 && time.Now().Before(deadline) {
+		assert.NilError(t, first.Send(second, decider.Message{Heartbeat: &decider.Heartbeat{}}))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, first.Stats().DialFailures.Load() >= 2)
+	assert.Equal(t, len(box), 0)
+}
+
+func TestAFullQueueIsAnErrorAndIsCounted(t *testing.T) {
+	first, _, _ := start(t, newAuthority(t), "lb-1")
+	nobody := decider.Instance{Name: "lb-9", Peer: freeAddress(t)}
+	var err error
+	for range 20 * queueLength {
+		if err = first.Send(nobody, decider.Message{Pins: make([]byte, 12)}); err != nil {
+			break
+		}
+	}
+	assert.ErrorContains(t, err, `queue to instance "lb-9" is full`)
+	assert.Assert(t, first.Stats().QueueOverflows.Load() > 0)
+}
