Keep flows that an instance only met for a minute

Cause: an instance kept every flow it had seen a packet of for two hours, unless it saw the end: at 1,000 new flows a second the table of 500,000 would fill in minutes. The sums for docs/CAPACITY.md showed it. Ruled out: a larger table; entries that agree with the active epoch say nothing. Change: home, replica and pins are kept as before; other entries go after a minute of silence, those a new home may need after ten. The home shows the end of a flow to its replica. A tool measures slopes.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,55 @@
+// Command capacity measures slopes and works out the table of docs/CAPACITY.md from them.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/internal/sizer"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "capacity: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(arguments []string) error {
+	application := kingpin.New("capacity", "Measure slopes, or print the table worked out from measured ones.")
+	measure := application.Command("measure", "Measure the slopes and write them to a file.")
+	file := application.Flag("slopes", "Slopes file.").Default("docs/slopes.json").String()
+	application.Command("table", "Print the tables of docs/CAPACITY.md.")
+	chosen, err := application.Parse(arguments)
+	if err != nil {
+		return err
+	}
+	if chosen == measure.FullCommand() {
+		return write(*file, sizer.Measure())
+	}
+	content, err := os.ReadFile(*file)
+	if err != nil {
+		return errors.Wrap(err, "read slopes")
+	}
+	tables, err := sizer.Tables(content)
+	if err != nil {
+		return err
+	}
+	fmt.Print(tables)
+	return nil
+}
+
+func write(file string, slopes sizer.Slopes) error {
+	content, err := json.MarshalIndent(slopes, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode slopes")
+	}
+	if err := os.WriteFile(file, append(content, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "write slopes")
+	}
+	return nil
+}
--- a/decider/config.go
+++ b/decider/config.go
@@ -39,6 +39,7 @@
 	openingTimeout     = 60 * time.Second
 	establishedTimeout = 2 * time.Hour // the keepalive interval of RFC 9293 section 3.8.4
 	closedTimeout      = 2 * time.Minute
+	cacheTimeout       = time.Minute // of flows that this instance only met
 	datagramTimeout    = 5 * time.Minute
 )
 
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -258,6 +258,23 @@
 	}
 }
 
+func TestFlowsThatWereOnlyMetAreForgottenSoon(t *testing.T) {
+	fleet := started(t)
+	for port := 1; port <= 100; port++ {
+		first := fleet.send("a1", openingPacket(port))
+		fleet.accept("a1", openingPacket(port).Tuple, first.Address)
+		for _, name := range fleet.names {
+			fleet.send(name, dataPacket(port))
+		}
+	}
+	fleet.run(2*cacheTimeout + 20*time.Second)
+	kept := 0
+	for _, name := range fleet.names {
+		kept += fleet.deciders[name].Status().Flows
+	}
+	assert.Assert(t, kept >= 100 && kept <= 200, "%d entries of 100 flows, of which home and replica keep one each", kept)
+}
+
 func TestTheFlowTableIsBounded(t *testing.T) {
 	table := newFlowTable(10)
 	for key := uint64(1); key <= 20; key++ {
--- a/decider/flows.go
+++ b/decider/flows.go
@@ -31,6 +31,7 @@
 	counted    bool // in the home's count of open flows
 	callerFIN  bool
 	serverFIN  bool
+	replica    bool // the home showed its acceptance to this instance, and will show its end
 }
 
 // end follows the closing of a TCP flow.
@@ -47,8 +48,16 @@
 
 func newFlow(state flowState) flow { return flow{state: state} }
 
-// idle returns the time without packets after which a flow in this state is forgotten.
-func (flow flow) idle() time.Duration {
+// idle returns the time without packets after which a flow is forgotten. One
+// that was only met on its way may have ended unseen, so it is kept shortly.
+func (flow *flow) idle(decider *Decider, key uint64) time.Duration {
+	kept := flow.pinned || flow.counted || flow.replica
+	if !kept && flow.state != closed && !decider.isHome(key) {
+		if flow.orphan {
+			return oldViewsLifetime
+		}
+		return cacheTimeout
+	}
 	switch flow.state {
 	case opening:
 		return openingTimeout
@@ -104,7 +113,8 @@
 	seconds := decider.seconds(now)
 	var idle []uint64
 	shard.each(func(key uint64, flow *flow) bool {
-		if time.Duration(seconds-flow.seen)*time.Second > flow.idle() {
+		silent := time.Duration(seconds-flow.seen) * time.Second
+		if silent > cacheTimeout && silent > flow.idle(decider, key) {
 			idle = append(idle, key)
 		}
 		return true
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -182,7 +182,10 @@
 	verdict := Verdict{Kind: ToBackendServer, Address: server.endpoint, Hint: server.id}
 	decider.noticeHome(&verdict, packet, key)
 	if packet.Notice {
-		return Verdict{Kind: Drop, Reason: CountNotices}
+		return decider.noticed(server, packet, key)
+	}
+	if isEnd(packet) && decider.isHome(key) {
+		decider.noticeReplica(&verdict, server, key)
 	}
 	return verdict
 }
--- a/decider/return.go
+++ b/decider/return.go
@@ -78,7 +78,9 @@
 func (decider *Decider) returnUnknown(service *service, server *server, packet *framer.Packet, key uint64) Verdict {
 	if packet.Notice {
 		if isAccept(packet) && !isShed(packet) {
-			decider.learn(key, server, packet)
+			learned := decider.learn(key, server, packet)
+			learned.replica = true
+			decider.putFlow(key, learned)
 		}
 		return Verdict{Kind: Drop, Reason: CountNotices}
 	}
@@ -103,14 +105,23 @@
 	flow.end(packet.Flags, false)
 	decider.putFlow(key, flow)
 	if packet.Notice {
-		return Verdict{Kind: Drop, Reason: CountNotices}
+		return decider.noticed(server, packet, key)
 	}
 	decider.counters.add(CountToCaller, 1)
 	verdict := Verdict{Kind: ToCaller, Hint: server.id}
 	if !isAccept(packet) {
 		decider.noticeHome(&verdict, packet, key)
 	}
-	if accepted {
+	if accepted || (isEnd(packet) && decider.isHome(key)) {
+		decider.noticeReplica(&verdict, server, key)
+	}
+	return verdict
+}
+
+// noticed ends the way of a notice; the home shows the end of a flow to its replica.
+func (decider *Decider) noticed(server *server, packet *framer.Packet, key uint64) Verdict {
+	verdict := Verdict{Kind: Drop, Reason: CountNotices, Hint: server.id}
+	if isEnd(packet) && decider.isHome(key) {
 		decider.noticeReplica(&verdict, server, key)
 	}
 	return verdict
--- /dev/null
+++ b/internal/sizer/slope.go
@@ -0,0 +1,60 @@
+package sizer
+
+import (
+	"fmt"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measurement: Value at size Size.
+type Point struct {
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Slope is a straight line through measurements.
+type Slope struct {
+	Name      string  `json:"name"`
+	Of        string  `json:"of"`  // what is measured, with its unit
+	Per       string  `json:"per"` // what it grows with
+	Points    []Point `json:"points"`
+	Intercept float64 `json:"intercept"`
+	Gradient  float64 `json:"gradient"`
+}
+
+// Fit computes the line of least squares through the points.
+func Fit(name, of, per string, points []Point) Slope {
+	sizes, values := make([]float64, len(points)), make([]float64, len(points))
+	for i, point := range points {
+		sizes[i], values[i] = point.Size, point.Value
+	}
+	intercept, gradient := stat.LinearRegression(sizes, values, nil, false)
+	return Slope{Name: name, Of: of, Per: per, Points: points, Intercept: intercept, Gradient: gradient}
+}
+
+// At returns the line's value at a size.
+func (slope Slope) At(size float64) float64 { return slope.Intercept + slope.Gradient*size }
+
+// Stretch is the factor between a size and the largest one measured.
+func (slope Slope) Stretch(size float64) float64 {
+	largest := 0.0
+	for _, point := range slope.Points {
+		largest = max(largest, point.Size)
+	}
+	return size / largest
+}
+
+// Slopes is the content of the slopes file.
+type Slopes struct {
+	Slopes []Slope `json:"slopes"`
+}
+
+// Find returns the slope called name.
+func (slopes Slopes) Find(name string) (Slope, error) {
+	for _, slope := range slopes.Slopes {
+		if slope.Name == name {
+			return slope, nil
+		}
+	}
+	return Slope{}, fmt.Errorf("slope %q does not exist in the slopes file", name)
+}
--- /dev/null
+++ b/internal/sizer/time.go
@@ -0,0 +1,72 @@
+package sizer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pimentowind/pimentowind/framer"
+	"github.com/pimentowind/pimentowind/picker"
+)
+
+// nanoseconds times one call of step.
+func nanoseconds(step func(number int)) float64 {
+	result := testing.Benchmark(func(b *testing.B) {
+		for i := range b.N {
+			step(i)
+		}
+	})
+	return float64(result.T.Nanoseconds()) / float64(result.N)
+}
+
+func measurePicks() []Point {
+	var points []Point
+	for _, count := range []int{4, 15, 60, 240} {
+		candidates := make([]picker.Candidate, count)
+		for i := range candidates {
+			candidates[i] = picker.Candidate{ID: picker.Mix(uint64(i), 1), Weight: float64(1 + i%8)}
+		}
+		value := nanoseconds(func(number int) { picker.Pick(uint64(number), candidates) })
+		points = append(points, Point{Size: float64(count), Value: value})
+	}
+	return points
+}
+
+// measureOpenings times openings at an instance that sees a fleet of several sizes.
+func measureOpenings() []Point {
+	var points []Point
+	for _, size := range []int{3, 9, 30, 90} {
+		fleet := newFleet(size)
+		fleet.list()
+		content := sheetOf(1, 15, 0)
+		for _, name := range fleet.names {
+			fleet.deciders[name].Sheet(fleet.now, 1, content)
+		}
+		fleet.run(settleTime)
+		one := fleet.deciders[fleet.names[0]]
+		value := nanoseconds(func(number int) {
+			packet := opening(number % 1_000_000)
+			one.Packet(fleet.now, &packet)
+		})
+		points = append(points, Point{Size: float64(size), Value: value})
+	}
+	return points
+}
+
+func measureKnown() []Point {
+	var points []Point
+	for _, flows := range []int{10_000, 50_000, 200_000, 500_000} {
+		one := single(sheetOf(1, 15, 0))
+		now := start.Add(settleTime)
+		for number := range flows {
+			packet := opening(number)
+			one.Packet(now, &packet)
+		}
+		value := nanoseconds(func(number int) {
+			packet := opening(number * 7919 % flows)
+			packet.Flags, packet.PayloadLength = framer.FlagACK, 100
+			one.Packet(now.Add(time.Millisecond), &packet)
+		})
+		points = append(points, Point{Size: float64(flows), Value: value})
+	}
+	return points
+}
