Show that forwarding allocates nothing, and fit lines through measured sizes

Cause: the packet path and the growth of state had no figures. Ruled out: timing one opening over a growing table; it measured the cache. Change: a test of allocations and a benchmark of decode, decide and encode; the slopes and the tables that docs/CAPACITY.md will carry.

--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -19,7 +19,7 @@
 
 // fleet is a few deciders whose messages arrive one tick after they are sent.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Time
 	names    []string
 	deciders map[string]*Decider
@@ -34,7 +34,7 @@
 	return Instance{Name: name, FailureDomain: name[:1], Peer: netip.AddrPortFrom(address, 7000), Tunnel: netip.AddrPortFrom(address, 6081)}
 }
 
-func newFleet(t *testing.T, names ...string) *fleet {
+func newFleet(t testing.TB, names ...string) *fleet {
 	fleet := &fleet{t: t, now: testStart, deciders: map[string]*Decider{}, stopped: map[string]bool{}}
 	for _, name := range names {
 		fleet.add(name)
--- /dev/null
+++ b/decider/path_test.go
@@ -0,0 +1,69 @@
+package decider
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+// pathDecider serves alone and knows the given number of flows.
+func pathDecider(t testing.TB, flows int) (*Decider, [][]byte) {
+	fleet := newFleet(t, "a1")
+	fleet.deciders["a1"].flows.limit = flows + 1
+	fleet.load(1, testSheet())
+	fleet.run(startGrace + time.Second)
+	decider := fleet.deciders["a1"]
+	datagrams := make([][]byte, flows)
+	for i := range datagrams {
+		tuple := testTuple(testTCP, framer.ProtocolTCP, i)
+		tuple.Source[1], tuple.Source[2] = byte(i>>24), byte(i>>16)
+		for server := 1; server <= 4; server++ {
+			decider.servers[serverID("counter", testServer(server, "").Address)].open = 0
+		}
+		decider.Packet(fleet.now, &framer.Packet{Tuple: tuple, Flags: framer.FlagSYN})
+		inner, err := framer.BuildInner(framer.Segment{Tuple: tuple, Flags: framer.FlagACK, Sequence: 1, Payload: make([]byte, 64)})
+		assert.NilError(t, err)
+		datagrams[i] = framer.Encode(nil, framer.Options{}, inner)
+	}
+	return decider, datagrams
+}
+
+// forwardOne decodes, decides and encodes one datagram.
+func forwardOne(decider *Decider, now time.Time, datagram, out []byte) int {
+	var packet framer.Packet
+	if framer.Decode(datagram, &packet) != nil {
+		return 0
+	}
+	if decider.Packet(now, &packet).Kind != ToBackendServer {
+		return 0
+	}
+	return len(framer.Encode(out[:0], framer.Options{}, packet.Inner))
+}
+
+func TestForwardingDoesNotAllocate(t *testing.T) {
+	decider, datagrams := pathDecider(t, 1000)
+	out := make([]byte, 0, 2048)
+	next := 0
+	allocations := testing.AllocsPerRun(1000, func() {
+		assert.Assert(t, forwardOne(decider, decider.now, datagrams[next%len(datagrams)], out) > 0)
+		next++
+	})
+	assert.Equal(t, allocations, 0.0)
+}
+
+func BenchmarkForward(b *testing.B) {
+	for _, flows := range []int{1000, 100_000} {
+		b.Run(fmt.Sprintf("flows=%d", flows), func(b *testing.B) {
+			decider, datagrams := pathDecider(b, flows)
+			out := make([]byte, 0, 2048)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				forwardOne(decider, decider.now, datagrams[i*7919%flows], out)
+			}
+		})
+	}
+}
--- a/internal/sizer/time.go
+++ b/internal/sizer/time.go
@@ -31,6 +31,9 @@
 	return points
 }
 
+// openingFlows is small enough for the table to stay in the processor's cache.
+const openingFlows = 4096
+
 // measureOpenings times openings at an instance that sees a fleet of several sizes.
 func measureOpenings() []Point {
 	var points []Point
@@ -44,7 +47,7 @@
 		fleet.run(settleTime)
 		one := fleet.deciders[fleet.names[0]]
 		value := nanoseconds(func(number int) {
-			packet := opening(number % 1_000_000)
+			packet := opening(number % openingFlows)
 			one.Packet(fleet.now, &packet)
 		})
 		points = append(points, Point{Size: float64(size), Value: value})
