--- a/logger/logger.go
+++ b/logger/logger.go
@@ -46,7 +46,7 @@
 	decider.EventEpochProposed:     "epoch proposed",
 	decider.EventEpochStaged:       "epoch staged",
 	decider.EventEpochActivated:    "epoch activated",
-	decider.EventActivationTimeout: "epoch activated without an instance",
+	decider.EventActivationTimeout: "epoch activated without all pins",
 	decider.EventSheetTaken:        "sheet taken",
 	decider.EventSheetInForce:      "sheet in force on this instance",
 	decider.EventSheetInvalid:      "sheet cannot be read",
