--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -23,7 +23,8 @@
 	now      time.Time
 	names    []string
 	deciders map[string]*Decider
-	stopped  map[string]bool // dead, frozen or cut off
+	stopped  map[string]bool // dead or frozen
+	cut      string          // failure domain that is cut off from the others
 	events   []string
 	listed   []Instance
 }
@@ -74,13 +75,24 @@
 		}
 		for _, outgoing := range fleet.deciders[name].TakeOutbox() {
 			to := fleet.deciders[outgoing.To.Name]
-			if to != nil && !fleet.stopped[name] && !fleet.stopped[outgoing.To.Name] {
+			if to != nil && !fleet.stopped[name] && !fleet.stopped[outgoing.To.Name] && fleet.reaches(name, outgoing.To.Name) {
 				to.Message(fleet.now, name, outgoing.Message)
 			}
 		}
 	}
 }
 
+func (fleet *fleet) reaches(from, to string) bool {
+	return fleet.cut == "" || (from[:1] == fleet.cut) == (to[:1] == fleet.cut)
+}
+
+// restart replaces an instance by a new process of the same name.
+func (fleet *fleet) restart(name string) {
+	config := Config{Self: testInstance(name), Incarnation: uint64(fleet.now.UnixNano()), MaxFlows: 10_000}
+	fleet.deciders[name] = NewDecider(config, fleet.now)
+	fleet.deciders[name].Members(fleet.now, fleet.listed)
+}
+
 // load gives the sheet to every running instance.
 func (fleet *fleet) load(version uint64, sheet parser.Sheet) {
 	content, err := json.Marshal(sheet)
@@ -107,8 +119,9 @@
 			return verdict
 		}
 		packet.Relayed, packet.RelayRank, packet.Hint = true, verdict.Rank, verdict.Hint
+		from := at
 		at = fleet.at(verdict.Address)
-		if fleet.stopped[at] {
+		if fleet.stopped[at] || !fleet.reaches(from, at) {
 			return Verdict{Kind: Drop}
 		}
 	}
