Leave addresses and most digests out of heartbeats

Cause: each side waited for the other to leave its addresses out before it did so itself, so every heartbeat carried them: 119 bytes with overhead where 89 were meant. Ruled out: services in transition; there were none in the idle fleet. Change: the hand-over's end says that an instance is known; the digest goes into every fourth heartbeat.

--- a/decider/config.go
+++ b/decider/config.go
@@ -31,6 +31,7 @@
 	oldViewsLifetime = 10 * time.Minute
 	flushInterval    = time.Second // between messages with what can wait
 	recentChange     = time.Second
+	digestInterval   = 4  // heartbeats between those that carry the digest
 	regularInterval  = 16 // heartbeats after which the sender's addresses are repeated
 )
 
--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -182,3 +182,10 @@
 	}
 	assert.Assert(t, refused > 0, "the sides have not come to differ")
 }
+
+func TestAHeartbeatLeavesTheAddressesOutOnceHeard(t *testing.T) {
+	fleet := started(t)
+	for _, member := range fleet.deciders["a1"].roster {
+		assert.Assert(t, member.introduced, member.Name)
+	}
+}
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -31,7 +31,9 @@
 		Integrated:   decider.integrated,
 		SheetVersion: decider.sheetVersion,
 		InForce:      decider.InForce(),
-		Digest:       decider.digest(),
+	}
+	if decider.beats%digestInterval == 0 {
+		heartbeat.Digest = decider.digest()
 	}
 	for _, service := range decider.catalogue {
 		if len(service.epochs) > 1 || decider.now.Sub(service.changedAt) < recentChange {
@@ -71,8 +73,6 @@
 		decider.counters.add(CountStaleIncarnation, 1)
 		return
 	}
-	// Only an instance that has heard this one leaves its addresses out.
-	member.introduced = heartbeat.Self == nil || member.introduced
 	fresh := !member.alive || heartbeat.Incarnation != member.incarnation
 	viewFields := [...]bool{member.alive, member.leaving, member.integrated}
 	member.incarnation = heartbeat.Incarnation
@@ -86,7 +86,9 @@
 	member.integrated = heartbeat.Integrated
 	member.sheetVersion = heartbeat.SheetVersion
 	member.inForce = heartbeat.InForce
-	member.digest = heartbeat.Digest
+	if heartbeat.Digest != 0 {
+		member.digest = heartbeat.Digest
+	}
 	for _, state := range heartbeat.Services {
 		member.services[state.Service] = state
 		decider.adoptActive(state)
@@ -167,6 +169,7 @@
 	}
 	if handover.Done == decider.config.Incarnation {
 		member.handedOver = true
+		member.introduced = true
 		decider.rebuildView()
 	}
 	decider.advance()
