Remember sixteen views, as a healed cut makes more than four

Cause: after a cut an instance greets six others one after another; each greeting changed its view, and after four the view under which it had been home of the flows was forgotten, so the last ones greeted got no pins. The traces all name the same instance without pins. Ruled out: lost messages. Change: sixteen views are remembered instead of four.

--- a/decider/config.go
+++ b/decider/config.go
@@ -27,7 +27,7 @@
 	pinBurst         = 16384 // bytes of pins at once
 	maxPinDebt       = 65536 // bytes of pins that a new version of the sheet may borrow
 	shardsPerTick    = 8     // shards of the flow table that one tick scans
-	maxOldViews      = 4
+	maxOldViews      = 16
 	oldViewsLifetime = 10 * time.Minute
 	flushInterval    = time.Second // between messages with what can wait
 	recentChange     = time.Second
