Believe what a backend server accepted over an opening that was never answered

Cause: an opening that one side of a cut had sent in vain was pinned when its tuple had been used before, and overruled the other side; packets of the backend server that did accept were dropped as late; a home out of budget never pinned. Ruled out: lost pins; the wrong ones had been spread. Change: nothing is pinned before it is accepted; while merging, a returning packet replaces an unanswered opening; a home that has passed its table pins whatever it meets.

--- a/decider/flows.go
+++ b/decider/flows.go
@@ -31,6 +31,7 @@
 	counted    bool // in the home's count of open flows
 	callerFIN  bool
 	serverFIN  bool
+	moved      bool // others may remember an earlier flow of the tuple
 	replica    bool // the home showed its acceptance to this instance, and will show its end
 }
 
--- a/decider/open.go
+++ b/decider/open.go
@@ -156,10 +156,8 @@
 	opened.seen = decider.seconds(decider.now)
 	opened.sent = decider.microseconds(decider.now)
 	decider.countFlow(&opened)
-	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
-	moved := known && old.server != server.id
-	if moved || (!isTCP && decider.needsPin(service, key, server)) {
-		// Others may remember an earlier flow of this tuple, or go by another epoch.
+	opened.moved = known && old.server != server.id
+	if packet.Tuple.Protocol == framer.ProtocolUDP && decider.needsPin(service, key, server) {
 		decider.pin(key, &opened)
 		decider.flushPins()
 	}
@@ -177,7 +175,8 @@
 		return false
 	}
 	// While flows are asked of their home, pins only save the asking.
-	return service.clean || decider.mayPin(service, len(decider.walk)-1)
+	passed := service.active != nil && service.prepared == service.target().ID
+	return service.clean || passed || decider.mayPin(service, len(decider.walk)-1)
 }
 
 func countOfRefusal(reason framer.Reason) Count {
--- a/decider/return.go
+++ b/decider/return.go
@@ -39,6 +39,11 @@
 	if !known {
 		return decider.returnUnknown(service, server, packet, key)
 	}
+	if flow.server != server.id && flow.state == opening && !isAccept(packet) && !decider.consistent() {
+		// Beyond the cut that has just healed, another backend server has accepted it.
+		decider.dropFlow(key, flow)
+		return decider.returnUnknown(service, server, packet, key)
+	}
 	if flow.server != server.id {
 		return decider.drop(CountStaleReturn)
 	}
@@ -97,7 +102,7 @@
 	flow.seen = decider.seconds(decider.now)
 	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
 	decider.observe(server, packet, &flow)
-	if accepted && !flow.pinned && decider.needsPin(server.service, key, server) {
+	if accepted && !flow.pinned && (flow.moved || decider.needsPin(server.service, key, server)) {
 		decider.counters.add(CountPinsAtAccept, 1)
 		decider.pin(key, &flow)
 		decider.flushPins()
--- a/internal/experimenter/traffic.go
+++ b/internal/experimenter/traffic.go
@@ -223,9 +223,7 @@
 	if packet.Flags&framer.FlagSYN != 0 {
 		return
 	}
-	if sender == nil {
-		world.trace(flow, flow.server)
-	}
+	world.trace(flow, flow.server)
 	world.breakFlow(flow, why)
 }
 
