Learn from the backend server that answers, at instances that are not the home

Cause: an instance that had only witnessed an opening beyond a cut dropped the packets of the backend server that had accepted it. Ruled out: merging; it was over when the packet came. Change: only a home that is up to date believes its own unanswered opening.

--- a/decider/return.go
+++ b/decider/return.go
@@ -39,8 +39,9 @@
 	if !known {
 		return decider.returnUnknown(service, server, packet, key)
 	}
-	if flow.server != server.id && flow.state == opening && !isAccept(packet) && !decider.consistent() {
-		// Beyond the cut that has just healed, another backend server has accepted it.
+	believed := decider.consistent() && decider.isHome(key)
+	if flow.server != server.id && flow.state == opening && !isAccept(packet) && !believed {
+		// Another home, beyond a cut, has opened it at the backend server that answers.
 		decider.dropFlow(key, flow)
 		return decider.returnUnknown(service, server, packet, key)
 	}
