Split the decisions by concern and answer how a flow is decided

Cause: decider.go and owner.go had grown past one concern each; Explain served tests alone. Ruled out: changes of behaviour; the functions were moved as they stood.

--- a/balancer/admin.go
+++ b/balancer/admin.go
@@ -10,10 +10,11 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pimentowind/pimentowind/forwarder"
+	"github.com/pimentowind/pimentowind/framer"
 	"github.com/pimentowind/pimentowind/messenger"
 )
 
-// Admin answers operators over HTTP: /debug/vars (expvar), /ready and /status.
+// Admin answers operators over HTTP: /debug/vars (expvar), /ready, /status and /explain.
 type Admin struct {
 	engine *Engine
 	vars   *expvar.Map
@@ -33,6 +34,7 @@
 	mux.HandleFunc("GET /debug/vars", admin.serveVars)
 	mux.HandleFunc("GET /ready", admin.serveReady)
 	mux.HandleFunc("GET /status", admin.serveStatus)
+	mux.HandleFunc("GET /explain", admin.serveExplain)
 	server := &http.Server{Handler: mux}
 	go server.Serve(listener)
 	return admin, func() { server.Close() }, nil
@@ -58,6 +60,39 @@
 	json.NewEncoder(writer).Encode(admin.engine.Status())
 }
 
+// serveExplain answers how the flow in the query is decided.
+func (admin *Admin) serveExplain(writer http.ResponseWriter, request *http.Request) {
+	tuple, err := parseTuple(request.FormValue("protocol"), request.FormValue("caller"), request.FormValue("service"))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(admin.engine.Explain(tuple))
+}
+
+func parseTuple(protocol, caller, service string) (framer.Tuple, error) {
+	tuple := framer.Tuple{Protocol: framer.ProtocolTCP}
+	switch protocol {
+	case "tcp":
+	case "udp":
+		tuple.Protocol = framer.ProtocolUDP
+	default:
+		return tuple, errors.Errorf("protocol %q is not tcp or udp", protocol)
+	}
+	source, err := netip.ParseAddrPort(caller)
+	if err != nil || !source.Addr().Is4() {
+		return tuple, errors.Errorf("caller %q is not an IPv4 address with a port", caller)
+	}
+	destination, err := netip.ParseAddrPort(service)
+	if err != nil || !destination.Addr().Is4() {
+		return tuple, errors.Errorf("service %q is not an IPv4 address with a port", service)
+	}
+	tuple.Source, tuple.SourcePort = source.Addr().As4(), source.Port()
+	tuple.Destination, tuple.DestinationPort = destination.Addr().As4(), destination.Port()
+	return tuple, nil
+}
+
 func messageVars(stats *messenger.Stats) map[string]uint64 {
 	return map[string]uint64{
 		"sent_bytes":       stats.SentBytes.Load(),
--- a/balancer/engine.go
+++ b/balancer/engine.go
@@ -144,6 +144,13 @@
 	return engine.decider.Status()
 }
 
+// Explain says how a flow, given by its tuple as seen from the caller, is decided.
+func (engine *Engine) Explain(tuple framer.Tuple) decider.Explanation {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.decider.Explain(tuple)
+}
+
 // Counters returns the counters of the decisions.
 func (engine *Engine) Counters() map[string]uint64 {
 	engine.mutex.Lock()
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"math"
 	"time"
 
 	"github.com/pimentowind/pimentowind/parser"
@@ -174,17 +173,6 @@
 	return weight * state.ramp
 }
 
-// allDown reports whether no backend server answers, which speaks of the way to
-// them or of silent callers rather than of the servers; then none is left out.
-func (policy *policy) allDown(service *service) bool {
-	for _, row := range service.spec.BackendServers {
-		if row.State == parser.Active && !policy.server(serverID(service.name, row.Address)).down {
-			return false
-		}
-	}
-	return true
-}
-
 // sendLoads tells each service's owner what this instance saw.
 func (decider *Decider) sendLoads() {
 	for _, service := range decider.catalogue {
@@ -201,7 +189,7 @@
 		}
 		owner := topOf(decider.view, service.hash)
 		if owner == nil {
-			decider.receiveLoads(nil, loads)
+			decider.receiveLoads(loads)
 			continue
 		}
 		decider.send(owner, Message{Loads: loads})
@@ -209,7 +197,7 @@
 }
 
 // receiveLoads adds a report to what the owner knows.
-func (decider *Decider) receiveLoads(_ *member, loads []ServerLoad) {
+func (decider *Decider) receiveLoads(loads []ServerLoad) {
 	for _, load := range loads {
 		server, ok := decider.servers[load.Server]
 		if !ok || !server.service.policy.owned {
@@ -224,166 +212,3 @@
 		state.batchSums += load.BatchSums
 	}
 }
-
-// runHealth marks backend servers down that answer no opening, and tries them again later.
-func (decider *Decider) runHealth(service *service) {
-	policy := &service.policy
-	if decider.now.Sub(policy.lastHealth) < 2*ReportInterval {
-		return
-	}
-	policy.lastHealth = decider.now
-	changed := false
-	for _, row := range service.spec.BackendServers {
-		state := policy.server(serverID(service.name, row.Address))
-		if row.State == parser.Active && decider.judge(service, row, state) {
-			changed = true
-		}
-		state.openings, state.accepted, state.shed, state.returned = 0, 0, 0, 0
-	}
-	if changed {
-		decider.propose(service, true)
-	}
-}
-
-// judge moves one backend server between up, down and tried again; it reports a change.
-func (decider *Decider) judge(service *service, row parser.BackendServer, state *serverPolicy) bool {
-	silent := state.openings >= minDownOpenings && state.accepted+state.shed == 0 && state.returned == 0
-	switch {
-	case !state.down && silent:
-		state.down = true
-		state.downUntil = decider.now.Add(state.hold)
-		state.hold = min(2*state.hold, maxHold)
-		decider.event(EventServerDown, "service", service.name, "backend_server", row.Name)
-		return true
-	case state.down && !decider.now.Before(state.downUntil):
-		state.down = false
-		state.ramp = probeShare
-		decider.event(EventServerProbed, "service", service.name, "backend_server", row.Name)
-		return true
-	case state.openings > 0 && float64(state.shed) > shedShare*float64(state.openings):
-		current := policyWeight(state, row)
-		state.learned = max(current/weightStep, row.Weight/weightRange)
-		return state.learned < current
-	}
-	return false
-}
-
-func policyWeight(state *serverPolicy, row parser.BackendServer) float64 {
-	if state.learned > 0 {
-		return state.learned
-	}
-	return row.Weight
-}
-
-// runWeights moves the weights towards the measured strengths, and warms up cold backend servers.
-func (decider *Decider) runWeights(service *service) {
-	policy := &service.policy
-	if decider.now.Sub(policy.lastWeights) < WeightInterval || len(service.epochs) > 1 {
-		return
-	}
-	policy.lastWeights = decider.now
-	warmed := decider.warm(service)
-	if (decider.missing() == 0 && service.learn()) || warmed {
-		decider.propose(service, false)
-	}
-}
-
-// warm raises the share of backend servers that answered while they were cold.
-func (decider *Decider) warm(service *service) bool {
-	changed := false
-	for _, row := range service.spec.BackendServers {
-		state := service.policy.server(serverID(service.name, row.Address))
-		if state.ramp >= 1 || state.down {
-			continue
-		}
-		state.ramp = min(1, state.ramp*rampFactor)
-		if state.ramp == 1 {
-			state.hold = firstHold
-			decider.event(EventServerUp, "service", service.name, "backend_server", row.Name)
-		}
-		changed = true
-	}
-	return changed
-}
-
-// learn moves the weights a step towards the strengths that the response times
-// show, once one of them is far enough off.
-func (service *service) learn() bool {
-	targets := service.targets()
-	due := false
-	for _, row := range service.spec.BackendServers {
-		target, ok := targets[row.Name]
-		current := policyWeight(service.policy.server(serverID(service.name, row.Address)), row)
-		due = due || (ok && math.Abs(target/current-1) > weightHysteresis)
-	}
-	if !due {
-		return false
-	}
-	for _, row := range service.spec.BackendServers {
-		if target, ok := targets[row.Name]; ok {
-			state := service.policy.server(serverID(service.name, row.Address))
-			current := policyWeight(state, row)
-			state.learned = min(max(target, current/weightStep), current*weightStep)
-			if math.Abs(state.learned/current-1) > staleChange {
-				// What was measured under another load counts for less.
-				state.measured = min(state.measured, staleMeasurements)
-			}
-		}
-	}
-	return true
-}
-
-// targets turns the smoothed response floors into weights with the sheet's total.
-func (service *service) targets() map[string]float64 {
-	targets := map[string]float64{}
-	needed := 1
-	if service.policy.inherited {
-		needed = inheritedMeasurements
-	}
-	totalWeight, totalStrength := 0.0, 0.0
-	for _, row := range service.spec.BackendServers {
-		state := service.policy.server(serverID(service.name, row.Address))
-		state.smooth()
-		if row.State != parser.Active || state.measured < needed {
-			continue
-		}
-		targets[row.Name] = 1 / state.floor
-		totalWeight += row.Weight
-		totalStrength += 1 / state.floor
-	}
-	for _, row := range service.spec.BackendServers {
-		if strength, ok := targets[row.Name]; ok {
-			target := strength * totalWeight / totalStrength
-			targets[row.Name] = min(max(target, row.Weight/weightRange), row.Weight*weightRange)
-		}
-	}
-	return targets
-}
-
-// smooth takes in the response batches once there are enough of them.
-func (state *serverPolicy) smooth() {
-	if state.batches < minBatches {
-		return
-	}
-	measured := float64(state.batchSums) / float64(state.batches)
-	state.batches, state.batchSums = 0, 0
-	if measured <= 0 {
-		return
-	}
-	state.measured++
-	share := max(floorSmoothing, 1/float64(state.measured))
-	state.floor += share * (measured - state.floor)
-}
-
-// Weights returns the weights in use of a service by backend server, for reports.
-func (decider *Decider) Weights(name string) map[string]float64 {
-	weights := map[string]float64{}
-	service := decider.serviceNamed(name)
-	if service.active == nil {
-		return weights
-	}
-	for _, server := range service.active.Servers {
-		weights[server.Name] = float64(server.Weight)
-	}
-	return weights
-}
