Tell callers when to come back after a backend server reset their opening

Cause: a reset from a backend server that sheds load reached the caller without reason or time. Ruled out: a retry elsewhere by the instance, which would have to keep openings. Change: the home adds the refusal option to the reset, and counts it. Figures: the test of shedding was red without the reason, and is green.

--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -76,7 +76,10 @@
 			reset := framer.Packet{
 				Tuple: openingPacket(port).Tuple.Reverse(), Flags: framer.FlagRST | framer.FlagACK, TunnelSource: shedding,
 			}
-			assert.Equal(t, fleet.send("a2", reset).Kind, ToCaller, "the caller is told at once")
+			told := fleet.send("a2", reset)
+			assert.Equal(t, told.Kind, ToCaller, "the caller is told at once")
+			assert.Equal(t, told.Refusal.Reason, framer.ReasonBackendServerShed)
+			assert.Assert(t, told.Refusal.RetryAfter > 0)
 		} else {
 			fleet.accept("a2", openingPacket(port).Tuple, verdict.Address)
 		}
--- a/decider/counter.go
+++ b/decider/counter.go
@@ -25,6 +25,7 @@
 	CountRefusedNoBackendServer
 	CountRefusedFull
 	CountRefusedOutcomeUnknown
+	CountRefusedShed
 	CountPinsSent
 	CountPinsAtAccept
 	CountPinsMet
@@ -54,7 +55,7 @@
 	"packets_relayed", "notices_sent", "notices_received", "guessed_flows",
 	"dropped_unknown_service", "dropped_unknown_backend_server", "dropped_unknown_flow",
 	"dropped_stale_return", "flows_stale", "dropped_not_ready", "flow_table_full", "flows_expired",
-	"refused_no_backend_server", "refused_backend_servers_full", "refused_outcome_unknown",
+	"refused_no_backend_server", "refused_backend_servers_full", "refused_outcome_unknown", "refused_backend_server_shed",
 	"pins_sent", "pins_at_accept", "pins_met", "pins_to_joiners", "unpins", "pins_received", "pins_unknown_backend_server", "orphans_sent", "pin_conflicts", "flows_taken_over",
 	"members_joined", "members_lost", "stale_incarnations", "sheets_shared", "repairs",
 	"epochs_proposed", "epochs_activated", "epochs_retired", "activation_timeouts", "pauses", "messages_from_unknown",
--- a/decider/return.go
+++ b/decider/return.go
@@ -102,6 +102,7 @@
 func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
 	flow.seen = decider.seconds(decider.now)
 	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
+	shed := flow.state == opening && isShed(packet)
 	decider.observe(server, packet, &flow)
 	if accepted && !flow.pinned && (flow.moved || decider.needsPin(server.service, key, server)) {
 		decider.counters.add(CountPinsAtAccept, 1)
@@ -115,6 +116,10 @@
 	}
 	decider.counters.add(CountToCaller, 1)
 	verdict := Verdict{Kind: ToCaller, Hint: server.id}
+	if shed {
+		decider.counters.add(CountRefusedShed, 1)
+		verdict.Refusal = framer.Refusal{Reason: framer.ReasonBackendServerShed, RetryAfter: retryAfterShed}
+	}
 	if !isAccept(packet) {
 		decider.noticeHome(&verdict, packet, key)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -147,7 +147,7 @@
 	case decider.ToBackendServer:
 		forwarder.send(verdict.Address, framer.Options{}, packet.Inner)
 	case decider.ToCaller:
-		forwarder.send(forwarder.fabricFor(packet), framer.Options{}, packet.Inner)
+		forwarder.send(forwarder.fabricFor(packet), framer.Options{Refusal: verdict.Refusal}, packet.Inner)
 	case decider.ToInstance:
 		options := framer.Options{
 			TunnelSource: packet.TunnelSource,
