--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,150 @@
+package forwarder
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+const patience = 20 * time.Second
+
+// fixedDecider gives every packet the same verdict.
+type fixedDecider struct {
+	verdict decider.Verdict
+	trusted netip.AddrPort
+}
+
+func (fixedDecider fixedDecider) Packet(*framer.Packet) decider.Verdict { return fixedDecider.verdict }
+
+func (fixedDecider fixedDecider) Trusted(address netip.AddrPort) bool {
+	return address == fixedDecider.trusted
+}
+
+func listen(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	t.Cleanup(func() { socket.Close() })
+	return socket, socket.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// start runs a forwarder and returns it with its address.
+func start(t *testing.T, fabric netip.AddrPort, packetDecider PacketDecider) (*Forwarder, netip.AddrPort) {
+	t.Helper()
+	probe, address := listen(t)
+	probe.Close()
+	forwarder, cleanup, err := NewForwarder(address, []netip.AddrPort{fabric}, packetDecider)
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- forwarder.Run() }()
+	t.Cleanup(func() {
+		cleanup()
+		assert.NilError(t, <-done)
+	})
+	return forwarder, address
+}
+
+var opening = framer.Tuple{
+	Source: [4]byte{198, 51, 100, 1}, SourcePort: 40000, Destination: [4]byte{10, 1, 0, 1}, DestinationPort: 443, Protocol: framer.ProtocolTCP,
+}
+
+func datagram(t *testing.T, options framer.Options) []byte {
+	t.Helper()
+	inner, err := framer.BuildInner(framer.Segment{Tuple: opening, Flags: framer.FlagSYN, Sequence: 7})
+	assert.NilError(t, err)
+	return framer.Encode(nil, options, inner)
+}
+
+func receive(t *testing.T, socket *net.UDPConn) framer.Packet {
+	t.Helper()
+	buffer := make([]byte, datagramSize)
+	assert.NilError(t, socket.SetReadDeadline(time.Now().Add(patience)))
+	length, _, err := socket.ReadFromUDPAddrPort(buffer)
+	assert.NilError(t, err)
+	var packet framer.Packet
+	assert.NilError(t, framer.Decode(buffer[:length], &packet))
+	return packet
+}
+
+func TestVerdictsAreCarriedOut(t *testing.T) {
+	refusal := framer.Refusal{Reason: framer.ReasonBackendServersFull, RetryAfter: 2 * time.Second}
+	cases := []struct {
+		name    string
+		verdict decider.Verdict
+		fabric  bool // it goes to the fabric, otherwise to the verdict's address
+		check   func(*testing.T, framer.Packet)
+	}{
+		{"to a backend server", decider.Verdict{Kind: decider.ToBackendServer}, false, func(t *testing.T, packet framer.Packet) {
+			assert.Assert(t, !packet.Relayed)
+			assert.Equal(t, packet.Sequence, uint32(7))
+		}},
+		{"to an instance", decider.Verdict{Kind: decider.ToInstance, Rank: 2, Hint: 5}, false, func(t *testing.T, packet framer.Packet) {
+			assert.Assert(t, packet.Relayed && packet.RelayRank == 2 && packet.Hint == 5)
+		}},
+		{"to the caller", decider.Verdict{Kind: decider.ToCaller}, true, func(t *testing.T, packet framer.Packet) {
+			assert.Equal(t, packet.Tuple, opening)
+		}},
+		{"refused", decider.Verdict{Kind: decider.Refuse, Refusal: refusal}, true, func(t *testing.T, packet framer.Packet) {
+			assert.Equal(t, packet.Refusal, refusal)
+			assert.Equal(t, packet.Tuple, opening.Reverse())
+			assert.Equal(t, packet.Flags, uint8(framer.FlagRST|framer.FlagACK))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fabricSocket, fabric := listen(t)
+			other, address := listen(t)
+			c.verdict.Address = address
+			_, at := start(t, fabric, fixedDecider{verdict: c.verdict})
+			_, err := fabricSocket.WriteToUDPAddrPort(datagram(t, framer.Options{}), at)
+			assert.NilError(t, err)
+			if c.fabric {
+				other = fabricSocket
+			}
+			c.check(t, receive(t, other))
+		})
+	}
+}
+
+func TestANoticeIsACopy(t *testing.T) {
+	fabricSocket, fabric := listen(t)
+	server, serverAddress := listen(t)
+	home, homeAddress := listen(t)
+	verdict := decider.Verdict{Kind: decider.ToBackendServer, Address: serverAddress, Notice: homeAddress, Hint: 9}
+	_, at := start(t, fabric, fixedDecider{verdict: verdict})
+	_, err := fabricSocket.WriteToUDPAddrPort(datagram(t, framer.Options{}), at)
+	assert.NilError(t, err)
+	assert.Assert(t, !receive(t, server).Notice)
+	copied := receive(t, home)
+	assert.Assert(t, copied.Notice && copied.Hint == 9)
+}
+
+func TestStrangersAndMalformedDatagramsAreCounted(t *testing.T) {
+	fabricSocket, fabric := listen(t)
+	stranger, _ := listen(t)
+	forwarder, at := start(t, fabric, fixedDecider{verdict: decider.Verdict{Kind: decider.Drop}})
+	send := func(socket *net.UDPConn, content []byte) {
+		_, err := socket.WriteToUDPAddrPort(content, at)
+		assert.NilError(t, err)
+	}
+	send(stranger, datagram(t, framer.Options{}))
+	send(stranger, datagram(t, framer.Options{Relayed: true}))
+	send(fabricSocket, datagram(t, framer.Options{Relayed: true}))
+	send(fabricSocket, []byte{0xff})
+	send(fabricSocket, datagram(t, framer.Options{}))
+	deadline := time.Now().Add(patience)
+	for forwarder.Stats().Received.Load() < 5 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	for forwarder.Stats().DroppedDecode["truncated_tunnel"].Load() < 1 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, forwarder.Stats().Untrusted.Load(), uint64(3))
+	assert.Equal(t, forwarder.Stats().DroppedDecode["truncated_tunnel"].Load(), uint64(1))
+}
