Measure slopes on real processes too

Cause: bytes between instances were summed from encoded messages and an assumed overhead; the wire was not measured. Ruled out: more than two dozen processes; each size takes a quarter of a minute. Change: idle fleets of 3, 6, 12 and 24 processes give bytes on the wire, calls of the platform and resident memory. Figures: none yet; the slopes are taken when the machine is quiet.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -29,7 +30,13 @@
 		return err
 	}
 	if chosen == measure.FullCommand() {
-		return write(*file, sizer.Measure())
+		slopes := sizer.Measure()
+		processes, err := sizer.MeasureProcesses(context.Background(), ".")
+		if err != nil {
+			return err
+		}
+		slopes.Slopes = append(slopes.Slopes, processes...)
+		return write(*file, slopes)
 	}
 	content, err := os.ReadFile(*file)
 	if err != nil {
--- /dev/null
+++ b/internal/rehearser/idle.go
@@ -0,0 +1,71 @@
+package rehearser
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// StartIdle starts so many instances with a small sheet and no flows, and returns their names.
+func (fleet *Fleet) StartIdle(ctx context.Context, size int) ([]string, error) {
+	service := netip.MustParseAddrPort("10.1.0.9:443")
+	rows := []SheetRow{DomainRow("a"), DomainRow("b"), DomainRow("c"), ServiceRow("desk-log", service, "tcp", "no")}
+	rows = append(rows, BackendRow("log-1", "desk-log", FreeAddress(), 1, "a", "active"))
+	var names []string
+	for number := range size {
+		name := fmt.Sprintf("lb-%d", number)
+		names = append(names, name)
+		if err := fleet.StartBalancer(ctx, name, domains[number%len(domains)]); err != nil {
+			return nil, err
+		}
+	}
+	file := filepath.Join(fleet.directory, "sheet.csv")
+	if err := WriteSheet(file, rows); err != nil {
+		return nil, err
+	}
+	if line, err := fleet.LoadSheet(file, "idle", time.Minute); err != nil {
+		return nil, errors.Wrapf(err, "load sheet: %s", line)
+	}
+	if err := fleet.AwaitReady(ctx, names...); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second) // until the last hand-over is over
+	return names, nil
+}
+
+// PlatformCalls returns how many calls the platform has had.
+func (fleet *Fleet) PlatformCalls() (int, error) {
+	var calls map[string]int
+	if err := getJSON(fleet.platform+"/calls", &calls); err != nil {
+		return 0, err
+	}
+	total := 0
+	for _, count := range calls {
+		total += count
+	}
+	return total, nil
+}
+
+// Resident returns the resident memory of a process that the fleet started, in bytes.
+func (fleet *Fleet) Resident(name string) (float64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", fleet.processes[name].command.Process.Pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read memory")
+	}
+	fields := strings.Fields(string(content))
+	if len(fields) < 2 {
+		return 0, errors.Errorf("statm %q has no resident size", content)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return 0, errors.Wrap(err, "parse memory")
+	}
+	return pages * float64(os.Getpagesize()), nil
+}
--- a/internal/sizer/table.go
+++ b/internal/sizer/table.go
@@ -135,7 +135,7 @@
 	finder := &finder{slopes: slopes}
 	lines := append(receiverLines(finder, sizes), homeLines(finder, sizes)...)
 	lines = append(lines, relayLines(finder, sizes)...)
-	lines = append(lines, platformLines(sizes)...)
+	lines = append(lines, platformLines(finder, sizes)...)
 	return lines, finder.err
 }
 
@@ -149,6 +149,7 @@
 		{"receiver", "flows remembered", number(sizes.flowEntries()), "", "home, replica and a minute of others, built"},
 		{"receiver", "memory for flows, bytes", number(flows), number(budgetMemory) + " with all below", "flow table, built"},
 		{"receiver", "memory for services and backend servers, bytes", number(finder.gradient("server_state") * sizes.Servers), "", "every instance holds the whole sheet, built; sheet shards by manifest, design only"},
+		{"receiver", "resident memory of an idle process in a fleet of 24, bytes", number(finder.at("resident", 24)), number(budgetMemory), "built; the program itself takes most of it"},
 		{"receiver", "memory for other instances, bytes", number(finder.gradient("peer_state") * sizes.Instances), "", "every instance knows every other, built; a tree of views, design only"},
 	}
 }
@@ -177,6 +178,8 @@
 	tree := finder.at("idle_bytes", fanOut+1)
 	return []line{
 		{"relay of versions", "bytes a second of heartbeats, each instance to each", number(idle), number(budgetBytes), "built; breaks the budget above the fleet size in the text"},
+		{"relay of versions", "fleet size at which heartbeats alone reach the budget", number((budgetBytes - finder.at("idle_bytes", 0)) / finder.gradient("idle_bytes")), "", "as above"},
+		{"relay of versions", "bytes a second on the wire, measured on processes", number(finder.at("wire_bytes", sizes.Instances)), number(budgetBytes), "as above"},
 		{"relay of versions", "processor time of heartbeats, share of a core", fmt.Sprintf("%.4f", share), fmt.Sprint(budgetCore), "as above"},
 		{"relay of versions", fmt.Sprintf("bytes a second in a tree of fan-out %d", fanOut), number(tree), number(budgetBytes), "design only: heartbeats to parent and children, views as versions"},
 		{"relay of versions", "bytes a second for changes of the sheet", number(change), "in the above", "every instance tells every other each step, built; acknowledgements added up along the tree, design only"},
@@ -184,13 +187,14 @@
 	}
 }
 
-func platformLines(sizes Sizes) []line {
+func platformLines(finder *finder, sizes Sizes) []line {
 	domains := sizes.FailureDomains
 	polls := (sizes.Instances - domains) / listPollPeriod
 	hourOfChanges := sizes.ChangesADay / 24
 	return []line{
 		{"lease holder", "waiting watches", number(2 * domains), number(platformReads), "first live instance of a failure domain, built (no lease needed: two are harmless)"},
 		{"lease holder", "status writes a second when every change is reported", number(domains * sizes.ChangesADay / secondsOfDay), number(platformWrites), "one object a failure domain, built"},
+		{"platform object", "calls a second of an idle fleet, by the slope of processes", number(finder.at("platform_calls", sizes.Instances)), number(platformReads), "watches and polls together, built"},
 		{"platform object", "readings of the list of instances a second", number(polls), number(platformReads), "every instance that does not lead, each half minute, built"},
 		{"platform object", "bytes of the sheet", number(sizes.Servers*170 + sizes.Services*110), number(1 << 20), "one object, built; breaks the limit: manifest and shards, design only"},
 		{"platform object", "a failure domain back whole: calls in the first second", number(3 * sizes.Instances / domains), number(platformReads), "three reads at a start, built; spread only by process start"},
