--- a/internal/sizer/measure.go
+++ b/internal/sizer/measure.go
@@ -26,8 +26,8 @@
 
 // Measure takes every slope; it runs for about a minute.
 func Measure() Slopes {
-	fleets := []int{3, 9, 30, 60, 120}
-	var idleBytes, idleMessages, idleNanoseconds, changeBytes, joinBytes, peerBytes []Point
+	fleets := []int{3, 9, 30, 60, 120, 240}
+	var idleBytes, idleMessages, idleNanoseconds, changeBytes, joinBytes, leaveBytes, peerBytes []Point
 	for _, size := range fleets {
 		measured := measureFleet(size)
 		at := func(value float64) Point { return Point{Size: float64(size), Value: value} }
@@ -36,6 +36,7 @@
 		idleNanoseconds = append(idleNanoseconds, at(measured.idleNanoseconds))
 		changeBytes = append(changeBytes, at(measured.changeBytes))
 		joinBytes = append(joinBytes, at(measured.joinBytes))
+		leaveBytes = append(leaveBytes, at(measured.leaveBytes))
 		peerBytes = append(peerBytes, at(measured.stateBytes))
 	}
 	return Slopes{Slopes: []Slope{
@@ -44,6 +45,7 @@
 		Fit("idle_cpu", "nanoseconds of control a second and instance, nothing changing", "instances", idleNanoseconds),
 		Fit("change_bytes", "bytes that an instance sends for one change of the sheet, without pins", "instances", changeBytes),
 		Fit("join_bytes", "bytes that all instances send for one join, without pins", "instances", joinBytes),
+		Fit("leave_bytes", "bytes that all instances send for one planned stop, without flows", "instances", leaveBytes),
 		Fit("peer_state", "bytes of heap of an instance", "instances", peerBytes),
 		Fit("flow_state", "bytes of heap for flows", "flows", measureFlows()),
 		Fit("server_state", "bytes of heap for backend servers, one service for each 1.4", "backend servers", measureServers()),
@@ -56,7 +58,8 @@
 // fleetMeasures is what one size of fleet gave.
 type fleetMeasures struct {
 	idleBytes, idleMessages, idleNanoseconds float64
-	changeBytes, joinBytes, stateBytes       float64
+	changeBytes, joinBytes, leaveBytes       float64
+	stateBytes                               float64
 }
 
 // fleet is deciders whose messages arrive one tick after they are sent.
@@ -191,6 +194,17 @@
 	fleet.list()
 	fleet.run(changeTime)
 	measures.joinBytes = max(0, float64(fleet.bytes)-measures.idleBytes*each*changeTime.Seconds())
+
+	fleet.bytes = 0
+	leaver := fleet.deciders[fleet.names[1]]
+	leaver.Leave(fleet.now)
+	fleet.run(changeTime / 2)
+	leaver.Close(fleet.now)
+	fleet.run(tick)
+	delete(fleet.deciders, fleet.names[1])
+	fleet.names = append(fleet.names[:1], fleet.names[2:]...)
+	fleet.run(changeTime / 2)
+	measures.leaveBytes = max(0, float64(fleet.bytes)-measures.idleBytes*each*changeTime.Seconds())
 	return measures
 }
 
--- a/internal/sizer/table.go
+++ b/internal/sizer/table.go
@@ -183,6 +183,7 @@
 		{"relay of versions", "processor time of heartbeats, share of a core", fmt.Sprintf("%.4f", share), fmt.Sprint(budgetCore), "as above"},
 		{"relay of versions", fmt.Sprintf("bytes a second in a tree of fan-out %d", fanOut), number(tree), number(budgetBytes), "design only: heartbeats to parent and children, views as versions"},
 		{"relay of versions", "bytes a second for changes of the sheet", number(change), "in the above", "every instance tells every other each step, built; acknowledgements added up along the tree, design only"},
+		{"relay of versions", "bytes a second for planned stops, without flows", number(finder.at("leave_bytes", sizes.Instances) * sizes.RestartsADay / secondsOfDay / sizes.Instances), "in the above", "hand-over to new homes, built"},
 		{"relay of versions", "bytes a second for restarts, without pins", number(join), "in the above", "hand-over by every instance, built; by the parent alone, design only"},
 	}
 }
