--- a/decider/open.go
+++ b/decider/open.go
@@ -11,7 +11,7 @@
 // Times to come back that a refusal tells.
 const (
 	retryAfterFull    = 2 * time.Second
-	retryAfterShed = time.Second
+	retryAfterShed    = time.Second
 	retryAfterNone    = 5 * time.Second
 	retryAfterUnknown = UncertainWindow
 )
