Keep the ports of rehearsals out of the ephemeral range

Its output was not kept, so the cause is inferred: ports were taken from the ephemeral range, where an outgoing connection can take one between its choice and its use, and the instance then ends at its start. Ruled out by reading: leadership and status writing of a lone domain; not by a run. Change: ports come from 12000 to 31999, an instance that ends at its start is an error with its output, and a failing test prints the instances' logs. Conclusion: to be watched.

--- /dev/null
+++ b/internal/rehearser/address_test.go
@@ -0,0 +1,18 @@
+package rehearser
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFreeAddressesLieOutsideTheEphemeralRangeAndDiffer(t *testing.T) {
+	seen := map[netip.AddrPort]bool{}
+	for range 200 {
+		address := FreeAddress()
+		assert.Assert(t, !seen[address])
+		assert.Assert(t, address.Port() >= firstPort && address.Port() <= lastPort)
+		seen[address] = true
+	}
+}
--- a/internal/rehearser/fleet.go
+++ b/internal/rehearser/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -96,14 +97,25 @@
 	})
 }
 
-// FreeAddress returns a loopback address whose port was free for TCP and UDP a moment ago.
+// Ports that fleets use lie below the usual ephemeral range, from which outgoing
+// connections would take one between its choice and its use.
+const (
+	firstPort = 12_000
+	lastPort  = 31_999
+)
+
+var nextPort atomic.Uint32
+
+// FreeAddress returns a loopback address whose port is free for TCP and UDP; no
+// two calls of one process return the same.
 func FreeAddress() netip.AddrPort {
 	for {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		offset := (uint32(os.Getpid())*64 + nextPort.Add(1)) % (lastPort - firstPort)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+offset))
+		listener, err := net.Listen("tcp4", address.String())
 		if err != nil {
-			panic(err) // without loopback nothing can run
+			continue
 		}
-		address := listener.Addr().(*net.TCPAddr).AddrPort()
 		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 		listener.Close()
 		if err == nil {
@@ -216,7 +228,22 @@
 	}
 	fleet.instances = append(fleet.instances, instance)
 	fleet.admin[name] = settings.AdminAddress
-	return fleet.start(name, "pimentowind", "balance", "--settings", file)
+	if err := fleet.start(name, "pimentowind", "balance", "--settings", file); err != nil {
+		return err
+	}
+	return fleet.awaitStart(name)
+}
+
+// awaitStart waits until an instance answers at its admin address, and says what it printed when it ends instead.
+func (fleet *Fleet) awaitStart(name string) error {
+	for !listens(fleet.admin[name]) {
+		select {
+		case <-fleet.processes[name].done:
+			return errors.Errorf("instance %q ended at its start: %s", name, fleet.processes[name].output)
+		case <-time.After(pollInterval / 10):
+		}
+	}
+	return nil
 }
 
 func (fleet *Fleet) settings(instance decider.Instance) *configurer.Settings {
--- a/internal/rehearser/rehearser_test.go
+++ b/internal/rehearser/rehearser_test.go
@@ -59,7 +59,12 @@
 	t.Helper()
 	fleet, cleanup, err := NewFleet(ctx, t.TempDir(), binaries)
 	assert.NilError(t, err)
-	t.Cleanup(cleanup)
+	t.Cleanup(func() {
+		cleanup()
+		if t.Failed() {
+			fleet.Logs(testWriter{t})
+		}
+	})
 	rows := []SheetRow{DomainRow("a"), DomainRow("b"), DomainRow("c"), ServiceRow("desk-log", logService, "tcp", "no")}
 	for number, domain := range []string{"a", "b"} {
 		name := fmt.Sprintf("log-%d", number+1)
