Let the backend server's stand-in drain

Cause: the stand-in had slots, cold start and shedding, but no drain of its own. Change: PUT /drain resets openings from then on; accepted flows stay.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -49,6 +49,7 @@
 	mutex   sync.Mutex
 	flows   map[framer.Tuple]*backendFlow
 	waiting int
+	drains  bool
 	stats   BackendStats
 	lagging BackendStats
 }
@@ -76,7 +77,7 @@
 	return backend, func() { socket.Close() }, nil
 }
 
-// Handler serves /stats, and /load and /health, which lag.
+// Handler serves /stats, /load and /health, which lag, and PUT /drain, after which openings are reset.
 func (backend *Backend) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /stats", func(writer http.ResponseWriter, _ *http.Request) {
@@ -87,6 +88,11 @@
 		defer backend.mutex.Unlock()
 		json.NewEncoder(writer).Encode(map[string]int{"open": backend.lagging.Open})
 	})
+	mux.HandleFunc("PUT /drain", func(http.ResponseWriter, *http.Request) {
+		backend.mutex.Lock()
+		defer backend.mutex.Unlock()
+		backend.drains = true
+	})
 	mux.HandleFunc("GET /health", func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Write([]byte("up\n")) // as long as the process lives, whatever it does with openings
 	})
@@ -160,7 +166,7 @@
 
 func (backend *Backend) accept(packet *framer.Packet, flow *backendFlow) {
 	if flow == nil {
-		if backend.waiting >= backend.options.MaxQueue {
+		if backend.drains || backend.waiting >= backend.options.MaxQueue {
 			backend.stats.Shed++
 			backend.reply(packet, framer.Segment{Flags: framer.FlagRST | framer.FlagACK, Acknowledge: packet.Sequence + 1})
 			return
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/framer"
+)
+
+func TestADrainingBackendResetsOpenings(t *testing.T) {
+	loopback := net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0"))
+	fabric, err := net.ListenUDP("udp4", loopback)
+	assert.NilError(t, err)
+	defer fabric.Close()
+	probe, err := net.ListenUDP("udp4", loopback)
+	assert.NilError(t, err)
+	address := probe.LocalAddr().(*net.UDPAddr).AddrPort()
+	probe.Close()
+	backend, cleanup, err := NewBackend(BackendOptions{
+		Name: "s-1", Address: address, Fabric: fabric.LocalAddr().(*net.UDPAddr).AddrPort(),
+		Service: netip.MustParseAddrPort("10.1.0.1:443"), Slots: 1, Strength: 1, MaxQueue: 1,
+	})
+	assert.NilError(t, err)
+	defer cleanup()
+	go backend.Run()
+	open := func(port uint16) uint8 {
+		tuple := framer.Tuple{
+			Source: [4]byte{198, 51, 100, 1}, SourcePort: port, Destination: [4]byte{10, 1, 0, 1}, DestinationPort: 443, Protocol: framer.ProtocolTCP,
+		}
+		inner, err := framer.BuildInner(framer.Segment{Tuple: tuple, Flags: framer.FlagSYN})
+		assert.NilError(t, err)
+		_, err = fabric.WriteToUDPAddrPort(framer.Encode(nil, framer.Options{}, inner), address)
+		assert.NilError(t, err)
+		buffer := make([]byte, datagramSize)
+		assert.NilError(t, fabric.SetReadDeadline(time.Now().Add(20*time.Second)))
+		length, _, err := fabric.ReadFromUDPAddrPort(buffer)
+		assert.NilError(t, err)
+		var packet framer.Packet
+		assert.NilError(t, framer.Decode(buffer[:length], &packet))
+		return packet.Flags
+	}
+	assert.Equal(t, open(1), uint8(framer.FlagSYN|framer.FlagACK))
+	backend.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("PUT", "/drain", nil))
+	assert.Equal(t, open(2), uint8(framer.FlagRST|framer.FlagACK))
+	assert.Equal(t, open(1), uint8(framer.FlagSYN|framer.FlagACK), "an accepted flow stays")
+}
