--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -47,11 +47,7 @@
 
 func TestFlowsOutliveTheRemovalAndReturnOfTheirServer(t *testing.T) {
 	fleet := started(t)
-	servers := map[int]Verdict{}
-	for port := 1; port <= 100; port++ {
-		servers[port] = fleet.send("a1", openingPacket(port))
-		fleet.accept("b1", openingPacket(port).Tuple, servers[port].Address)
-	}
+	servers := fleet.openFlows(100)
 	without := testSheet()
 	for i := range without.Services {
 		without.Services[i].BackendServers = without.Services[i].BackendServers[1:]
@@ -59,11 +55,7 @@
 	for version, sheet := range []parser.Sheet{without, testSheet(), without} {
 		fleet.load(uint64(version+2), sheet)
 		fleet.run(4 * time.Second)
-		for port := 1; port <= 100; port++ {
-			for _, name := range fleet.names {
-				assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
-			}
-		}
+		fleet.checkFlows(servers)
 	}
 }
 
@@ -109,30 +101,18 @@
 
 func TestFlowsOutliveARestartOfTheWholeFleet(t *testing.T) {
 	fleet := started(t)
-	servers := map[int]Verdict{}
-	for port := 1; port <= 100; port++ {
-		servers[port] = fleet.send("a1", openingPacket(port))
-		fleet.accept("b1", openingPacket(port).Tuple, servers[port].Address)
-	}
+	servers := fleet.openFlows(100)
 	for _, name := range fleet.names {
 		fleet.restart(name)
 	}
 	fleet.load(1, testSheet())
 	fleet.run(6 * time.Second)
-	for port := 1; port <= 100; port++ {
-		for _, name := range fleet.names {
-			assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
-		}
-	}
+	fleet.checkFlows(servers)
 }
 
 func TestFlowsOutliveARollingRestart(t *testing.T) {
 	fleet := started(t)
-	servers := map[int]Verdict{}
-	for port := 1; port <= 100; port++ {
-		servers[port] = fleet.send("a1", openingPacket(port))
-		fleet.accept("b1", openingPacket(port).Tuple, servers[port].Address)
-	}
+	servers := fleet.openFlows(100)
 	fleet.load(2, testSheet(2))
 	fleet.run(4 * time.Second)
 	for _, name := range fleet.names {
@@ -144,11 +124,7 @@
 		fleet.restart(name)
 		fleet.run(3 * time.Second)
 	}
-	for port := 1; port <= 100; port++ {
-		for _, name := range fleet.names {
-			assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
-		}
-	}
+	fleet.checkFlows(servers)
 }
 
 func TestADatagramInACutIsOfferedToOneServer(t *testing.T) {
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -27,11 +27,7 @@
 
 func TestFlowsOutliveADrain(t *testing.T) {
 	fleet := started(t)
-	servers := map[int]Verdict{}
-	for port := 1; port <= 200; port++ {
-		servers[port] = fleet.send("a1", openingPacket(port))
-		fleet.accept("b1", openingPacket(port).Tuple, servers[port].Address)
-	}
+	servers := fleet.openFlows(200)
 	fleet.load(2, testSheet(2))
 	fleet.run(4 * time.Second)
 	leaver := testServer(2, parser.Leaving).Address
@@ -47,21 +43,11 @@
 	for _, dead := range []string{"a1", "a2", "b1", "b2", "c1"} {
 		t.Run(dead, func(t *testing.T) {
 			fleet := started(t)
-			servers := map[int]Verdict{}
-			for port := 1; port <= 100; port++ {
-				servers[port] = fleet.send(fleet.names[port%5], openingPacket(port))
-				fleet.accept(fleet.names[(port+2)%5], openingPacket(port).Tuple, servers[port].Address)
-			}
+			servers := fleet.openFlows(100)
 			fleet.load(2, testSheet(3))
 			fleet.stopped[dead] = true
 			fleet.run(6 * time.Second)
-			for port := 1; port <= 100; port++ {
-				for _, name := range fleet.names {
-					if name != dead {
-						assert.Equal(t, fleet.send(name, dataPacket(port)).Address, servers[port].Address)
-					}
-				}
-			}
+			fleet.checkFlows(servers)
 		})
 	}
 }
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -207,3 +207,26 @@
 	}
 	return fleet
 }
+
+// openFlows opens and accepts flows on the ports from 1 to count, and returns where each went.
+func (fleet *fleet) openFlows(count int) map[int]Verdict {
+	servers := map[int]Verdict{}
+	for port := 1; port <= count; port++ {
+		servers[port] = fleet.send(fleet.names[port%5], openingPacket(port))
+		assert.Equal(fleet.t, servers[port].Kind, ToBackendServer)
+		fleet.accept(fleet.names[(port+2)%5], openingPacket(port).Tuple, servers[port].Address)
+	}
+	return servers
+}
+
+// checkFlows asserts that every running instance sends every flow where it went.
+func (fleet *fleet) checkFlows(servers map[int]Verdict) {
+	fleet.t.Helper()
+	for port := 1; port <= len(servers); port++ {
+		for _, name := range fleet.names {
+			if !fleet.stopped[name] {
+				assert.Equal(fleet.t, fleet.send(name, dataPacket(port)).Address, servers[port].Address, "port %d at %s", port, name)
+			}
+		}
+	}
+}
