--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/dig"
 
+	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/forwarder"
 	"github.com/pimentowind/pimentowind/issuer"
@@ -25,36 +26,24 @@
 // lingerTime is how long a leaving instance goes on forwarding after the last packet.
 const lingerTime = 2 * time.Second
 
-// cleanups are the functions that undo what the constructors did, last first.
-type cleanups struct {
-	functions []func()
-}
-
-func (cleanups *cleanups) add(function func()) {
-	cleanups.functions = append(cleanups.functions, function)
-}
-
-func (cleanups *cleanups) run() {
-	for i := len(cleanups.functions) - 1; i >= 0; i-- {
-		cleanups.functions[i]()
-	}
-}
+// parts makes the parts of an instance and keeps their clean-up functions.
+type parts struct{ closer.Closer }
 
 // Run runs one instance until ctx ends, and then stops it gracefully.
 func Run(ctx context.Context, settings *configurer.Settings, output io.Writer) error {
-	cleanups := &cleanups{}
-	defer cleanups.run()
+	parts := &parts{}
+	defer parts.Close()
 	container := dig.New()
 	constructors := []any{
 		func() *configurer.Settings { return settings },
 		func() logr.Logger { return logger.New(output, settings.Log.Format, settings.Log.Verbosity) },
 		NewEngine,
 		newTLS,
-		cleanups.newStorer,
-		cleanups.newMessenger,
-		cleanups.newForwarder,
-		cleanups.newTicker,
-		cleanups.newAdmin,
+		parts.newStorer,
+		parts.newMessenger,
+		parts.newForwarder,
+		parts.newTicker,
+		parts.newAdmin,
 		NewFollower,
 	}
 	for _, constructor := range constructors {
@@ -84,43 +73,43 @@
 	return issuer.TLS(settings.Keys.Authority, settings.Keys.Certificate, settings.Keys.Key)
 }
 
-func (cleanups *cleanups) newStorer(settings *configurer.Settings) objectStore {
+func (parts *parts) newStorer(settings *configurer.Settings) objectStore {
 	store, cleanup := storer.NewStorer(settings.Platform.URL, settings.Platform.Token, time.Duration(settings.Platform.Timeout))
-	cleanups.add(cleanup)
+	parts.Add(cleanup)
 	return store
 }
 
-func (cleanups *cleanups) newMessenger(settings *configurer.Settings, config *tls.Config, engine *Engine) (*messenger.Messenger, error) {
+func (parts *parts) newMessenger(settings *configurer.Settings, config *tls.Config, engine *Engine) (*messenger.Messenger, error) {
 	built, cleanup, err := messenger.NewMessenger(settings.PeerAddress, config, engine)
 	if err != nil {
 		return nil, err
 	}
-	cleanups.add(cleanup)
+	parts.Add(cleanup)
 	engine.SetSender(built)
 	return built, nil
 }
 
-func (cleanups *cleanups) newForwarder(settings *configurer.Settings, engine *Engine) (*forwarder.Forwarder, error) {
+func (parts *parts) newForwarder(settings *configurer.Settings, engine *Engine) (*forwarder.Forwarder, error) {
 	built, cleanup, err := forwarder.NewForwarder(settings.TunnelAddress, settings.FabricAddresses, engine)
 	if err != nil {
 		return nil, err
 	}
-	cleanups.add(cleanup)
+	parts.Add(cleanup)
 	return built, nil
 }
 
-func (cleanups *cleanups) newTicker() *ticker.Ticker {
+func (parts *parts) newTicker() *ticker.Ticker {
 	built, cleanup := ticker.NewTicker()
-	cleanups.add(cleanup)
+	parts.Add(cleanup)
 	return built
 }
 
-func (cleanups *cleanups) newAdmin(settings *configurer.Settings, engine *Engine, messenger *messenger.Messenger, forwarder *forwarder.Forwarder) (*Admin, error) {
+func (parts *parts) newAdmin(settings *configurer.Settings, engine *Engine, messenger *messenger.Messenger, forwarder *forwarder.Forwarder) (*Admin, error) {
 	built, cleanup, err := NewAdmin(settings.AdminAddress, engine, messenger, forwarder)
 	if err != nil {
 		return nil, err
 	}
-	cleanups.add(cleanup)
+	parts.Add(cleanup)
 	return built, nil
 }
 
--- /dev/null
+++ b/closer/doc.go
@@ -0,0 +1,2 @@
+// Package closer collects the clean-up functions that constructors return.
+package closer
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -13,8 +13,10 @@
 
 	"github.com/pimentowind/pimentowind/balancer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/director"
 	"github.com/pimentowind/pimentowind/issuer"
 	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform"
 )
 
 // Exit codes; docs/OPERATING.md explains them.
@@ -82,6 +84,10 @@
 	balance.Flag("settings", "JSON settings file of the instance.").Required().StringVar(&command.settings)
 	balance.Action(command.act(command.balance))
 
+	enter := application.Command("enter", "Run one instance on the users' platform until it is told to stop.")
+	enter.Flag("settings", "JSON settings file of the instance.").Envar(platform.SettingsVariable).Required().StringVar(&command.settings)
+	enter.Action(command.act(command.enter))
+
 	settings := application.Command("settings", "Work with settings files.")
 	checkSettings := settings.Command("check", "Check a settings file and print every finding.")
 	checkSettings.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
@@ -154,6 +160,14 @@
 	return balancer.Run(command.context, settings, command.errors)
 }
 
+func (command *command) enter() error {
+	entrance, err := configurer.ReadEntrance(command.settings)
+	if err != nil {
+		return err
+	}
+	return director.Run(command.context, entrance, command.output)
+}
+
 func (command *command) checkSettings() error {
 	settings, err := configurer.Read(command.file)
 	if err != nil {
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -97,21 +97,14 @@
 
 // Read loads and checks a settings file; it returns Findings when anything in it is wrong.
 func Read(file string) (*Settings, error) {
-	content, err := os.ReadFile(file)
-	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
-	}
 	settings := &Settings{
 		Platform:     Platform{Timeout: defaultTimeout},
 		Log:          Log{Format: "text"},
 		MaxFlows:     defaultMaxFlows,
 		DrainTimeout: defaultDrainTimeout,
 	}
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(settings); err != nil {
-		line := 1 + bytes.Count(content[:decoder.InputOffset()], []byte("\n"))
-		return nil, Findings{{File: file, Key: fmt.Sprintf("line %d", line), Message: err.Error()}}
+	if err := readStrictly(file, settings); err != nil {
+		return nil, err
 	}
 	if findings := settings.check(file); len(findings) > 0 {
 		return nil, findings
@@ -119,13 +112,34 @@
 	return settings, nil
 }
 
-func (settings *Settings) check(file string) Findings {
-	var findings Findings
-	need := func(ok bool, key, message string) {
+// readStrictly decodes a JSON file into settings; a fault in the text, or a
+// field that settings does not have, is a finding.
+func readStrictly(file string, settings any) error {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		line := 1 + bytes.Count(content[:decoder.InputOffset()], []byte("\n"))
+		return Findings{{File: file, Key: fmt.Sprintf("line %d", line), Message: err.Error()}}
+	}
+	return nil
+}
+
+// collect returns a check that adds a finding to findings unless ok holds.
+func collect(file string, findings *Findings) func(ok bool, key, message string) {
+	return func(ok bool, key, message string) {
 		if !ok {
-			findings = append(findings, Finding{File: file, Key: key, Message: message})
+			*findings = append(*findings, Finding{File: file, Key: key, Message: message})
 		}
 	}
+}
+
+func (settings *Settings) check(file string) Findings {
+	var findings Findings
+	need := collect(file, &findings)
 	need(settings.Instance != "", "instance", "must not be empty")
 	need(settings.FailureDomain != "", "failure_domain", "must not be empty")
 	need(settings.TunnelAddress.IsValid(), "tunnel_address", "must be an address with a port")
--- /dev/null
+++ b/director/director.go
@@ -0,0 +1,185 @@
+package director
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/dig"
+
+	"github.com/pimentowind/pimentowind/closer"
+	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/placer"
+	"github.com/pimentowind/pimentowind/platform"
+	"github.com/pimentowind/pimentowind/relayer"
+	"github.com/pimentowind/pimentowind/steerer"
+	"github.com/pimentowind/pimentowind/ticker"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+const (
+	// turnInterval is how often the relayer looks whether it has to read.
+	turnInterval = 100 * time.Millisecond
+	// logInterval is how often waiting log lines are written.
+	logInterval = 250 * time.Millisecond
+	// stopMargin is left of the stop timeout when the process ends by itself.
+	stopMargin = time.Second
+	// lingerTime is how long a leaving instance goes on after its last packet.
+	lingerTime = 1500 * time.Millisecond
+)
+
+// parts makes the parts of an instance and keeps their clean-up functions.
+type parts struct {
+	closer.Closer
+	ctx    context.Context
+	output io.Writer
+}
+
+// Run runs one instance until ctx ends, and then stops it gracefully.
+func Run(ctx context.Context, entrance *configurer.Entrance, output io.Writer) error {
+	work, stopWork := context.WithCancel(context.Background())
+	parts := &parts{ctx: work, output: output}
+	defer parts.Close()
+	defer stopWork()
+	container := dig.New()
+	constructors := []any{
+		func() *configurer.Entrance { return entrance },
+		parts.newQueue,
+		NewRecorder,
+		viewer.NewViewer,
+		parts.newSource,
+		parts.newNetwork,
+		parts.newRelayer,
+		newSteerer,
+		parts.newSocket,
+		parts.newTicker,
+		parts.newDoor,
+	}
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return errors.Wrap(err, "wire instance")
+		}
+	}
+	err := container.Invoke(func(instance instance) error { return instance.run(ctx, work) })
+	return dig.RootCause(err)
+}
+
+// instance is the set of parts that run together.
+type instance struct {
+	dig.In
+
+	Entrance *configurer.Entrance
+	Queue    *logger.Queue
+	Recorder *Recorder
+	Viewer   *viewer.Viewer
+	Relayer  *relayer.Relayer
+	Network  *Network
+	Socket   *Socket
+	Ticker   *ticker.Ticker
+	Door     *Door
+}
+
+func (parts *parts) newQueue() *logger.Queue {
+	queue, cleanup := logger.NewQueue(parts.output)
+	parts.Add(cleanup)
+	return queue
+}
+
+func (parts *parts) newSource(entrance *configurer.Entrance, recorder *Recorder) relayer.Source {
+	store, cleanup := platform.NewStore(entrance.StoreAddress)
+	parts.Add(cleanup)
+	return platform.NewSource(store, recorder)
+}
+
+func (parts *parts) newNetwork(entrance *configurer.Entrance) (*Network, error) {
+	network, cleanup, err := NewNetwork(entrance.PeerAddress())
+	if err != nil {
+		return nil, err
+	}
+	parts.Add(cleanup)
+	return network, nil
+}
+
+func (parts *parts) newRelayer(entrance *configurer.Entrance, current *viewer.Viewer, source relayer.Source, network *Network, recorder *Recorder) *relayer.Relayer {
+	self := relayer.Member{
+		Name:          entrance.Instance,
+		FailureDomain: entrance.FailureDomain,
+		Peer:          entrance.PeerAddress(),
+		Control:       entrance.ControlAddress,
+	}
+	return relayer.NewRelayer(self, entrance.Seeds, current, source, network, recorder)
+}
+
+func newSteerer(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) *steerer.Steerer {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	placer := placer.NewPlacer(entrance.FailureDomain, relayer.Instances, random)
+	return steerer.NewSteerer(current.Current, placer, recorder, random)
+}
+
+func (parts *parts) newSocket(entrance *configurer.Entrance, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
+	socket, cleanup, err := NewSocket(entrance.PacketAddress, steerer, recorder)
+	if err != nil {
+		return nil, err
+	}
+	parts.Add(cleanup)
+	return socket, nil
+}
+
+func (parts *parts) newTicker() *ticker.Ticker {
+	built, cleanup := ticker.NewTicker()
+	parts.Add(cleanup)
+	return built
+}
+
+func (parts *parts) newDoor(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Door, error) {
+	door, cleanup, err := NewDoor(entrance, current, relayer, recorder)
+	if err != nil {
+		return nil, err
+	}
+	parts.Add(cleanup)
+	return door, nil
+}
+
+func (instance *instance) run(ctx, work context.Context) error {
+	instance.Recorder.Event(logger.EventStarted, "instance", instance.Entrance.Instance,
+		"failure_domain", instance.Entrance.FailureDomain, "packet_address", instance.Entrance.PacketAddress.String())
+	go instance.Network.Run(func(content []byte) {
+		if err := instance.Relayer.Receive(work, content); err != nil {
+			instance.Recorder.MessageRefused(err)
+		}
+	})
+	forwarding := make(chan error, 1)
+	go func() { forwarding <- instance.Socket.Run() }()
+	go instance.Relayer.Run(work)
+	instance.Relayer.Tick(work, time.Now())
+	defer instance.Ticker.Subscribe(turnInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
+	defer instance.Ticker.Subscribe(logInterval, func(time.Time) { instance.Queue.Flush() })()
+
+	var err error
+	select {
+	case <-ctx.Done():
+		instance.leave()
+	case err = <-forwarding:
+	}
+	instance.Recorder.Event(logger.EventStopped, "instance", instance.Entrance.Instance)
+	return err
+}
+
+// leave has the fabric send packets elsewhere and goes on until none comes any more.
+func (instance *instance) leave() {
+	instance.Recorder.Event(logger.EventStopping, "instance", instance.Entrance.Instance)
+	instance.Door.Close()
+	instance.Relayer.Leave()
+	startedAt := time.Now()
+	deadline := startedAt.Add(time.Duration(instance.Entrance.StopTimeout) - stopMargin)
+	for now := startedAt; now.Before(deadline); now = time.Now() {
+		last := instance.Socket.LastPacket()
+		if now.Sub(last) > lingerTime && now.Sub(startedAt) > lingerTime {
+			return
+		}
+		time.Sleep(turnInterval)
+	}
+}
--- /dev/null
+++ b/director/network.go
@@ -0,0 +1,87 @@
+package director
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	viewPath      = "/view"
+	configuration = "configuration" // query: the version that the asker has
+	fetchTimeout  = time.Second
+	maxView       = 8 << 20 // bytes
+)
+
+// Network carries messages between instances: heartbeats over UDP, views over HTTP.
+type Network struct {
+	connection *net.UDPConn
+	client     *http.Client
+}
+
+// NewNetwork binds address for heartbeats; the returned function closes it.
+func NewNetwork(address netip.AddrPort) (*Network, func(), error) {
+	connection, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "listen for instances on %s", address)
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     10 * time.Second,
+	}
+	network := &Network{connection: connection, client: &http.Client{Transport: transport, Timeout: fetchTimeout}}
+	cleanup := func() {
+		connection.Close()
+		transport.CloseIdleConnections()
+	}
+	return network, cleanup, nil
+}
+
+// Run hands every datagram to receive until the socket is closed.
+func (network *Network) Run(receive func(content []byte)) {
+	buffer := make([]byte, datagramSize)
+	for {
+		count, _, err := network.connection.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP error of an earlier datagram; the next read goes on
+		}
+		receive(buffer[:count])
+	}
+}
+
+// Tell sends a datagram; one that cannot be sent is as good as lost on the way.
+func (network *Network) Tell(to netip.AddrPort, content []byte) {
+	network.connection.WriteToUDPAddrPort(content, to)
+}
+
+// Fetch takes the view of the instance at control.
+func (network *Network) Fetch(ctx context.Context, control netip.AddrPort, version uint64) ([]byte, error) {
+	address := "http://" + control.String() + viewPath + "?" + configuration + "=" + strconv.FormatUint(version, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	response, err := network.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch view")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("fetch view: status %s", response.Status)
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxView))
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch view")
+	}
+	return content, nil
+}
--- /dev/null
+++ b/director/recorder.go
@@ -0,0 +1,211 @@
+package director
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/relayer"
+	"github.com/pimentowind/pimentowind/steerer"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// Recorder writes the log lines of an instance and counts what it decides.
+type Recorder struct {
+	rare     logr.Logger
+	frequent logr.Logger
+	flows    bool // whether lines about single flows are written
+	counters *expvar.Map
+	opening  *expvar.Map
+	response *expvar.Map
+	queue    *logger.Queue
+
+	mutex   sync.Mutex
+	outages map[string]bool
+	ready   bool
+}
+
+// flowVerbosity is the verbosity from which lines about single flows are written.
+const flowVerbosity = 1
+
+// NewRecorder returns a Recorder that writes into queue.
+func NewRecorder(entrance *configurer.Entrance, queue *logger.Queue) *Recorder {
+	return &Recorder{
+		rare:     logger.New(queue.Rare(), entrance.Log.Format, entrance.Log.Verbosity),
+		frequent: logger.New(queue.Frequent(), entrance.Log.Format, entrance.Log.Verbosity),
+		flows:    entrance.Log.Verbosity >= flowVerbosity,
+		counters: &expvar.Map{},
+		opening:  &expvar.Map{},
+		response: &expvar.Map{},
+		queue:    queue,
+		outages:  map[string]bool{},
+	}
+}
+
+func (recorder *Recorder) publish(vars *expvar.Map) {
+	vars.Set("decisions", recorder.counters)
+	vars.Set("opening_ms", recorder.opening)
+	vars.Set("response_ms", recorder.response)
+	vars.Set("log_lines_dropped", expvar.Func(func() any { return recorder.queue.Dropped() }))
+}
+
+// Event writes one line that is seldom written.
+func (recorder *Recorder) Event(kind decider.EventKind, fields ...any) {
+	logger.Event(recorder.rare, kind, fields...)
+}
+
+// Count counts a verdict.
+func (recorder *Recorder) Count(reason steerer.Reason) { recorder.counters.Add(string(reason), 1) }
+
+// Malformed counts a datagram that is no packet.
+func (recorder *Recorder) Malformed(error) { recorder.counters.Add("malformed", 1) }
+
+// SocketFailed counts a packet that could not be read or sent.
+func (recorder *Recorder) SocketFailed(error) { recorder.counters.Add("socket_errors", 1) }
+
+// MessageRefused counts a heartbeat that cannot be read.
+func (recorder *Recorder) MessageRefused(error) { recorder.counters.Add("malformed_heartbeats", 1) }
+
+// Decided writes the line of one decision about a flow.
+func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
+	if !recorder.flows {
+		return
+	}
+	fields := []any{"flow", flowName(verdict.Flow), "reason", string(verdict.Reason)}
+	if verdict.Server != nil {
+		fields = append(fields, "backend_server", verdict.Server.Name)
+	}
+	if view.Complete() {
+		fields = append(fields, "configuration", view.Configuration.Version, "revision", view.Servers.Revision)
+	}
+	logger.Event(recorder.frequent, logger.EventFlowDecided, fields...)
+}
+
+func flowName(flow steerer.Flow) string { return flow.Caller.String() + ">" + flow.Service.String() }
+
+// Ended writes the line of a flow's end and adds its times to the histograms.
+func (recorder *Recorder) Ended(summary *steerer.Summary) {
+	if summary.Accepted {
+		recorder.opening.Add(bucket(summary.Opening), 1)
+	} else {
+		recorder.counters.Add("never_opened", 1)
+	}
+	if summary.Response > 0 {
+		recorder.response.Add(bucket(summary.Response), 1)
+	}
+	if !recorder.flows {
+		return
+	}
+	logger.Event(recorder.frequent, logger.EventFlowEnded, "flow", flowName(summary.Flow),
+		"backend_server", summary.Server.Name, "accepted", summary.Accepted,
+		"opening_ms", summary.Opening.Milliseconds(), "response_ms", summary.Response.Milliseconds(),
+		"bytes", summary.Bytes, "reset", summary.Reset)
+}
+
+// bucket names the histogram bucket of a duration by its upper bound in milliseconds.
+func bucket(duration time.Duration) string {
+	for _, bound := range buckets {
+		if duration <= bound.limit {
+			return bound.name
+		}
+	}
+	return "more"
+}
+
+var buckets = []struct {
+	limit time.Duration
+	name  string
+}{
+	{5 * time.Millisecond, "5"},
+	{10 * time.Millisecond, "10"},
+	{25 * time.Millisecond, "25"},
+	{50 * time.Millisecond, "50"},
+	{100 * time.Millisecond, "100"},
+	{250 * time.Millisecond, "250"},
+	{500 * time.Millisecond, "500"},
+	{time.Second, "1000"},
+	{2500 * time.Millisecond, "2500"},
+	{5 * time.Second, "5000"},
+}
+
+// Held writes that a server is held off.
+func (recorder *Recorder) Held(server *viewer.BackendServer) {
+	recorder.counters.Add("held_off", 1)
+	recorder.Event(logger.EventServerHeld, "backend_server", server.Name, "service", server.Service)
+}
+
+// Ready notes what the fabric was told and writes a line when it changes.
+func (recorder *Recorder) Ready(ready bool) {
+	recorder.mutex.Lock()
+	changed := ready != recorder.ready
+	recorder.ready = ready
+	recorder.mutex.Unlock()
+	if changed {
+		recorder.Event(logger.EventReadiness, "ready", ready)
+	}
+}
+
+// ConfigurationTaken writes that a version is in force.
+func (recorder *Recorder) ConfigurationTaken(version uint64, from string) {
+	recorder.Event(logger.EventConfigurationTaken, "version", version, "from", from)
+}
+
+// ServersTaken writes one line for each backend server that changed.
+func (recorder *Recorder) ServersTaken(before, after *viewer.Servers, from string) {
+	for _, change := range viewer.Changes(before, after) {
+		recorder.Event(logger.EventServerChanged, "backend_server", change.Name, "service", change.Service,
+			"state", change.State, "revision", after.Revision, "from", from)
+	}
+}
+
+// SourceFailed writes once that a call of the store fails.
+func (recorder *Recorder) SourceFailed(call string, err error) {
+	recorder.counters.Add("store_failures", 1)
+	if !recorder.outage(call, true) {
+		recorder.Event(logger.EventPlatformDown, "object", call, "error", err.Error())
+	}
+}
+
+// SourceReached writes that a call which failed works again.
+func (recorder *Recorder) SourceReached(call string) {
+	recorder.counters.Add("store_calls", 1)
+	if recorder.outage(call, false) {
+		recorder.Event(logger.EventPlatformBack, "object", call)
+	}
+}
+
+// outage notes whether a call fails and returns what was noted before.
+func (recorder *Recorder) outage(call string, fails bool) bool {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	before := recorder.outages[call]
+	recorder.outages[call] = fails
+	return before
+}
+
+// MemberHeard writes that an instance is new.
+func (recorder *Recorder) MemberHeard(member relayer.Member) {
+	recorder.Event(decider.EventMemberJoined, "instance", member.Name, "failure_domain", member.FailureDomain)
+}
+
+// MemberLost writes that an instance was taken off the list.
+func (recorder *Recorder) MemberLost(member relayer.Member, silent time.Duration) {
+	recorder.Event(decider.EventMemberLost, "instance", member.Name, "silent_seconds", silent.Seconds())
+}
+
+// FetchFailed writes that another instance did not give its view.
+func (recorder *Recorder) FetchFailed(from string, err error) {
+	recorder.counters.Add("fetch_failures", 1)
+	recorder.Event(logger.EventFetchFailed, "instance", from, "error", err.Error())
+}
+
+// Unreadable writes that a document in the store cannot be read.
+func (recorder *Recorder) Unreadable(name string, revision uint64, err error) {
+	recorder.counters.Add("unreadable_documents", 1)
+	recorder.Event(logger.EventUnreadable, "name", name, "revision", revision, "error", err.Error())
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -1,7 +1,6 @@
 package logger
 
 import (
-	"fmt"
 	"io"
 	"sync"
 
@@ -23,6 +22,15 @@
 	EventMessageNotSent    decider.EventKind = 108
 	EventPacketNotSent     decider.EventKind = 109
 	EventInstancesNotTaken decider.EventKind = 110
+	EventReadiness         decider.EventKind = 111
+
+	EventConfigurationTaken decider.EventKind = 501
+	EventServerChanged      decider.EventKind = 502
+	EventUnreadable         decider.EventKind = 503
+	EventFetchFailed        decider.EventKind = 504
+	EventServerHeld         decider.EventKind = 505
+	EventFlowDecided        decider.EventKind = 601
+	EventFlowEnded          decider.EventKind = 602
 )
 
 // texts is the catalogue: the sentence of every event.
@@ -37,6 +45,15 @@
 	EventMessageNotSent:    "message to an instance was not sent",
 	EventPacketNotSent:     "packet was not sent",
 	EventInstancesNotTaken: "list of instances is not valid",
+	EventReadiness:         "readiness changed",
+
+	EventConfigurationTaken: "configuration in force on this instance",
+	EventServerChanged:      "backend server changed",
+	EventUnreadable:         "document in the store cannot be read",
+	EventFetchFailed:        "view of another instance was not fetched",
+	EventServerHeld:         "backend server gets no new flows for a while",
+	EventFlowDecided:        "flow decided",
+	EventFlowEnded:          "flow ended",
 
 	decider.EventMemberJoined:      "instance heard",
 	decider.EventMemberLost:        "instance not heard any more",
@@ -64,7 +81,7 @@
 	write := func(line string) {
 		mutex.Lock()
 		defer mutex.Unlock()
-		fmt.Fprintln(output, line)
+		io.WriteString(output, line+"\n")
 	}
 	options := funcr.Options{LogTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00", Verbosity: verbosity}
 	if format == "json" {
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,190 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+const (
+	// timeGain is the weight of a new sample in the average time of a flow.
+	timeGain = 0.05
+	// maxTimeRatio bounds how far a server's time can lie from its service's.
+	maxTimeRatio = 4.0
+	// remotePenalty multiplies the cost of a server in another failure domain.
+	remotePenalty = 1.5
+	// coldPenalty multiplies the cost of a server that has just started.
+	coldPenalty = 1.6
+	// choices is how many candidates are compared for one flow.
+	choices = 2
+)
+
+// Placer keeps what is known of the load of every backend server.
+type Placer struct {
+	failureDomain string
+	instances     func() int // how many instances share the load
+	random        *rand.Rand
+	servers       map[key]*server
+	services      map[string]*average
+}
+
+type key struct {
+	name      string
+	startedAt int64
+}
+
+// server is the state of one incarnation of a backend server.
+type server struct {
+	open int
+	time average // of a flow, in seconds
+	hold hold
+	seen time.Time
+}
+
+// average is a moving average that starts with its first sample.
+type average struct{ value float64 }
+
+func (average *average) add(sample float64) {
+	if average.value == 0 {
+		average.value = sample
+		return
+	}
+	average.value += timeGain * (sample - average.value)
+}
+
+// NewPlacer returns a Placer for an instance in failureDomain; instances tells how many share the load.
+func NewPlacer(failureDomain string, instances func() int, random *rand.Rand) *Placer {
+	return &Placer{
+		failureDomain: failureDomain,
+		instances:     instances,
+		random:        random,
+		servers:       map[key]*server{},
+		services:      map[string]*average{},
+	}
+}
+
+// Place returns the candidate for a new flow, or nil when there is none. Those
+// in tried are taken only when nothing else is left.
+func (placer *Placer) Place(candidates []*viewer.BackendServer, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+	usable := placer.usable(candidates, tried, now)
+	if len(usable) == 0 {
+		return nil
+	}
+	var best *viewer.BackendServer
+	bestCost := 0.0
+	for range choices {
+		candidate := usable[placer.random.IntN(len(usable))]
+		cost := placer.cost(candidate, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return best
+}
+
+// usable leaves out the servers that are held off or tried, unless nothing would be left.
+func (placer *Placer) usable(candidates, tried []*viewer.BackendServer, now time.Time) []*viewer.BackendServer {
+	var fresh, held []*viewer.BackendServer
+	for _, candidate := range candidates {
+		switch {
+		case contains(tried, candidate):
+		case placer.state(candidate, now).hold.active(now):
+			held = append(held, candidate)
+		default:
+			fresh = append(fresh, candidate)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	if len(held) > 0 {
+		return held
+	}
+	return candidates
+}
+
+func contains(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
+	for _, server := range servers {
+		if server.Same(wanted) {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the time that a flow is expected to take at a server, up to a factor.
+func (placer *Placer) cost(candidate *viewer.BackendServer, now time.Time) float64 {
+	state := placer.state(candidate, now)
+	cost := placer.timeRatio(candidate, state)
+	waiting := float64(state.open*placer.instances()) / float64(max(candidate.Slots, 1))
+	cost *= 1 + waiting
+	if candidate.FailureDomain != placer.failureDomain {
+		cost *= remotePenalty
+	}
+	if now.Before(candidate.ColdUntil) {
+		cost *= coldPenalty
+	}
+	return cost
+}
+
+// timeRatio compares the time of a flow at a server with the service's.
+func (placer *Placer) timeRatio(candidate *viewer.BackendServer, state *server) float64 {
+	service := placer.services[candidate.Service]
+	if service == nil || service.value == 0 || state.time.value == 0 {
+		return 1
+	}
+	return min(max(state.time.value/service.value, 1/maxTimeRatio), maxTimeRatio)
+}
+
+// Opened counts a flow that was sent to a server.
+func (placer *Placer) Opened(backendServer *viewer.BackendServer, now time.Time) {
+	placer.state(backendServer, now).open++
+}
+
+// Closed takes back one Opened.
+func (placer *Placer) Closed(backendServer *viewer.BackendServer, now time.Time) {
+	state := placer.state(backendServer, now)
+	state.open = max(state.open-1, 0)
+}
+
+// Accepted says that a server took an opening.
+func (placer *Placer) Accepted(backendServer *viewer.BackendServer, now time.Time) {
+	placer.state(backendServer, now).hold.accepted()
+}
+
+// Silent says that a server did not answer an opening, and reports whether it is held off from now on.
+func (placer *Placer) Silent(backendServer *viewer.BackendServer, now time.Time) bool {
+	return placer.state(backendServer, now).hold.silent(now)
+}
+
+// Took adds the time from a request to the end of its response.
+func (placer *Placer) Took(backendServer *viewer.BackendServer, duration time.Duration, now time.Time) {
+	placer.state(backendServer, now).time.add(duration.Seconds())
+	service := placer.services[backendServer.Service]
+	if service == nil {
+		service = &average{}
+		placer.services[backendServer.Service] = service
+	}
+	service.add(duration.Seconds())
+}
+
+// Forget drops the state of servers that were not touched since before.
+func (placer *Placer) Forget(before time.Time) {
+	for key, state := range placer.servers {
+		if state.seen.Before(before) {
+			delete(placer.servers, key)
+		}
+	}
+}
+
+func (placer *Placer) state(backendServer *viewer.BackendServer, now time.Time) *server {
+	key := key{name: backendServer.Name, startedAt: backendServer.StartedAt}
+	state := placer.servers[key]
+	if state == nil {
+		state = &server{}
+		placer.servers[key] = state
+	}
+	state.seen = now
+	return state
+}
--- /dev/null
+++ b/relayer/directory.go
@@ -0,0 +1,71 @@
+package relayer
+
+import (
+	"context"
+	"time"
+)
+
+// readMembers reads the list of instances and removes those that have been silent for long.
+func (relayer *Relayer) readMembers(ctx context.Context) {
+	members, err := relayer.source.Members(ctx)
+	relayer.reached(ctx, "members", err)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	relayer.mutex.Lock()
+	first := relayer.listedAt.IsZero()
+	relayer.listedAt = now
+	relayer.mutex.Unlock()
+	relayer.merge(members, now)
+	if first {
+		relayer.tellEveryone()
+	}
+	relayer.removeSilent(ctx, now)
+}
+
+// tellEveryone makes this instance known after its start.
+func (relayer *Relayer) tellEveryone() {
+	relayer.tell(func(Member, int) bool { return true }, false)
+}
+
+func (relayer *Relayer) merge(members []Member, now time.Time) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	for _, member := range members {
+		if member.Name == relayer.self.Name {
+			continue
+		}
+		if relayer.members[member.Name] == nil {
+			relayer.members[member.Name] = &peer{Member: member, heardAt: now}
+		}
+	}
+	relayer.rerank()
+}
+
+// silent returns for how long the member has left heartbeats unanswered.
+func (peer *peer) silent(now time.Time) time.Duration {
+	if !peer.askedAt.After(peer.heardAt) {
+		return 0
+	}
+	return now.Sub(peer.askedAt)
+}
+
+// removeSilent forgets the instances of the own failure domain that have gone for good.
+func (relayer *Relayer) removeSilent(ctx context.Context, now time.Time) {
+	var silent []*peer
+	relayer.mutex.Lock()
+	for name, peer := range relayer.members {
+		if peer.FailureDomain == relayer.self.FailureDomain && peer.silent(now) > memberLifetime {
+			silent = append(silent, peer)
+			delete(relayer.members, name)
+		}
+	}
+	relayer.rerank()
+	relayer.mutex.Unlock()
+	for _, peer := range silent {
+		relayer.observer.MemberLost(peer.Member, peer.silent(now))
+		err := relayer.source.Remove(ctx, peer.Name)
+		relayer.reached(ctx, "remove", err)
+	}
+}
--- /dev/null
+++ b/relayer/exchange.go
@@ -0,0 +1,227 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// tellAll sends a heartbeat to the instances of the failure domain and to the
+// first ones of the others.
+func (relayer *Relayer) tellAll() {
+	relayer.tell(func(member Member, position int) bool {
+		return member.FailureDomain == relayer.self.FailureDomain || position < leadsPerDomain
+	}, false)
+}
+
+// tellDomain sends a heartbeat to the instances of the failure domain.
+func (relayer *Relayer) tellDomain() {
+	relayer.tell(func(member Member, _ int) bool { return member.FailureDomain == relayer.self.FailureDomain }, false)
+}
+
+func (relayer *Relayer) tell(wanted func(member Member, position int) bool, answer bool) {
+	now := time.Now()
+	relayer.mutex.Lock()
+	content, err := encode(relayer.heartbeat(now, answer))
+	if err != nil {
+		panic(err) // the type is fixed, so encoding cannot fail
+	}
+	sorted, positions := order(relayer.all())
+	var told []Member
+	for _, member := range sorted {
+		if member.Name != relayer.self.Name && wanted(member, positions[member.Name]) {
+			told = append(told, member)
+			relayer.members[member.Name].asked(now)
+		}
+	}
+	relayer.mutex.Unlock()
+	for _, member := range told {
+		relayer.network.Tell(member.Peer, content)
+	}
+}
+
+func (peer *peer) asked(now time.Time) {
+	if !peer.askedAt.After(peer.heardAt) {
+		peer.askedAt = now
+	}
+}
+
+// all returns all members, those that are leaving included: one that starts
+// again is told at its old address. The mutex is held.
+func (relayer *Relayer) all() []Member {
+	members := []Member{relayer.self}
+	for _, peer := range relayer.members {
+		members = append(members, peer.Member)
+	}
+	return members
+}
+
+// heartbeat describes the present view; the mutex is held.
+func (relayer *Relayer) heartbeat(now time.Time, answer bool) Heartbeat {
+	view := relayer.viewer.Current()
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, Answer: answer, Age: relayer.turn.Age(now)}
+	if view.Configuration != nil {
+		heartbeat.Configuration = view.Configuration.Version
+	}
+	if view.Servers != nil {
+		heartbeat.Revision = view.Servers.Revision
+		heartbeat.Digest = relayer.digestFor(view.Servers)
+	}
+	return heartbeat
+}
+
+// digestFor remembers the digest of the newest list; the mutex is held.
+func (relayer *Relayer) digestFor(servers *viewer.Servers) uint64 {
+	if relayer.digestOf != servers.Revision {
+		relayer.digest, relayer.digestOf = servers.Digest(), servers.Revision
+	}
+	return relayer.digest
+}
+
+// Receive takes a datagram of another instance.
+func (relayer *Relayer) Receive(ctx context.Context, content []byte) error {
+	var heartbeat Heartbeat
+	if err := decode(content, &heartbeat); err != nil {
+		return err
+	}
+	if heartbeat.Sender.Name == relayer.self.Name || heartbeat.Sender.Name == "" {
+		return nil
+	}
+	now := time.Now()
+	relayer.heard(heartbeat, now)
+	relayer.compare(ctx, heartbeat, now)
+	return nil
+}
+
+// heard keeps the sender in the list of members.
+func (relayer *Relayer) heard(heartbeat Heartbeat, now time.Time) {
+	relayer.mutex.Lock()
+	known := relayer.members[heartbeat.Sender.Name]
+	isNew := known == nil
+	if isNew {
+		known = &peer{}
+		relayer.members[heartbeat.Sender.Name] = known
+	}
+	changed := isNew || known.leaving != heartbeat.Leaving
+	known.Member, known.heardAt, known.leaving = heartbeat.Sender, now, heartbeat.Leaving
+	if changed {
+		relayer.rerank()
+	}
+	relayer.mutex.Unlock()
+	if isNew {
+		relayer.observer.MemberHeard(heartbeat.Sender)
+	}
+}
+
+// compare fetches what the sender knows and this instance does not, and answers one that knows less.
+func (relayer *Relayer) compare(ctx context.Context, heartbeat Heartbeat, now time.Time) {
+	view := relayer.viewer.Current()
+	var version, revision uint64
+	if view.Configuration != nil {
+		version = view.Configuration.Version
+	}
+	if view.Servers != nil {
+		revision = view.Servers.Revision
+	}
+	switch {
+	case heartbeat.Configuration > version || heartbeat.Revision > revision:
+		relayer.catchUp(ctx, heartbeat, view, now)
+	case heartbeat.Configuration < version || heartbeat.Revision < revision:
+		relayer.answer(heartbeat.Sender, now)
+	case !heartbeat.Answer:
+		relayer.answer(heartbeat.Sender, now)
+	}
+}
+
+func (relayer *Relayer) catchUp(ctx context.Context, heartbeat Heartbeat, view *viewer.View, now time.Time) {
+	if relayer.matches(heartbeat, view) {
+		servers := &viewer.Servers{Revision: heartbeat.Revision, List: view.Servers.List}
+		relayer.takeServers(servers, heartbeat.Sender.Name)
+		relayer.learned(heartbeat.Age, heartbeat.Sender, now)
+		return
+	}
+	relayer.once("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
+}
+
+// matches reports whether the sender's view has the same content as this one.
+func (relayer *Relayer) matches(heartbeat Heartbeat, view *viewer.View) bool {
+	if !view.Complete() || heartbeat.Configuration > view.Configuration.Version {
+		return false
+	}
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return heartbeat.Digest == relayer.digestFor(view.Servers)
+}
+
+// learned notes how fresh the view is, and passes on what came from another failure domain.
+func (relayer *Relayer) learned(age time.Duration, from Member, now time.Time) {
+	relayer.mutex.Lock()
+	relayer.turn.Fresh(now.Add(-age))
+	relayer.mutex.Unlock()
+	if from.FailureDomain != relayer.self.FailureDomain {
+		relayer.tellDomain()
+		return
+	}
+	relayer.answer(from, now)
+}
+
+// answer sends a heartbeat back, which also shows that this instance lives.
+func (relayer *Relayer) answer(to Member, now time.Time) {
+	relayer.mutex.Lock()
+	known := relayer.members[to.Name]
+	if known == nil || now.Sub(known.answeredAt) < answerInterval {
+		relayer.mutex.Unlock()
+		return
+	}
+	known.answeredAt = now
+	content, err := encode(relayer.heartbeat(now, true))
+	relayer.mutex.Unlock()
+	if err != nil {
+		panic(err) // the type is fixed, so encoding cannot fail
+	}
+	relayer.network.Tell(to.Peer, content)
+}
+
+// fetch takes the whole view of another instance.
+func (relayer *Relayer) fetch(ctx context.Context, from Member) {
+	version := uint64(0)
+	if configuration := relayer.viewer.Current().Configuration; configuration != nil {
+		version = configuration.Version
+	}
+	startedAt := time.Now()
+	content, err := relayer.network.Fetch(ctx, from.Control, version)
+	var snapshot Snapshot
+	if err == nil {
+		err = decode(content, &snapshot)
+	}
+	if err != nil {
+		relayer.observer.FetchFailed(from.Name, err)
+		return
+	}
+	relayer.takeSnapshot(snapshot, from, startedAt)
+}
+
+func (relayer *Relayer) takeSnapshot(snapshot Snapshot, from Member, at time.Time) {
+	if snapshot.Configuration != nil {
+		relayer.takeConfiguration(snapshot.Configuration, from.Name)
+	}
+	if snapshot.Servers != nil {
+		relayer.takeServers(snapshot.Servers, from.Name)
+		relayer.learned(snapshot.Age, from, at)
+	}
+	relayer.merge(snapshot.Members, at)
+}
+
+// Snapshot returns the view for another instance that has a version of the configuration.
+func (relayer *Relayer) Snapshot(configuration uint64) ([]byte, error) {
+	now := time.Now()
+	view := relayer.viewer.Current()
+	relayer.mutex.Lock()
+	snapshot := Snapshot{Servers: view.Servers, Members: relayer.list(), Age: relayer.turn.Age(now)}
+	relayer.mutex.Unlock()
+	if view.Configuration != nil && view.Configuration.Version > configuration {
+		snapshot.Configuration = view.Configuration
+	}
+	return encode(snapshot)
+}
--- /dev/null
+++ b/relayer/member.go
@@ -0,0 +1,36 @@
+package relayer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+)
+
+// Member is one instance of the fleet.
+type Member struct {
+	Name          string         `json:"name"`
+	FailureDomain string         `json:"failure_domain"`
+	Peer          netip.AddrPort `json:"peer"`    // takes heartbeats, over UDP
+	Control       netip.AddrPort `json:"control"` // serves the view, over HTTP
+}
+
+// leadsPerDomain is how many instances of another failure domain are told
+// directly; they tell the rest of theirs.
+const leadsPerDomain = 2
+
+// order sorts members so that the first of each failure domain come before the
+// second ones, and returns for each its position within its failure domain.
+func order(members []Member) ([]Member, map[string]int) {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	positions := map[string]int{}
+	counts := map[string]int{}
+	for _, member := range sorted {
+		positions[member.Name] = counts[member.FailureDomain]
+		counts[member.FailureDomain]++
+	}
+	slices.SortStableFunc(sorted, func(a, b Member) int {
+		return cmp.Compare(positions[a.Name], positions[b.Name])
+	})
+	return sorted, positions
+}
--- /dev/null
+++ b/relayer/message.go
@@ -0,0 +1,45 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// Heartbeat tells another instance how new the sender's knowledge is.
+type Heartbeat struct {
+	Sender        Member        `cbor:"sender"`
+	Configuration uint64        `cbor:"configuration"` // version; 0 when none is known
+	Revision      uint64        `cbor:"revision"`      // of the backend servers; 0 when none is known
+	Digest        uint64        `cbor:"digest"`        // of the backend servers
+	Age           time.Duration `cbor:"age"`           // since the store had that revision
+	Leaving       bool          `cbor:"leaving"`
+	Answer        bool          `cbor:"answer"` // sent because of another heartbeat
+}
+
+// Snapshot is a whole view as one instance gives it to another; what the asker
+// has already is nil.
+type Snapshot struct {
+	Configuration *viewer.Configuration `cbor:"configuration"`
+	Servers       *viewer.Servers       `cbor:"servers"`
+	Members       []Member              `cbor:"members"`
+	Age           time.Duration         `cbor:"age"`
+}
+
+func encode(message any) ([]byte, error) {
+	content, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode message")
+	}
+	return content, nil
+}
+
+func decode(content []byte, message any) error {
+	if err := cbor.Unmarshal(content, message); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	return nil
+}
--- /dev/null
+++ b/relayer/turn.go
@@ -0,0 +1,65 @@
+package relayer
+
+import "time"
+
+const (
+	// ReadInterval is how often one instance of the fleet reads the list of
+	// backend servers. Together with the longest delay it stays under the users'
+	// bound of 3 s on new flows to a server that leaves.
+	ReadInterval = 800 * time.Millisecond
+	// patience is how long news may be overdue before the next instance reads.
+	patience = 200 * time.Millisecond
+	// rankDelay keeps the instances from reading at once, up to maxDelay.
+	rankDelay = 60 * time.Millisecond
+	maxDelay  = time.Second
+)
+
+// Turn decides when an instance reads the store.
+type Turn struct {
+	rank      int       // position in the order in which instances read
+	freshAt   time.Time // when the store last answered this instance or the one that told it
+	attemptAt time.Time // when this instance last tried to read
+	readAt    time.Time // when this instance last read
+}
+
+// Fresh says that what is known was true in the store at that time.
+func (turn *Turn) Fresh(at time.Time) {
+	if at.After(turn.freshAt) {
+		turn.freshAt = at
+	}
+}
+
+// Attempted says that the instance tries to read.
+func (turn *Turn) Attempted(now time.Time) { turn.attemptAt = now }
+
+// Read says that the instance read what was true at that time.
+func (turn *Turn) Read(at time.Time) {
+	turn.readAt = at
+	turn.Fresh(at)
+}
+
+// SetRank sets the position of the instance; 0 reads before all others.
+func (turn *Turn) SetRank(rank int) { turn.rank = rank }
+
+// Due reports whether the instance should read now.
+func (turn *Turn) Due(now time.Time) bool {
+	if now.Sub(turn.attemptAt) < ReadInterval {
+		return false
+	}
+	return now.Sub(turn.freshAt) >= ReadInterval+turn.delay()
+}
+
+// Reading reports whether the instance is the one that reads.
+func (turn *Turn) Reading(now time.Time) bool {
+	return now.Sub(turn.readAt) < 2*ReadInterval+maxDelay
+}
+
+// Age returns how old the newest knowledge is.
+func (turn *Turn) Age(now time.Time) time.Duration { return now.Sub(turn.freshAt) }
+
+func (turn *Turn) delay() time.Duration {
+	if turn.rank == 0 {
+		return 0
+	}
+	return min(patience+time.Duration(turn.rank)*rankDelay, maxDelay)
+}
--- /dev/null
+++ b/steerer/steerer.go
@@ -0,0 +1,208 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+const (
+	// answerTimeout is how long an opening may stay unanswered before another
+	// server is tried; a handshake takes about ten milliseconds.
+	answerTimeout = 50 * time.Millisecond
+	// maxTried bounds the servers that one opening is sent to by this instance.
+	maxTried = 4
+	// openingLifetime is how long copies of an opening can come.
+	openingLifetime = 2 * time.Second
+	// maxFlows bounds the remembered flows, about 300 bytes each.
+	maxFlows = 20_000
+)
+
+// placer is what the steerer needs of the choice of servers.
+type placer interface {
+	Place(candidates, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer
+	Opened(server *viewer.BackendServer, now time.Time)
+	Closed(server *viewer.BackendServer, now time.Time)
+	Accepted(server *viewer.BackendServer, now time.Time)
+	Silent(server *viewer.BackendServer, now time.Time) bool
+	Took(server *viewer.BackendServer, duration time.Duration, now time.Time)
+}
+
+// Observer hears of every decision that concerns a whole flow.
+type Observer interface {
+	// Decided is called for openings, refusals and drops.
+	Decided(verdict *Verdict, view *viewer.View)
+	// Ended is called when a flow that opened here ends.
+	Ended(summary *Summary)
+	// Held is called when a server is held off.
+	Held(server *viewer.BackendServer)
+}
+
+// Summary is what an instance saw of one flow.
+type Summary struct {
+	Flow     Flow
+	Server   *viewer.BackendServer
+	Accepted bool
+	Opening  time.Duration // from the first opening to the caller's acknowledgement
+	Response time.Duration // from the request to the end of the response
+	Bytes    uint32        // of the response, as far as the caller acknowledged it
+	Reset    bool          // the caller ended the flow with a reset
+}
+
+// Steerer decides for the packets of one instance; it is not safe for concurrent use.
+type Steerer struct {
+	viewer   func() *viewer.View
+	placer   placer
+	observer Observer
+	random   *rand.Rand
+	flows    map[Flow]*flow
+	pending  []*flow // openings without an answer, oldest first
+	swept    time.Time
+}
+
+// NewSteerer returns a Steerer that decides by the view that current returns.
+func NewSteerer(current func() *viewer.View, placer placer, observer Observer, random *rand.Rand) *Steerer {
+	return &Steerer{viewer: current, placer: placer, observer: observer, random: random, flows: map[Flow]*flow{}}
+}
+
+// Packet decides about one packet of a caller.
+func (steerer *Steerer) Packet(packet *Packet, now time.Time) Verdict {
+	view := steerer.viewer()
+	verdict := Verdict{Flow: packet.Flow, Raw: packet.Raw, Answer: packet.Acknowledge}
+	switch {
+	case !view.Complete():
+		verdict.Reason = NoView
+	case packet.Flags.SYN && packet.Flags.ACK:
+		verdict.Reason = FromServer
+	case packet.Opening():
+		steerer.open(packet, view, &verdict, now)
+	default:
+		steerer.keep(packet, view, &verdict, now)
+	}
+	if verdict.Reason != Kept {
+		steerer.observer.Decided(&verdict, view)
+	}
+	return verdict
+}
+
+func (steerer *Steerer) open(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
+	known := steerer.flows[packet.Flow]
+	if known != nil && (known.sequence != packet.Sequence || now.Sub(known.openedAt) > openingLifetime) {
+		steerer.end(known, now)
+		known = nil
+	}
+	if known != nil && known.accepted {
+		verdict.Action, verdict.Server, verdict.Reason = Send, known.server, Repeated
+		return
+	}
+	server := steerer.choose(packet.Flow, known, view, verdict, now)
+	if server == nil {
+		return
+	}
+	verdict.Action, verdict.Server, verdict.Reason = Send, server, Repeated
+	if known == nil {
+		verdict.Reason = Opened
+		known = steerer.remember(packet, now)
+	}
+	steerer.offer(known, server, now)
+}
+
+// choose picks the server of an opening; when there is none it says in verdict why.
+func (steerer *Steerer) choose(flow Flow, known *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
+	route := view.Route(flow.Service)
+	if route == nil {
+		verdict.Action, verdict.Reason = Reset, NoRoute
+		return nil
+	}
+	var tried []*viewer.BackendServer
+	if known != nil {
+		tried = known.tried
+	}
+	server := steerer.placer.Place(view.Active(steerer.service(route)), tried, now)
+	if server == nil {
+		verdict.Action, verdict.Reason = Reset, NoServer
+	}
+	return server
+}
+
+// service draws one of the route's services in proportion to their weights.
+func (steerer *Steerer) service(route *viewer.Route) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	draw := steerer.random.Float64() * total
+	for _, share := range route.Shares {
+		if draw < share.Weight {
+			return share.Service
+		}
+		draw -= share.Weight
+	}
+	return ""
+}
+
+// keep sends a later packet where its token says.
+func (steerer *Steerer) keep(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
+	server := view.ByToken(packet.Token)
+	if server == nil || packet.Token == 0 {
+		// The server may live and be unknown here alone, so the flow is not reset.
+		verdict.Reason = UnknownToken
+		return
+	}
+	verdict.Action, verdict.Server, verdict.Reason = Send, server, Kept
+	if known := steerer.flows[packet.Flow]; known != nil {
+		steerer.observe(known, packet, server, now)
+	}
+}
+
+// Overdue returns the next opening that its server left unanswered, now sent to
+// another one; false means that there is none.
+func (steerer *Steerer) Overdue(now time.Time) (Verdict, bool) {
+	for len(steerer.pending) > 0 {
+		oldest := steerer.pending[0]
+		if now.Sub(oldest.offeredAt) < answerTimeout {
+			break
+		}
+		steerer.pending = steerer.pending[1:]
+		if oldest.accepted || oldest.ended {
+			continue
+		}
+		if verdict, ok := steerer.retry(oldest, now); ok {
+			return verdict, true
+		}
+	}
+	steerer.sweep(now)
+	return Verdict{}, false
+}
+
+func (steerer *Steerer) retry(known *flow, now time.Time) (Verdict, bool) {
+	if steerer.placer.Silent(known.server, now) {
+		steerer.observer.Held(known.server)
+	}
+	if len(known.tried) >= maxTried {
+		return Verdict{}, false
+	}
+	view := steerer.viewer()
+	verdict := Verdict{Flow: known.flow, Raw: known.opening}
+	server := steerer.choose(known.flow, known, view, &verdict, now)
+	if server == nil || contains(known.tried, server) {
+		return Verdict{}, false
+	}
+	verdict.Action, verdict.Server, verdict.Reason = Send, server, Retried
+	steerer.offer(known, server, now)
+	steerer.observer.Decided(&verdict, view)
+	return verdict, true
+}
+
+func contains(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
+	for _, server := range servers {
+		if server.Same(wanted) {
+			return true
+		}
+	}
+	return false
+}
--- a/ticker/ticker.go
+++ b/ticker/ticker.go
@@ -20,11 +20,12 @@
 	subscriptions map[int]*subscription
 	order         []int
 	next          int
+	changed       chan struct{}
 }
 
 // NewTicker starts a Ticker; the returned function stops it and waits for the running call.
 func NewTicker() (*Ticker, func()) {
-	ticker := &Ticker{subscriptions: map[int]*subscription{}}
+	ticker := &Ticker{subscriptions: map[int]*subscription{}, changed: make(chan struct{}, 1)}
 	done := make(chan struct{})
 	stopped := make(chan struct{})
 	go func() {
@@ -40,11 +41,16 @@
 // Subscribe calls call about every interval until the returned function is called.
 func (ticker *Ticker) Subscribe(interval time.Duration, call func(now time.Time)) func() {
 	ticker.mutex.Lock()
-	defer ticker.mutex.Unlock()
 	id := ticker.next
 	ticker.next++
-	ticker.subscriptions[id] = &subscription{interval: interval, call: call}
+	interval = max(interval, Resolution)
+	ticker.subscriptions[id] = &subscription{interval: interval, due: time.Now().Add(interval), call: call}
 	ticker.order = append(ticker.order, id)
+	ticker.mutex.Unlock()
+	select {
+	case ticker.changed <- struct{}{}:
+	default:
+	}
 	return func() {
 		ticker.mutex.Lock()
 		defer ticker.mutex.Unlock()
@@ -52,24 +58,30 @@
 	}
 }
 
+// run sleeps until the next call is due, so that a process with slow subscribers is seldom woken.
 func (ticker *Ticker) run(done <-chan struct{}) {
-	clock := time.NewTicker(Resolution)
-	defer clock.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-done:
 			return
-		case now := <-clock.C:
-			for _, call := range ticker.due(now) {
-				call(now)
-			}
+		case <-ticker.changed:
+		case <-timer.C:
+		}
+		calls, next := ticker.due(time.Now())
+		for _, call := range calls {
+			call(time.Now())
 		}
+		timer.Reset(time.Until(next))
 	}
 }
 
-func (ticker *Ticker) due(now time.Time) []func(time.Time) {
+// due returns the calls whose time has come and when the next one is due.
+func (ticker *Ticker) due(now time.Time) ([]func(time.Time), time.Time) {
 	ticker.mutex.Lock()
 	defer ticker.mutex.Unlock()
+	next := now.Add(time.Minute)
 	var calls []func(time.Time)
 	kept := ticker.order[:0]
 	for _, id := range ticker.order {
@@ -78,12 +90,14 @@
 			continue
 		}
 		kept = append(kept, id)
-		if now.Before(subscription.due) {
-			continue
+		if !now.Before(subscription.due) {
+			subscription.due = now.Add(subscription.interval)
+			calls = append(calls, subscription.call)
+		}
+		if subscription.due.Before(next) {
+			next = subscription.due
 		}
-		subscription.due = now.Add(subscription.interval - Resolution/2)
-		calls = append(calls, subscription.call)
 	}
 	ticker.order = kept
-	return calls
+	return calls, next
 }
