Find changes by the store's revision, not by watches

While the store drops its history (platform_compact, seconds 1 to 14) a waiting watch heard nothing and was not cut; it came back after its own 5 s with 410, so version 6 was late. Ruled out: the follower's wake-up (all seven instances were watching). Change: the reader lists a kind without objects, whose answer has the store's revision, and reads the rest only when that has grown.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -117,60 +117,50 @@
 // compare fetches what the sender knows and this instance does not, and answers one that knows less.
 func (relayer *Relayer) compare(ctx context.Context, heartbeat Heartbeat, now time.Time) {
 	view := relayer.viewer.Current()
-	var version, revision uint64
-	if view.Configuration != nil {
-		version = view.Configuration.Version
-	}
-	if view.Servers != nil {
-		revision = view.Servers.Revision
-	}
+	relayer.mutex.Lock()
+	own := relayer.heartbeat(now, false)
+	relayer.mutex.Unlock()
 	switch {
-	case heartbeat.Configuration > version || heartbeat.Revision > revision:
-		relayer.catchUp(ctx, heartbeat, view, now)
-	case heartbeat.Configuration < version || heartbeat.Revision < revision:
-		relayer.answer(heartbeat.Sender, now)
-	case !heartbeat.Answer:
-		relayer.answer(heartbeat.Sender, now)
+	case heartbeat.Configuration > own.Configuration || heartbeat.Revision > own.Revision:
+		relayer.catchUp(ctx, heartbeat, own, view, now)
+	case heartbeat.Configuration < own.Configuration || heartbeat.Revision < own.Revision:
+		relayer.answer(heartbeat.Sender, answerInterval, now)
+	default:
+		relayer.learned(heartbeat, now)
 	}
 }
 
-func (relayer *Relayer) catchUp(ctx context.Context, heartbeat Heartbeat, view *viewer.View, now time.Time) {
-	if relayer.matches(heartbeat, view) {
-		servers := &viewer.Servers{Revision: heartbeat.Revision, List: view.Servers.List}
-		relayer.takeServers(servers, heartbeat.Sender.Name)
-		relayer.learned(heartbeat.Age, heartbeat.Sender, now)
+func (relayer *Relayer) catchUp(ctx context.Context, heartbeat, own Heartbeat, view *viewer.View, now time.Time) {
+	if heartbeat.Configuration > own.Configuration || !view.Complete() || heartbeat.Digest != own.Digest {
+		relayer.once("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
 		return
 	}
-	relayer.once("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
+	servers := &viewer.Servers{Revision: heartbeat.Revision, List: view.Servers.List}
+	relayer.takeServers(servers, heartbeat.Sender.Name)
+	relayer.learned(heartbeat, now)
 }
 
-// matches reports whether the sender's view has the same content as this one.
-func (relayer *Relayer) matches(heartbeat Heartbeat, view *viewer.View) bool {
-	if !view.Complete() || heartbeat.Configuration > view.Configuration.Version {
-		return false
-	}
-	relayer.mutex.Lock()
-	defer relayer.mutex.Unlock()
-	return heartbeat.Digest == relayer.digestFor(view.Servers)
-}
-
-// learned notes how fresh the view is, and passes on what came from another failure domain.
-func (relayer *Relayer) learned(age time.Duration, from Member, now time.Time) {
+// learned notes how fresh the view is, passes on what came from another
+// failure domain, and shows the sender now and then that this instance lives.
+func (relayer *Relayer) learned(heartbeat Heartbeat, now time.Time) {
 	relayer.mutex.Lock()
-	relayer.turn.Fresh(now.Add(-age))
+	before := relayer.turn.Age(now)
+	relayer.turn.Fresh(now.Add(-heartbeat.Age))
+	news := before-relayer.turn.Age(now) > ReadInterval/2
 	relayer.mutex.Unlock()
-	if from.FailureDomain != relayer.self.FailureDomain {
+	if news && heartbeat.Sender.FailureDomain != relayer.self.FailureDomain {
 		relayer.tellDomain()
-		return
 	}
-	relayer.answer(from, now)
+	if !heartbeat.Answer {
+		relayer.answer(heartbeat.Sender, aliveInterval, now)
+	}
 }
 
 // answer sends a heartbeat back, which also shows that this instance lives.
-func (relayer *Relayer) answer(to Member, now time.Time) {
+func (relayer *Relayer) answer(to Member, interval time.Duration, now time.Time) {
 	relayer.mutex.Lock()
 	known := relayer.members[to.Name]
-	if known == nil || now.Sub(known.answeredAt) < answerInterval {
+	if known == nil || now.Sub(known.answeredAt) < interval {
 		relayer.mutex.Unlock()
 		return
 	}
@@ -208,7 +198,7 @@
 	}
 	if snapshot.Servers != nil {
 		relayer.takeServers(snapshot.Servers, from.Name)
-		relayer.learned(snapshot.Age, from, at)
+		relayer.learned(Heartbeat{Sender: from, Age: snapshot.Age, Answer: true}, at)
 	}
 	relayer.merge(snapshot.Members, at)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,25 +11,25 @@
 )
 
 const (
-	// answerInterval bounds how often one member is answered.
+	// answerInterval bounds how often a member that knows less is answered.
 	answerInterval = 200 * time.Millisecond
+	// aliveInterval is how often a member is shown that this instance lives.
+	aliveInterval = 5 * time.Second
 	// memberLifetime is how long a member that is not heard stays in the list.
 	memberLifetime = 90 * time.Second
 	// directoryInterval is how often the reader reads the list of members.
 	directoryInterval = 10 * time.Second
-	// watchTime is how long one watch of the configuration waits.
-	watchTime = 5 * time.Second
 	// retryInterval is the pause after a call of the store that failed.
 	retryInterval = 400 * time.Millisecond
 )
 
 // Source reads the platform's store.
 type Source interface {
+	// Revision returns a number that grows with every change in the store.
+	Revision(ctx context.Context) (uint64, error)
 	Servers(ctx context.Context) (*viewer.Servers, error)
-	// Configuration returns nil when there is none, and the revision to watch from.
-	Configuration(ctx context.Context) (*viewer.Configuration, uint64, error)
-	// AwaitConfiguration waits for a change after a revision; nil means that none came.
-	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (*viewer.Configuration, uint64, error)
+	// Configuration returns nil when there is none.
+	Configuration(ctx context.Context) (*viewer.Configuration, error)
 	Members(ctx context.Context) ([]Member, error)
 	Register(ctx context.Context, member Member) error
 	Remove(ctx context.Context, name string) error
@@ -84,16 +84,15 @@
 func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, observer Observer) *Relayer {
 	return &Relayer{
 		self: self, viewer: current, source: source, network: network, observer: observer, seeds: seeds,
-		members: map[string]*peer{}, busy: map[string]bool{}, wake: make(chan struct{}, 1),
+		members: map[string]*peer{}, busy: map[string]bool{},
 	}
 }
 
-// Run follows the configuration and registers the instance until ctx ends.
+// Run makes the instance known until ctx ends.
 func (relayer *Relayer) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { relayer.register(ctx) })
 	work.Go(func() { relayer.askSeeds(ctx) })
-	relayer.followConfiguration(ctx)
 	work.Wait()
 }
 
@@ -107,7 +106,7 @@
 	}
 	relayer.mutex.Unlock()
 	if due {
-		relayer.once("servers", func() { relayer.readServers(ctx) })
+		relayer.once("read", func() { relayer.read(ctx) })
 	}
 	if list {
 		relayer.once("members", func() { relayer.readMembers(ctx) })
@@ -130,95 +129,55 @@
 	}()
 }
 
-func (relayer *Relayer) readServers(ctx context.Context) {
+// read brings the view up to date with the store, and tells the others also
+// when it could not, since one that has just started may know nothing.
+func (relayer *Relayer) read(ctx context.Context) {
 	startedAt := time.Now()
-	servers, err := relayer.source.Servers(ctx)
-	if err != nil {
-		relayer.observer.SourceFailed("servers", err)
-		relayer.tellAll()
-		return
+	err := relayer.readChanges(ctx)
+	relayer.reached(ctx, "read", err)
+	if err == nil {
+		relayer.mutex.Lock()
+		relayer.turn.Fresh(startedAt)
+		relayer.mutex.Unlock()
 	}
-	relayer.observer.SourceReached("servers")
-	relayer.takeServers(servers, "store")
-	relayer.mutex.Lock()
-	relayer.turn.Read(startedAt)
-	relayer.mutex.Unlock()
-	relayer.wakeFollower()
 	relayer.tellAll()
 }
 
-func (relayer *Relayer) takeServers(servers *viewer.Servers, from string) {
-	before := relayer.viewer.Current().Servers
-	if relayer.viewer.TakeServers(servers, time.Now()) {
-		relayer.observer.ServersTaken(before, servers, from)
-	}
-}
-
-func (relayer *Relayer) takeConfiguration(configuration *viewer.Configuration, from string) bool {
-	if !relayer.viewer.TakeConfiguration(configuration) {
-		return false
+// readChanges reads the servers and the configuration unless the store's revision is known.
+func (relayer *Relayer) readChanges(ctx context.Context) error {
+	revision, err := relayer.source.Revision(ctx)
+	if err != nil {
+		return err
 	}
-	relayer.observer.ConfigurationTaken(configuration.Version, from)
-	return true
-}
-
-func (relayer *Relayer) wakeFollower() {
-	select {
-	case relayer.wake <- struct{}{}:
-	default:
+	if view := relayer.viewer.Current(); view.Complete() && view.Servers.Revision >= revision {
+		return nil
 	}
-}
-
-// followConfiguration reads the configuration at the start and watches it while this instance reads.
-func (relayer *Relayer) followConfiguration(ctx context.Context) {
-	for ctx.Err() == nil {
-		after, err := relayer.readConfiguration(ctx)
-		for err == nil && relayer.reading() && ctx.Err() == nil {
-			after, err = relayer.watchConfiguration(ctx, after)
-		}
-		if err != nil {
-			sleep(ctx, retryInterval)
-			if relayer.viewer.Current().Configuration == nil {
-				continue
-			}
-		}
-		if !relayer.reading() {
-			relayer.awaitTurn(ctx)
-		}
+	configuration, err := relayer.source.Configuration(ctx)
+	if err != nil {
+		return err
 	}
-}
-
-// awaitTurn waits until this instance reads, or until it has to look for the first configuration again.
-func (relayer *Relayer) awaitTurn(ctx context.Context) {
-	var again <-chan time.Time
-	if relayer.viewer.Current().Configuration == nil {
-		timer := time.NewTimer(retryInterval)
-		defer timer.Stop()
-		again = timer.C
+	if configuration != nil {
+		relayer.takeConfiguration(configuration, "store")
 	}
-	select {
-	case <-ctx.Done():
-	case <-relayer.wake:
-	case <-again:
+	servers, err := relayer.source.Servers(ctx)
+	if err != nil {
+		return err
 	}
+	relayer.takeServers(servers, "store")
+	return nil
 }
 
-func (relayer *Relayer) readConfiguration(ctx context.Context) (uint64, error) {
-	configuration, after, err := relayer.source.Configuration(ctx)
-	relayer.reached(ctx, "configuration", err)
-	if err == nil && configuration != nil && relayer.takeConfiguration(configuration, "store") {
-		relayer.tellAll()
+func (relayer *Relayer) takeServers(servers *viewer.Servers, from string) {
+	before := relayer.viewer.Current().Servers
+	if relayer.viewer.TakeServers(servers, time.Now()) {
+		relayer.observer.ServersTaken(before, servers, from)
 	}
-	return after, err
 }
 
-func (relayer *Relayer) watchConfiguration(ctx context.Context, after uint64) (uint64, error) {
-	configuration, next, err := relayer.source.AwaitConfiguration(ctx, after, watchTime)
-	relayer.reached(ctx, "configuration", err)
-	if err == nil && configuration != nil && relayer.takeConfiguration(configuration, "store") {
-		relayer.tellAll()
+func (relayer *Relayer) takeConfiguration(configuration *viewer.Configuration, from string) {
+	if relayer.viewer.TakeConfiguration(configuration) {
+		relayer.observer.ConfigurationTaken(configuration.Version, from)
 	}
-	return next, err
 }
 
 func (relayer *Relayer) reached(ctx context.Context, call string, err error) {
@@ -230,12 +189,6 @@
 	}
 }
 
-func (relayer *Relayer) reading() bool {
-	relayer.mutex.Lock()
-	defer relayer.mutex.Unlock()
-	return !relayer.leaving && relayer.turn.Reading(time.Now())
-}
-
 // register writes this instance into the list of members.
 func (relayer *Relayer) register(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/relayer/turn.go
+++ b/relayer/turn.go
@@ -19,7 +19,6 @@
 	rank      int       // position in the order in which instances read
 	freshAt   time.Time // when the store last answered this instance or the one that told it
 	attemptAt time.Time // when this instance last tried to read
-	readAt    time.Time // when this instance last read
 }
 
 // Fresh says that what is known was true in the store at that time.
@@ -32,12 +31,6 @@
 // Attempted says that the instance tries to read.
 func (turn *Turn) Attempted(now time.Time) { turn.attemptAt = now }
 
-// Read says that the instance read what was true at that time.
-func (turn *Turn) Read(at time.Time) {
-	turn.readAt = at
-	turn.Fresh(at)
-}
-
 // SetRank sets the position of the instance; 0 reads before all others.
 func (turn *Turn) SetRank(rank int) { turn.rank = rank }
 
@@ -49,11 +42,6 @@
 	return now.Sub(turn.freshAt) >= ReadInterval+turn.delay()
 }
 
-// Reading reports whether the instance is the one that reads.
-func (turn *Turn) Reading(now time.Time) bool {
-	return now.Sub(turn.readAt) < 2*ReadInterval+maxDelay
-}
-
 // Age returns how old the newest knowledge is.
 func (turn *Turn) Age(now time.Time) time.Duration { return now.Sub(turn.freshAt) }
 
