Take an opening for unanswered only when no packet waits

Ruled out: servers slow to answer openings (the lines of other instances show openings answered by the same servers at that time). Change: an opening is overdue only if the socket was empty 50 ms after it.

--- a/director/socket.go
+++ b/director/socket.go
@@ -15,6 +15,8 @@
 const (
 	datagramSize = 2048    // bytes; the largest datagram has 1,234
 	socketBuffer = 1 << 20 // bytes
+	// idleWait is the shortest wait for a packet that shows that none was there.
+	idleWait = 200 * time.Microsecond
 )
 
 // Socket takes callers' packets and sends them on.
@@ -54,7 +56,9 @@
 func (socket *Socket) Run() error {
 	datagram := make([]byte, datagramSize)
 	var packet steerer.Packet
+	var drained time.Time // when no packet waited
 	for {
+		askedAt := time.Now()
 		count, _, err := socket.connection.ReadFromUDPAddrPort(datagram)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -64,15 +68,27 @@
 			continue
 		}
 		now := time.Now()
+		if now.Sub(askedAt) > idleWait {
+			drained = now
+		}
 		socket.lastPacket.Store(now.UnixNano())
 		if err := platform.DecodePacket(datagram[:count], &packet); err != nil {
 			socket.recorder.Malformed(err)
 			continue
 		}
 		socket.carryOut(socket.steerer.Packet(&packet, now))
-		for verdict, ok := socket.steerer.Overdue(now); ok; verdict, ok = socket.steerer.Overdue(now) {
-			socket.carryOut(verdict)
+		socket.retry(now, drained)
+	}
+}
+
+// retry sends the openings that were not answered to other servers.
+func (socket *Socket) retry(now, drained time.Time) {
+	for {
+		verdict, ok := socket.steerer.Overdue(now, drained)
+		if !ok {
+			return
 		}
+		socket.carryOut(verdict)
 	}
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -160,11 +160,12 @@
 }
 
 // Overdue returns the next opening that its server left unanswered, now sent to
-// another one; false means that there is none.
-func (steerer *Steerer) Overdue(now time.Time) (Verdict, bool) {
+// another one; false means that there is none. No packet that came before
+// drained still waits to be decided: an answer may be among those that do.
+func (steerer *Steerer) Overdue(now, drained time.Time) (Verdict, bool) {
 	for len(steerer.pending) > 0 {
 		oldest := steerer.pending[0]
-		if now.Sub(oldest.offeredAt) < answerTimeout {
+		if drained.Sub(oldest.offeredAt) < answerTimeout {
 			break
 		}
 		steerer.pending = steerer.pending[1:]
