Count silence of a backend server only when later openings were answered

Change: an unanswered opening counts against its server only if an opening sent later was answered here, or if the caller sent a copy.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -82,6 +82,9 @@
 	known.accepted = true
 	known.acceptedAt = now
 	known.opening = nil
+	if known.offeredAt.After(steerer.answered) {
+		steerer.answered = known.offeredAt
+	}
 	known.firstAnswer, known.answer = packet.Acknowledge, packet.Acknowledge
 	if !server.Same(known.server) {
 		steerer.placer.Closed(known.server, now)
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -57,7 +57,8 @@
 	observer Observer
 	random   *rand.Rand
 	flows    map[Flow]*flow
-	pending  []*flow // openings without an answer, oldest first
+	pending  []*flow   // openings without an answer, oldest first
+	answered time.Time // when the newest opening was sent that was answered
 	swept    time.Time
 }
 
@@ -104,6 +105,8 @@
 	if known == nil {
 		verdict.Reason = Opened
 		known = steerer.remember(packet, now)
+	} else {
+		steerer.silent(known.server, now)
 	}
 	steerer.offer(known, server, now)
 }
@@ -180,9 +183,17 @@
 	return Verdict{}, false
 }
 
+func (steerer *Steerer) silent(server *viewer.BackendServer, now time.Time) {
+	if steerer.placer.Silent(server, now) {
+		steerer.observer.Held(server)
+	}
+}
+
 func (steerer *Steerer) retry(known *flow, now time.Time) (Verdict, bool) {
-	if steerer.placer.Silent(known.server, now) {
-		steerer.observer.Held(known.server)
+	// Without an answer to a later opening, the callers' packets may go to
+	// another instance by now, as they do when the fabric's set of instances changes.
+	if steerer.answered.After(known.offeredAt) {
+		steerer.silent(known.server, now)
 	}
 	if len(known.tried) >= maxTried {
 		return Verdict{}, false
