Use servers whose entries lapsed for a while after an outage of the store

The store was down from 10 to 14; the entries of nearly all servers had lapsed when it came back, so all flows went to the few left, or were refused. Ruled out: servers really gone (they were listed again 1.1 s later). Change: after 2 s without news the servers that a new list lacks stay in use for 2.5 s, unless their address has another owner; then they are taken as gone.

--- a/director/recorder.go
+++ b/director/recorder.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// ServerExpired writes that a server is taken as gone.
+func (recorder *Recorder) ServerExpired(server *viewer.BackendServer) {
+	recorder.Event(logger.EventServerExpired, "backend_server", server.Name, "service", server.Service)
+}
+
 // SourceFailed writes once that a call of the store fails.
 func (recorder *Recorder) SourceFailed(call string, err error) {
 	recorder.counters.Add("store_failures", 1)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -143,11 +143,9 @@
 // learned notes how fresh the view is, passes on what came from another
 // failure domain, and shows the sender now and then that this instance lives.
 func (relayer *Relayer) learned(heartbeat Heartbeat, now time.Time) {
-	relayer.mutex.Lock()
-	before := relayer.turn.Age(now)
-	relayer.turn.Fresh(now.Add(-heartbeat.Age))
-	news := before-relayer.turn.Age(now) > ReadInterval/2
-	relayer.mutex.Unlock()
+	before := relayer.Age(now)
+	relayer.fresh(now.Add(-heartbeat.Age))
+	news := before-relayer.Age(now) > ReadInterval/2
 	if news && heartbeat.Sender.FailureDomain != relayer.self.FailureDomain {
 		relayer.tellDomain()
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,6 +19,12 @@
 	memberLifetime = 90 * time.Second
 	// directoryInterval is how often the reader reads the list of members.
 	directoryInterval = 10 * time.Second
+	// outageGap is the shortest time without news that counts as an outage of
+	// the store; without one, news are at most 2 s old.
+	outageGap = 2 * time.Second
+	// returnTime is how long backend servers have to write their entries again
+	// after an outage; the users' pages say about two seconds.
+	returnTime = 2500 * time.Millisecond
 	// retryInterval is the pause after a call of the store that failed.
 	retryInterval = 400 * time.Millisecond
 )
@@ -45,6 +51,8 @@
 type Observer interface {
 	ConfigurationTaken(version uint64, from string)
 	ServersTaken(before, after *viewer.Servers, from string)
+	// ServerExpired names a server that did not come back after an outage of the store.
+	ServerExpired(server *viewer.BackendServer)
 	SourceFailed(call string, err error)
 	SourceReached(call string)
 	MemberHeard(member Member)
@@ -105,6 +113,9 @@
 		relayer.turn.Attempted(now)
 	}
 	relayer.mutex.Unlock()
+	for _, server := range relayer.viewer.Expire(now) {
+		relayer.observer.ServerExpired(server)
+	}
 	if due {
 		relayer.once("read", func() { relayer.read(ctx) })
 	}
@@ -136,9 +147,7 @@
 	err := relayer.readChanges(ctx)
 	relayer.reached(ctx, "read", err)
 	if err == nil {
-		relayer.mutex.Lock()
-		relayer.turn.Fresh(startedAt)
-		relayer.mutex.Unlock()
+		relayer.fresh(startedAt)
 	}
 	relayer.tellAll()
 }
@@ -168,12 +177,33 @@
 }
 
 func (relayer *Relayer) takeServers(servers *viewer.Servers, from string) {
+	now := time.Now()
+	relayer.tolerateLapses(now)
 	before := relayer.viewer.Current().Servers
-	if relayer.viewer.TakeServers(servers, time.Now()) {
+	if relayer.viewer.TakeServers(servers, now) {
 		relayer.observer.ServersTaken(before, servers, from)
 	}
 }
 
+// tolerateLapses keeps servers in use that the first lists after an outage of
+// the store lack, because their entries lapsed meanwhile.
+func (relayer *Relayer) tolerateLapses(now time.Time) {
+	relayer.mutex.Lock()
+	known, gap := !relayer.turn.freshAt.IsZero(), relayer.turn.Age(now)
+	relayer.mutex.Unlock()
+	if known && gap >= outageGap {
+		relayer.viewer.Tolerate(now.Add(returnTime))
+	}
+}
+
+// fresh notes that what is known was true in the store at that time.
+func (relayer *Relayer) fresh(at time.Time) {
+	relayer.tolerateLapses(at)
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.turn.Fresh(at)
+}
+
 func (relayer *Relayer) takeConfiguration(configuration *viewer.Configuration, from string) {
 	if relayer.viewer.TakeConfiguration(configuration) {
 		relayer.observer.ConfigurationTaken(configuration.Version, from)
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -1,6 +1,7 @@
 package viewer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -87,7 +88,7 @@
 // leaving or have lately gone are found too.
 func (view *View) ByToken(token uint32) *BackendServer { return view.byToken[token] }
 
-func newView(configuration *Configuration, servers *Servers, gone []*BackendServer) *View {
+func newView(configuration *Configuration, servers *Servers, missing, gone []*BackendServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
@@ -101,7 +102,7 @@
 		}
 	}
 	if servers != nil {
-		view.index(servers)
+		view.index(servers, missing)
 	}
 	for _, server := range gone {
 		if view.byToken[server.Token] == nil {
@@ -113,19 +114,14 @@
 
 // index lets the server that started first have a token that two share; the
 // other takes no new flows, since its later packets could not be told apart.
-func (view *View) index(servers *Servers) {
-	byStart := make([]*BackendServer, len(servers.List))
+func (view *View) index(servers *Servers, missing []*BackendServer) {
+	byStart := make([]*BackendServer, len(servers.List), len(servers.List)+len(missing))
 	for i := range servers.List {
 		byStart[i] = &servers.List[i]
 	}
+	byStart = append(byStart, missing...)
 	slices.SortStableFunc(byStart, func(a, b *BackendServer) int {
-		switch {
-		case a.StartedAt < b.StartedAt:
-			return -1
-		case a.StartedAt > b.StartedAt:
-			return 1
-		}
-		return 0
+		return cmp.Compare(a.StartedAt, b.StartedAt)
 	})
 	for _, server := range byStart {
 		if view.byToken[server.Token] != nil {
--- /dev/null
+++ b/viewer/viewer_test.go
@@ -0,0 +1,123 @@
+package viewer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/parser"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func server(name string, token uint32, startedAt int64) BackendServer {
+	return BackendServer{
+		Name: name, Token: token, Service: "desk-sync", State: parser.Active, StartedAt: startedAt,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(token)}), 80),
+	}
+}
+
+func list(revision uint64, servers ...BackendServer) *Servers {
+	return &Servers{Revision: revision, List: servers}
+}
+
+func names(servers []*BackendServer) []string {
+	result := []string{}
+	for _, server := range servers {
+		result = append(result, server.Name)
+	}
+	return result
+}
+
+func TestOlderFactsAreNotTaken(t *testing.T) {
+	viewer := NewViewer()
+	assert.Assert(t, viewer.TakeConfiguration(&Configuration{Version: 7}))
+	assert.Assert(t, !viewer.TakeConfiguration(&Configuration{Version: 7}))
+	assert.Assert(t, !viewer.TakeConfiguration(&Configuration{Version: 3}))
+	assert.Equal(t, viewer.Current().Configuration.Version, uint64(7))
+	assert.Assert(t, viewer.TakeServers(list(5), start))
+	assert.Assert(t, !viewer.TakeServers(list(4, server("a", 1, 1)), start))
+	assert.Equal(t, viewer.Current().Servers.Revision, uint64(5))
+}
+
+func TestALeavingServerKeepsItsFlowsAndGetsNoNewOnes(t *testing.T) {
+	viewer := NewViewer()
+	leaving := server("a", 1, 1)
+	leaving.State = parser.Leaving
+	viewer.TakeServers(list(1, leaving, server("b", 2, 1)), start)
+	assert.DeepEqual(t, names(viewer.Current().Active("desk-sync")), []string{"b"})
+	assert.Equal(t, viewer.Current().ByToken(1).Name, "a")
+}
+
+func TestAServerThatIsGoneKeepsItsTokenForTheLifeOfAFlow(t *testing.T) {
+	viewer := NewViewer()
+	viewer.TakeServers(list(1, server("a", 1, 1)), start)
+	viewer.TakeServers(list(2), start)
+	assert.Equal(t, viewer.Current().ByToken(1).Name, "a")
+	viewer.TakeServers(list(3), start.Add(flowLifetime))
+	assert.Assert(t, viewer.Current().ByToken(1) == nil)
+}
+
+func TestOfTwoServersWithOneTokenTheOlderHasIt(t *testing.T) {
+	for _, servers := range [][]BackendServer{
+		{server("a", 1, 10), server("b", 1, 20)},
+		{server("b", 1, 20), server("a", 1, 10)},
+	} {
+		viewer := NewViewer()
+		viewer.TakeServers(list(1, servers...), start)
+		assert.Equal(t, viewer.Current().ByToken(1).Name, "a")
+		assert.DeepEqual(t, names(viewer.Current().Active("desk-sync")), []string{"a"})
+	}
+}
+
+func TestLapsedServersAreUsedForAWhileAfterAnOutage(t *testing.T) {
+	viewer := NewViewer()
+	viewer.TakeServers(list(1, server("a", 1, 1), server("b", 2, 1)), start)
+	viewer.Tolerate(start.Add(time.Second))
+	viewer.TakeServers(list(2, server("b", 2, 1)), start)
+	assert.DeepEqual(t, names(viewer.Current().Active("desk-sync")), []string{"b", "a"})
+	viewer.TakeServers(list(3), start)
+	assert.Equal(t, len(viewer.Current().Active("desk-sync")), 2)
+	viewer.TakeServers(list(4, server("b", 2, 1)), start)
+	assert.Equal(t, len(viewer.Expire(start.Add(time.Second-1))), 0)
+	assert.DeepEqual(t, names(viewer.Expire(start.Add(time.Second))), []string{"a"})
+	assert.DeepEqual(t, names(viewer.Current().Active("desk-sync")), []string{"b"})
+}
+
+func TestALapsedServerIsNotUsedWhenItsAddressIsTaken(t *testing.T) {
+	viewer := NewViewer()
+	viewer.TakeServers(list(1, server("a", 1, 1)), start)
+	viewer.Tolerate(start.Add(time.Second))
+	successor := server("b", 2, 2)
+	successor.Address = server("a", 1, 1).Address
+	viewer.TakeServers(list(2, successor), start)
+	assert.DeepEqual(t, names(viewer.Current().Active("desk-sync")), []string{"b"})
+}
+
+func TestWithoutAnOutageALapsedServerGetsNoNewFlows(t *testing.T) {
+	viewer := NewViewer()
+	viewer.TakeServers(list(1, server("a", 1, 1)), start)
+	viewer.TakeServers(list(2), start)
+	assert.Equal(t, len(viewer.Current().Active("desk-sync")), 0)
+}
+
+func TestDigestFollowsTheContentAlone(t *testing.T) {
+	one, two := list(1, server("a", 1, 1)), list(2, server("a", 1, 1))
+	two.List[0].ColdUntil = start
+	assert.Equal(t, one.Digest(), two.Digest())
+	two.List[0].State = parser.Leaving
+	assert.Assert(t, one.Digest() != two.Digest())
+}
+
+func TestChanges(t *testing.T) {
+	before := list(1, server("a", 1, 1), server("b", 2, 1), server("c", 3, 1))
+	restarted := server("b", 2, 9)
+	after := list(2, server("a", 1, 1), restarted, server("d", 4, 1))
+	assert.DeepEqual(t, Changes(before, after), []Change{
+		{Name: "b", Service: "desk-sync", State: "active"},
+		{Name: "d", Service: "desk-sync", State: "active"},
+		{Name: "c", Service: "desk-sync", State: "gone"},
+	})
+}
