Reload the settings on SIGHUP and when their file changes

Change: a signal or a changed file has the settings read again; with findings the old ones stay. Seeds, the store's address, the stop timeout and the log's verbosity are in force at once; the log names what needs a restart.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -161,11 +161,7 @@
 }
 
 func (command *command) enter() error {
-	entrance, err := configurer.ReadEntrance(command.settings)
-	if err != nil {
-		return err
-	}
-	return director.Run(command.context, entrance, command.output)
+	return director.Run(command.context, command.settings, command.output)
 }
 
 func (command *command) checkSettings() error {
--- a/director/director.go
+++ b/director/director.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,8 +41,16 @@
 	output io.Writer
 }
 
-// Run runs one instance until ctx ends, and then stops it gracefully.
-func Run(ctx context.Context, entrance *configurer.Entrance, output io.Writer) error {
+// Run runs the instance that the settings file describes until ctx ends, and
+// then stops it gracefully. A hangup signal has the file read again.
+func Run(ctx context.Context, file string, output io.Writer) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	entrance, err := configurer.ReadEntrance(file)
+	if err != nil {
+		return err
+	}
 	work, stopWork := context.WithCancel(context.Background())
 	parts := &parts{ctx: work, output: output}
 	defer parts.Close()
@@ -49,6 +60,7 @@
 		func() *configurer.Entrance { return entrance },
 		parts.newQueue,
 		NewRecorder,
+		func(recorder *Recorder) *Reloader { return NewReloader(file, entrance, recorder) },
 		viewer.NewViewer,
 		parts.newSource,
 		parts.newNetwork,
@@ -63,7 +75,7 @@
 			return errors.Wrap(err, "wire instance")
 		}
 	}
-	err := container.Invoke(func(instance instance) error { return instance.run(ctx, work) })
+	err = container.Invoke(func(instance instance) error { return instance.run(ctx, work, hangups) })
 	return dig.RootCause(err)
 }
 
@@ -74,6 +86,7 @@
 	Entrance *configurer.Entrance
 	Queue    *logger.Queue
 	Recorder *Recorder
+	Reloader *Reloader
 	Viewer   *viewer.Viewer
 	Relayer  *relayer.Relayer
 	Network  *Network
@@ -88,9 +101,10 @@
 	return queue
 }
 
-func (parts *parts) newSource(entrance *configurer.Entrance, recorder *Recorder) relayer.Source {
+func (parts *parts) newSource(entrance *configurer.Entrance, reloader *Reloader, recorder *Recorder) relayer.Source {
 	store, cleanup := platform.NewStore(entrance.StoreAddress)
 	parts.Add(cleanup)
+	reloader.Subscribe(func(entrance *configurer.Entrance) { store.SetAddress(entrance.StoreAddress) })
 	return platform.NewSource(store, recorder)
 }
 
@@ -143,7 +157,11 @@
 	return door, nil
 }
 
-func (instance *instance) run(ctx, work context.Context) error {
+func (instance *instance) run(ctx, work context.Context, hangups <-chan os.Signal) error {
+	instance.Reloader.Subscribe(func(entrance *configurer.Entrance) {
+		instance.Relayer.SetSeeds(entrance.Seeds)
+		instance.Recorder.SetVerbosity(entrance.Log.Verbosity)
+	})
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.Entrance.Instance,
 		"failure_domain", instance.Entrance.FailureDomain, "packet_address", instance.Entrance.PacketAddress.String())
 	go instance.Network.Run(func(content []byte) {
@@ -157,24 +175,34 @@
 	instance.Relayer.Tick(work, time.Now())
 	defer instance.Ticker.Subscribe(turnInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
 	defer instance.Ticker.Subscribe(logInterval, func(time.Time) { instance.Queue.Flush() })()
-
-	var err error
-	select {
-	case <-ctx.Done():
-		instance.leave()
-	case err = <-forwarding:
-	}
+	defer instance.Ticker.Subscribe(settingsInterval, instance.Reloader.Look)()
+	err := instance.wait(ctx, hangups, forwarding)
 	instance.Recorder.Event(logger.EventStopped, "instance", instance.Entrance.Instance)
 	return err
 }
 
+// wait reloads the settings at each hangup and returns when the instance has to end.
+func (instance *instance) wait(ctx context.Context, hangups <-chan os.Signal, forwarding <-chan error) error {
+	for {
+		select {
+		case <-hangups:
+			instance.Reloader.Reload()
+		case <-ctx.Done():
+			instance.leave()
+			return nil
+		case err := <-forwarding:
+			return err
+		}
+	}
+}
+
 // leave has the fabric send packets elsewhere and goes on until none comes any more.
 func (instance *instance) leave() {
 	instance.Recorder.Event(logger.EventStopping, "instance", instance.Entrance.Instance)
 	instance.Door.Close()
 	instance.Relayer.Leave()
 	startedAt := time.Now()
-	deadline := startedAt.Add(time.Duration(instance.Entrance.StopTimeout) - stopMargin)
+	deadline := startedAt.Add(time.Duration(instance.Reloader.Current().StopTimeout) - stopMargin)
 	for now := startedAt; now.Before(deadline); now = time.Now() {
 		last := instance.Socket.LastPacket()
 		if now.Sub(last) > lingerTime && now.Sub(startedAt) > lingerTime {
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,7 +20,7 @@
 type Recorder struct {
 	rare     logr.Logger
 	frequent logr.Logger
-	flows    bool // whether lines about single flows are written
+	flows    atomic.Bool // whether lines about single flows are written
 	counters *expvar.Map
 	opening  *expvar.Map
 	response *expvar.Map
@@ -35,16 +36,22 @@
 
 // NewRecorder returns a Recorder that writes into queue.
 func NewRecorder(entrance *configurer.Entrance, queue *logger.Queue) *Recorder {
-	return &Recorder{
+	recorder := &Recorder{
 		rare:     logger.New(queue.Rare(), entrance.Log.Format, entrance.Log.Verbosity),
 		frequent: logger.New(queue.Frequent(), entrance.Log.Format, entrance.Log.Verbosity),
-		flows:    entrance.Log.Verbosity >= flowVerbosity,
 		counters: &expvar.Map{},
 		opening:  &expvar.Map{},
 		response: &expvar.Map{},
 		queue:    queue,
 		outages:  map[string]bool{},
 	}
+	recorder.SetVerbosity(entrance.Log.Verbosity)
+	return recorder
+}
+
+// SetVerbosity sets whether lines about single flows are written.
+func (recorder *Recorder) SetVerbosity(verbosity int) {
+	recorder.flows.Store(verbosity >= flowVerbosity)
 }
 
 func (recorder *Recorder) publish(vars *expvar.Map) {
@@ -73,7 +80,7 @@
 
 // Decided writes the line of one decision about a flow.
 func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
-	if !recorder.flows {
+	if !recorder.flows.Load() {
 		return
 	}
 	fields := []any{"flow", flowName(verdict.Flow), "reason", string(verdict.Reason)}
@@ -98,7 +105,7 @@
 	if summary.Response > 0 {
 		recorder.response.Add(bucket(summary.Response), 1)
 	}
-	if !recorder.flows {
+	if !recorder.flows.Load() {
 		return
 	}
 	logger.Event(recorder.frequent, logger.EventFlowEnded, "flow", flowName(summary.Flow),
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -23,6 +23,8 @@
 	EventPacketNotSent     decider.EventKind = 109
 	EventInstancesNotTaken decider.EventKind = 110
 	EventReadiness         decider.EventKind = 111
+	EventSettingsLoaded    decider.EventKind = 112
+	EventSettingsInvalid   decider.EventKind = 113
 
 	EventConfigurationTaken decider.EventKind = 501
 	EventServerChanged      decider.EventKind = 502
@@ -47,6 +49,8 @@
 	EventPacketNotSent:     "packet was not sent",
 	EventInstancesNotTaken: "list of instances is not valid",
 	EventReadiness:         "readiness changed",
+	EventSettingsLoaded:    "settings loaded again",
+	EventSettingsInvalid:   "settings have findings and are not taken",
 
 	EventConfigurationTaken: "configuration in force on this instance",
 	EventServerChanged:      "backend server changed",
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -238,7 +238,10 @@
 		if ctx.Err() != nil || relayer.viewer.Current().Complete() {
 			return
 		}
-		for _, seed := range relayer.seeds {
+		relayer.mutex.Lock()
+		seeds := relayer.seeds
+		relayer.mutex.Unlock()
+		for _, seed := range seeds {
 			if seed != relayer.self.Control {
 				relayer.fetch(ctx, Member{Name: seed.String(), Control: seed})
 			}
@@ -254,6 +257,13 @@
 	relayer.tellAll()
 }
 
+// SetSeeds replaces the instances that are asked for a first view.
+func (relayer *Relayer) SetSeeds(seeds []netip.AddrPort) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.seeds = seeds
+}
+
 // Instances returns how many instances are known to share the load, this one included.
 func (relayer *Relayer) Instances() int {
 	relayer.mutex.Lock()
