--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,135 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newPlacer(seed uint64) *Placer {
+	return NewPlacer("dakar-1", func() int { return 1 }, rand.New(rand.NewPCG(seed, seed)))
+}
+
+func candidates(names ...string) []*viewer.BackendServer {
+	var servers []*viewer.BackendServer
+	for _, name := range names {
+		servers = append(servers, &viewer.BackendServer{Name: name, Service: "desk-sync", FailureDomain: "dakar-1", Slots: 3})
+	}
+	return servers
+}
+
+// counts places flows that stay open and counts them by server.
+func counts(placer *Placer, servers []*viewer.BackendServer, flows int) map[string]int {
+	result := map[string]int{}
+	for range flows {
+		server := placer.Place(servers, nil, start)
+		placer.Opened(server, start)
+		result[server.Name]++
+	}
+	return result
+}
+
+func TestWithoutCandidatesNothingIsPlaced(t *testing.T) {
+	assert.Assert(t, newPlacer(1).Place(nil, nil, start) == nil)
+}
+
+func TestOpenFlowsAreSpreadEvenly(t *testing.T) {
+	for seed := range uint64(20) {
+		for name, count := range counts(newPlacer(seed), candidates("a", "b", "c", "d"), 200) {
+			assert.Assert(t, count >= 45 && count <= 55, "seed %d: %s got %d of 200", seed, name, count)
+		}
+	}
+}
+
+func TestWithoutKnowledgeInstancesDoNotChooseTheSameServer(t *testing.T) {
+	servers := candidates("a", "b", "c", "d", "e", "f", "g", "h")
+	first := map[string]int{}
+	for seed := range uint64(800) {
+		first[newPlacer(seed).Place(servers, nil, start).Name]++
+	}
+	for _, server := range servers {
+		assert.Assert(t, first[server.Name] > 60 && first[server.Name] < 140, "%s is the first choice of %d of 800", server.Name, first[server.Name])
+	}
+}
+
+func TestASlowServerGetsLess(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("slow", "fast")
+	for range 200 {
+		placer.Took(servers[0], 90*time.Millisecond, start)
+		placer.Took(servers[1], 30*time.Millisecond, start)
+	}
+	result := counts(placer, servers, 100)
+	assert.Assert(t, result["fast"] > 2*result["slow"], "%v", result)
+	assert.Assert(t, result["slow"] > 0)
+}
+
+func TestTheOwnFailureDomainComesFirst(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("near", "far")
+	servers[1].FailureDomain = "dakar-2"
+	result := counts(placer, servers, 100)
+	assert.Assert(t, result["near"] > result["far"], "%v", result)
+}
+
+func TestASilentServerIsHeldOffAndTriedAgain(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a", "b")
+	assert.Assert(t, !placer.Silent(servers[0], start), "one lost packet is no evidence")
+	assert.Assert(t, placer.Silent(servers[0], start))
+	for range 50 {
+		assert.Equal(t, placer.Place(servers, nil, start).Name, "b")
+	}
+	later := start.Add(firstHold)
+	tried := false
+	for range 50 {
+		tried = tried || placer.Place(servers, nil, later).Name == "a"
+	}
+	assert.Assert(t, tried)
+	assert.Assert(t, placer.Silent(servers[0], later), "after a pause one more silent opening is enough")
+	assert.Equal(t, placer.Place(servers, nil, later.Add(firstHold)).Name, "b")
+	placer.Accepted(servers[0], later)
+	assert.Assert(t, !placer.Silent(servers[0], later))
+}
+
+func TestAServerThatStartsAgainIsNotHeldOff(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a")
+	placer.Silent(servers[0], start)
+	placer.Silent(servers[0], start)
+	again := *servers[0]
+	again.StartedAt = 7
+	both := append(candidates("b"), &again)
+	tried := false
+	for range 50 {
+		tried = tried || placer.Place(both, nil, start).Name == "a"
+	}
+	assert.Assert(t, tried)
+}
+
+func TestWhenAllAreHeldOffOneIsUsedAllTheSame(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a", "b")
+	for _, server := range servers {
+		placer.Silent(server, start)
+		placer.Silent(server, start)
+	}
+	assert.Assert(t, placer.Place(servers, nil, start) != nil)
+}
+
+func TestTriedServersAreAvoided(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a", "b")
+	for range 50 {
+		assert.Equal(t, placer.Place(servers, servers[:1], start).Name, "b")
+	}
+	assert.Assert(t, placer.Place(servers, servers, start) != nil)
+}
+
+func TestForgetDropsServersThatWereNotTouched(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a", "b")
+	placer.Opened(servers[0], start)
+	placer.Opened(servers[1], start.Add(time.Minute))
+	placer.Forget(start.Add(time.Second))
+	assert.Equal(t, len(placer.servers), 1)
+}
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -14,8 +14,8 @@
 	}
 	now := time.Now()
 	relayer.mutex.Lock()
-	first := relayer.listedAt.IsZero()
-	relayer.listedAt = now
+	first := !relayer.listed
+	relayer.listedAt, relayer.listed = now, true
 	relayer.mutex.Unlock()
 	relayer.merge(members, now)
 	if first {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -74,8 +74,8 @@
 	members  map[string]*peer
 	leaving  bool
 	busy     map[string]bool // calls under way
-	listedAt time.Time       // when the members were last read
-	wake     chan struct{}   // ends the wait of the configuration's follower
+	listedAt time.Time       // when the members were last read, or the start
+	listed   bool            // whether they were ever read
 	digest   uint64
 	digestOf uint64 // revision of the servers that digest describes
 }
@@ -92,7 +92,7 @@
 func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, observer Observer) *Relayer {
 	return &Relayer{
 		self: self, viewer: current, source: source, network: network, observer: observer, seeds: seeds,
-		members: map[string]*peer{}, busy: map[string]bool{},
+		members: map[string]*peer{}, busy: map[string]bool{}, listedAt: time.Now(),
 	}
 }
 
@@ -219,12 +219,14 @@
 	}
 }
 
-// register writes this instance into the list of members.
+// register writes this instance into the list of members, and then reads the
+// list: of instances that start together, the last one finds all others.
 func (relayer *Relayer) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := relayer.source.Register(ctx, relayer.self)
 		relayer.reached(ctx, "register", err)
 		if err == nil {
+			relayer.once("members", func() { relayer.readMembers(ctx) })
 			return
 		}
 		sleep(ctx, 2*retryInterval)
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -19,8 +19,8 @@
 	maxFlows = 20_000
 )
 
-// placer is what the steerer needs of the choice of servers.
-type placer interface {
+// serverPlacer is what the steerer needs of the choice of servers.
+type serverPlacer interface {
 	Place(candidates, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer
 	Opened(server *viewer.BackendServer, now time.Time)
 	Closed(server *viewer.BackendServer, now time.Time)
@@ -53,7 +53,7 @@
 // Steerer decides for the packets of one instance; it is not safe for concurrent use.
 type Steerer struct {
 	viewer   func() *viewer.View
-	placer   placer
+	placer   serverPlacer
 	observer Observer
 	random   *rand.Rand
 	flows    map[Flow]*flow
@@ -63,7 +63,7 @@
 }
 
 // NewSteerer returns a Steerer that decides by the view that current returns.
-func NewSteerer(current func() *viewer.View, placer placer, observer Observer, random *rand.Rand) *Steerer {
+func NewSteerer(current func() *viewer.View, placer serverPlacer, observer Observer, random *rand.Rand) *Steerer {
 	return &Steerer{viewer: current, placer: placer, observer: observer, random: random, flows: map[Flow]*flow{}}
 }
 
