Read the servers before the configuration, and the store less often

The reader had read the configuration before and the servers after the change; the revision of the servers then stood for a view that lacked it, so no probe found anything new until 20.6 s. Ruled out: history that was dropped (no watch is used), an instance that lags (all seven had version 7). Change: the servers are read first.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -39,6 +39,7 @@
 	cut           map[string]bool // failure domains that reach only themselves
 	nodes         map[netip.AddrPort]*node
 	started       []*node
+	nextVersion   uint64 // comes into force right after the configuration was read
 }
 
 // node is one instance in the world.
@@ -141,7 +142,13 @@
 }
 
 func (node *node) Configuration(ctx context.Context) (configuration *viewer.Configuration, err error) {
-	err = node.call(ctx, func(world *world) { configuration = world.configuration })
+	err = node.call(ctx, func(world *world) {
+		configuration = world.configuration
+		if world.nextVersion > configuration.Version {
+			world.configuration = &viewer.Configuration{Version: world.nextVersion}
+			world.revision++
+		}
+	})
 	return configuration, err
 }
 
@@ -284,6 +291,13 @@
 	})
 }
 
+func TestAChangeBetweenTwoCallsOfAReadIsNotMissed(t *testing.T) {
+	play(t, 3, func(world *world, nodes []*node) {
+		world.change(func() { world.nextVersion = 2 }) // any change has the store read
+		assertKnown(t, 2, nodes)
+	})
+}
+
 func TestALeavingServerIsKnownEverywhereInTime(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		world.change(func() { world.servers[0] = backendServer("a", parser.Leaving) })
@@ -400,6 +414,22 @@
 	})
 }
 
+func TestAStoreThatIsAwayIsTriedByFew(t *testing.T) {
+	play(t, 30, func(world *world, nodes []*node) {
+		world.change(func() { world.down = true })
+		time.Sleep(10 * time.Second)
+		world.takeCalls()
+		time.Sleep(32 * time.Second)
+		calls := world.takeCalls()
+		// The two that lead each failure domain try every interval, the others every 3.2 s.
+		limit := 6*40 + len(nodes)*10 + len(nodes)
+		assert.Assert(t, calls <= limit, "%d calls in 32 s, limit %d", calls, limit)
+		world.change(func() { world.down = false })
+		world.publish(2)
+		assertKnown(t, 2, nodes)
+	})
+}
+
 func TestAStoreThatReturnsIsNotStormed(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
 		world.change(func() { world.down = true })
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -14,8 +14,8 @@
 	Control       netip.AddrPort `json:"control"` // serves the view, over HTTP
 }
 
-// leadsPerDomain is how many instances of another failure domain are told
-// directly; they tell the rest of theirs.
+// leadsPerDomain is how many instances lead a failure domain: those of the
+// others are told directly and tell the rest of theirs.
 const leadsPerDomain = 2
 
 // order sorts members so that the first of each failure domain come before the
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -108,7 +108,6 @@
 func (relayer *Relayer) Tick(ctx context.Context, now time.Time) {
 	relayer.mutex.Lock()
 	due := !relayer.leaving && relayer.turn.Due(now)
-	list := due && now.Sub(relayer.listedAt) >= directoryInterval
 	if due {
 		relayer.turn.Attempted(now)
 	}
@@ -119,9 +118,6 @@
 	if due {
 		relayer.once("read", func() { relayer.read(ctx) })
 	}
-	if list {
-		relayer.once("members", func() { relayer.readMembers(ctx) })
-	}
 }
 
 // once runs call in the background unless it is running already.
@@ -140,27 +136,46 @@
 	}()
 }
 
-// read brings the view up to date with the store, and tells the others also
-// when it could not, since one that has just started may know nothing.
+// read brings the view up to date with the store and tells the others. An
+// instance that leads tells them also when it could not read, since one that
+// has just started may know nothing.
 func (relayer *Relayer) read(ctx context.Context) {
 	startedAt := time.Now()
 	err := relayer.readChanges(ctx)
 	relayer.reached(ctx, "read", err)
+	relayer.mutex.Lock()
+	lead, list := relayer.turn.lead, startedAt.Sub(relayer.listedAt) >= directoryInterval
+	if err == nil {
+		relayer.turn.Succeeded()
+	} else {
+		relayer.turn.Failed()
+	}
+	relayer.mutex.Unlock()
 	if err == nil {
 		relayer.fresh(startedAt)
 	}
-	relayer.tellAll()
+	if err == nil || lead {
+		relayer.tellAll()
+	}
+	if err == nil && list {
+		relayer.once("members", func() { relayer.readMembers(ctx) })
+	}
 }
 
 // readChanges reads the servers and the configuration unless the store's revision is known.
 func (relayer *Relayer) readChanges(ctx context.Context) error {
-	revision, err := relayer.source.Revision(ctx)
+	if view := relayer.viewer.Current(); view.Complete() {
+		revision, err := relayer.source.Revision(ctx)
+		if err != nil || view.Servers.Revision >= revision {
+			return err
+		}
+	}
+	// The revision of the servers stands for the whole view, so the configuration
+	// is read after them: it may be newer than the revision says, never older.
+	servers, err := relayer.source.Servers(ctx)
 	if err != nil {
 		return err
 	}
-	if view := relayer.viewer.Current(); view.Complete() && view.Servers.Revision >= revision {
-		return nil
-	}
 	configuration, err := relayer.source.Configuration(ctx)
 	if err != nil {
 		return err
@@ -168,10 +183,6 @@
 	if configuration != nil {
 		relayer.takeConfiguration(configuration, "store")
 	}
-	servers, err := relayer.source.Servers(ctx)
-	if err != nil {
-		return err
-	}
 	relayer.takeServers(servers, "store")
 	return nil
 }
@@ -289,9 +300,9 @@
 
 // rerank sets the rank after the members have changed; the mutex is held.
 func (relayer *Relayer) rerank() {
-	sorted, _ := order(relayer.list())
+	sorted, positions := order(relayer.list())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
-	relayer.turn.SetRank(rank)
+	relayer.turn.SetRank(rank, positions[relayer.self.Name] < leadsPerDomain)
 }
 
 // list returns all members that are not leaving, this instance included; the mutex is held.
--- a/relayer/turn.go
+++ b/relayer/turn.go
@@ -12,11 +12,16 @@
 	// rankDelay keeps the instances from reading at once, up to maxDelay.
 	rankDelay = 60 * time.Millisecond
 	maxDelay  = time.Second
+	// maxDoublings bounds the interval at which an instance that leads no failure
+	// domain tries a store that does not answer, to 3.2 s.
+	maxDoublings = 2
 )
 
 // Turn decides when an instance reads the store.
 type Turn struct {
 	rank      int       // position in the order in which instances read
+	lead      bool      // one of the first of its failure domain
+	failures  int       // reads in a row that failed
 	freshAt   time.Time // when the store last answered this instance or the one that told it
 	attemptAt time.Time // when this instance last tried to read
 }
@@ -31,12 +36,19 @@
 // Attempted says that the instance tries to read.
 func (turn *Turn) Attempted(now time.Time) { turn.attemptAt = now }
 
-// SetRank sets the position of the instance; 0 reads before all others.
-func (turn *Turn) SetRank(rank int) { turn.rank = rank }
+// Succeeded says that the store answered.
+func (turn *Turn) Succeeded() { turn.failures = 0 }
+
+// Failed says that the store did not answer.
+func (turn *Turn) Failed() { turn.failures++ }
+
+// SetRank sets the position of the instance, 0 reads before all others, and
+// whether it leads its failure domain.
+func (turn *Turn) SetRank(rank int, lead bool) { turn.rank, turn.lead = rank, lead }
 
 // Due reports whether the instance should read now.
 func (turn *Turn) Due(now time.Time) bool {
-	if now.Sub(turn.attemptAt) < ReadInterval {
+	if now.Sub(turn.attemptAt) < turn.pause() {
 		return false
 	}
 	return now.Sub(turn.freshAt) >= ReadInterval+turn.delay()
@@ -45,6 +57,15 @@
 // Age returns how old the newest knowledge is.
 func (turn *Turn) Age(now time.Time) time.Duration { return now.Sub(turn.freshAt) }
 
+// pause is the shortest time between two reads. Those that lead keep trying, so
+// that the return of the store is noticed; the others are told by them.
+func (turn *Turn) pause() time.Duration {
+	if turn.lead {
+		return ReadInterval
+	}
+	return ReadInterval << min(turn.failures, maxDoublings)
+}
+
 func (turn *Turn) delay() time.Duration {
 	if turn.rank == 0 {
 		return 0
