--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,7 +9,7 @@
 
 const (
 	// timeGain is the weight of a new sample in the average time of a flow.
-	timeGain = 0.05
+	timeGain = 0.15
 	// maxTimeRatio bounds how far a server's time can lie from its service's.
 	maxTimeRatio = 4.0
 	// remotePenalty multiplies the cost of a server in another failure domain.
@@ -17,7 +17,7 @@
 	// coldPenalty multiplies the cost of a server that has just started.
 	coldPenalty = 1.6
 	// choices is how many candidates are compared for one flow.
-	choices = 2
+	choices = 3
 )
 
 // Placer keeps what is known of the load of every backend server.
