Say in the log what decided each flow and how it ended

Lines about flows carry the action, the number of candidates and of servers tried before, the version, revision and age of the view; an ended flow says how it ended. Dropped lines are counted and said. Tests start an instance on loopback and follow three failed requests from the caller's address to the cause. The placer forgets servers that are gone.

--- a/director/director.go
+++ b/director/director.go
@@ -84,7 +84,6 @@
 	dig.In
 
 	Entrance *configurer.Entrance
-	Queue    *logger.Queue
 	Recorder *Recorder
 	Reloader *Reloader
 	Viewer   *viewer.Viewer
@@ -162,6 +161,7 @@
 		instance.Relayer.SetSeeds(entrance.Seeds)
 		instance.Recorder.SetVerbosity(entrance.Log.Verbosity)
 	})
+	instance.Recorder.SetAge(instance.Relayer.Age)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.Entrance.Instance,
 		"failure_domain", instance.Entrance.FailureDomain, "packet_address", instance.Entrance.PacketAddress.String())
 	go instance.Network.Run(func(content []byte) {
@@ -174,7 +174,7 @@
 	go instance.Relayer.Run(work)
 	instance.Relayer.Tick(work, time.Now())
 	defer instance.Ticker.Subscribe(turnInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
-	defer instance.Ticker.Subscribe(logInterval, func(time.Time) { instance.Queue.Flush() })()
+	defer instance.Ticker.Subscribe(logInterval, instance.Recorder.Flush)()
 	defer instance.Ticker.Subscribe(settingsInterval, instance.Reloader.Look)()
 	err := instance.wait(ctx, hangups, forwarding)
 	instance.Recorder.Event(logger.EventStopped, "instance", instance.Entrance.Instance)
--- /dev/null
+++ b/director/explain_test.go
@@ -0,0 +1,195 @@
+package director
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/pimentowind/pimentowind/internal/standin"
+)
+
+// Offsets in a packet's head, and flags, as published.
+const (
+	headLength  = 34
+	tokenOffset = 24
+	flagsOffset = 30
+	flagACK     = 4
+	flagSYN     = 8
+	flagRST     = 32
+)
+
+// site is one instance with a store, a caller and two backend servers, on loopback.
+type site struct {
+	t          *testing.T
+	store      *standin.Store
+	log        *syncBuffer
+	packetPort uint16
+	caller     *net.UDPConn // callers take packets at the port of the instance's packet address
+	live, dead *net.UDPConn
+}
+
+func listenUDP(t *testing.T, address string, port uint16) *net.UDPConn {
+	t.Helper()
+	connection, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(address), port)))
+	assert.NilError(t, err)
+	t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	settings := sampleSettings(t)
+	settings["store_address"] = strings.TrimPrefix(server.URL, "http://")
+	file := filepath.Join(t.TempDir(), "settings.json")
+	writeSettings(t, file, settings)
+	packetAddress := netip.MustParseAddrPort(settings["packet_address"].(string))
+	site := &site{
+		t: t, store: store, log: &syncBuffer{}, packetPort: packetAddress.Port(),
+		caller: listenUDP(t, "127.0.0.2", packetAddress.Port()),
+		live:   listenUDP(t, "127.0.0.1", 0),
+		dead:   listenUDP(t, "127.0.0.1", 0),
+	}
+	store.Put("config", "main", `{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","path_prefix":"/443/","service":"desk-sync"}]}`)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, file, site.log) }()
+	t.Cleanup(func() {
+		stop()
+		assert.NilError(t, <-ended)
+	})
+	poll.WaitOn(t, site.log.contains("configuration in force"))
+	return site
+}
+
+// addServer writes a backend server's entry and waits until the instance has it.
+func (site *site) addServer(name string, connection *net.UDPConn) {
+	site.t.Helper()
+	site.store.Put("servers", name, fmt.Sprintf(
+		`{"service":"desk-sync","address":"%s","zone":"dakar-1","slots":3,"state":"ready","born":1}`, connection.LocalAddr()))
+	poll.WaitOn(site.t, site.log.contains(fmt.Sprintf(`"backend_server":"%s"`, name)))
+}
+
+// send sends a caller's packet from port to the service at address.
+func (site *site) send(port uint16, address string, token uint32, flags byte) {
+	site.t.Helper()
+	service := netip.MustParseAddrPort(address)
+	head := make([]byte, headLength)
+	binary.BigEndian.PutUint16(head[0:], port)
+	serviceAddress := service.Addr().As4()
+	copy(head[2:], serviceAddress[:])
+	copy(head[6:], []byte{127, 0, 0, 2})
+	binary.BigEndian.PutUint16(head[10:], service.Port())
+	binary.BigEndian.PutUint32(head[tokenOffset:], token)
+	head[flagsOffset] = flags
+	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), site.packetPort)
+	_, err := site.caller.WriteToUDPAddrPort(head, to)
+	assert.NilError(site.t, err)
+}
+
+func receive(t *testing.T, connection *net.UDPConn) []byte {
+	t.Helper()
+	assert.NilError(t, connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+	buffer := make([]byte, 2048)
+	count, err := connection.Read(buffer)
+	assert.NilError(t, err)
+	return buffer[:count]
+}
+
+// lines returns the log lines about a flow, oldest first.
+func (site *site) lines(port uint16) []map[string]any {
+	site.t.Helper()
+	site.log.mutex.Lock()
+	defer site.log.mutex.Unlock()
+	var found []map[string]any
+	for _, line := range strings.Split(site.log.buffer.String(), "\n") {
+		if !strings.Contains(line, fmt.Sprintf(`"flow":"127.0.0.2:%d>`, port)) {
+			continue
+		}
+		var fields map[string]any
+		assert.NilError(site.t, json.Unmarshal([]byte(line), &fields))
+		found = append(found, fields)
+	}
+	return found
+}
+
+// awaitLine returns the first line about a flow that has the value in the field.
+func (site *site) awaitLine(port uint16, field string, value any) map[string]any {
+	site.t.Helper()
+	var found map[string]any
+	poll.WaitOn(site.t, func(poll.LogT) poll.Result {
+		for _, line := range site.lines(port) {
+			if line[field] == value {
+				found = line
+				return poll.Success()
+			}
+		}
+		return poll.Continue("no line about port %d with %s %v", port, field, value)
+	})
+	return found
+}
+
+// These tests follow docs/OPERATIONS.md: from the flow that a caller names to the cause.
+
+func TestTheLogSaysWhyAnOpeningWasRefused(t *testing.T) {
+	site := newSite(t)
+	site.send(1001, "198.18.0.9:443", 0, flagSYN)
+	reset := receive(t, site.caller)
+	assert.Equal(t, reset[flagsOffset], byte(flagRST))
+	line := site.awaitLine(1001, "reason", "no_route")
+	assert.Equal(t, line["action"], "reset")
+	assert.Equal(t, line["configuration"], 7.0)
+
+	site.send(1002, "198.18.0.1:443", 0, flagSYN)
+	receive(t, site.caller)
+	line = site.awaitLine(1002, "reason", "no_server")
+	assert.Equal(t, line["action"], "reset")
+	assert.Assert(t, line["age_ms"].(float64) < 5000)
+}
+
+func TestTheLogSaysWhyAnOpeningWasSlow(t *testing.T) {
+	site := newSite(t)
+	site.addServer("i-0a", site.dead)
+	site.send(1003, "198.18.0.1:443", 0, flagSYN)
+	receive(t, site.dead)
+	site.addServer("i-0b", site.live)
+	site.send(1003, "198.18.0.1:443", 0, flagSYN)
+	forwarded := receive(t, site.live)
+	assert.Equal(t, binary.BigEndian.Uint64(forwarded), uint64(0x0b))
+	token := binary.BigEndian.Uint32(forwarded[8+tokenOffset:])
+	site.send(1003, "198.18.0.1:443", token, flagACK)
+	receive(t, site.live)
+	assert.Equal(t, site.awaitLine(1003, "reason", "opened")["backend_server"], "i-0a")
+	copied := site.awaitLine(1003, "reason", "opening_repeated")
+	assert.Equal(t, copied["backend_server"], "i-0b")
+	assert.Equal(t, copied["tried"], 1.0)
+}
+
+func TestTheLogSaysWhereAFlowWasWhenItBroke(t *testing.T) {
+	site := newSite(t)
+	site.addServer("i-0a", site.live)
+	site.send(1004, "198.18.0.1:443", 0, flagSYN)
+	forwarded := receive(t, site.live)
+	token := binary.BigEndian.Uint32(forwarded[8+tokenOffset:])
+	site.send(1004, "198.18.0.1:443", token, flagACK)
+	receive(t, site.live)
+	site.store.Remove("servers", "i-0a")
+	poll.WaitOn(t, site.log.contains(`"state":"gone"`))
+	site.send(1004, "198.18.0.1:443", token, flagACK|flagRST)
+	line := site.awaitLine(1004, "end", "aborted")
+	assert.Equal(t, line["backend_server"], "i-0a")
+	assert.Equal(t, line["accepted"], true)
+}
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -25,10 +25,12 @@
 	opening  *expvar.Map
 	response *expvar.Map
 	queue    *logger.Queue
+	age      atomic.Pointer[func(now time.Time) time.Duration] // of the view
 
 	mutex   sync.Mutex
 	outages map[string]bool
 	ready   bool
+	dropped uint64 // log lines, as last said
 }
 
 // flowVerbosity is the verbosity from which lines about single flows are written.
@@ -49,6 +51,22 @@
 	return recorder
 }
 
+// SetAge sets where lines about flows take the age of the view from.
+func (recorder *Recorder) SetAge(age func(now time.Time) time.Duration) { recorder.age.Store(&age) }
+
+// Flush has the waiting lines written, and says how many were dropped since the last time.
+func (recorder *Recorder) Flush(time.Time) {
+	dropped := recorder.queue.Dropped()
+	recorder.mutex.Lock()
+	news := dropped - recorder.dropped
+	recorder.dropped = dropped
+	recorder.mutex.Unlock()
+	if news > 0 {
+		recorder.Event(logger.EventLinesDropped, "lines", news)
+	}
+	recorder.queue.Flush()
+}
+
 // SetVerbosity sets whether lines about single flows are written.
 func (recorder *Recorder) SetVerbosity(verbosity int) {
 	recorder.flows.Store(verbosity >= flowVerbosity)
@@ -83,13 +101,19 @@
 	if !recorder.flows.Load() {
 		return
 	}
-	fields := []any{"flow", flowName(verdict.Flow), "reason", string(verdict.Reason)}
+	fields := []any{"flow", flowName(verdict.Flow), "action", verdict.Action.String(), "reason", string(verdict.Reason)}
 	if verdict.Server != nil {
 		fields = append(fields, "backend_server", verdict.Server.Name)
 	}
+	if verdict.Candidates > 0 {
+		fields = append(fields, "candidates", verdict.Candidates, "tried", verdict.Tried)
+	}
 	if view.Complete() {
 		fields = append(fields, "configuration", view.Configuration.Version, "revision", view.Servers.Revision)
 	}
+	if age := recorder.age.Load(); age != nil {
+		fields = append(fields, "age_ms", (*age)(time.Now()).Milliseconds())
+	}
 	logger.Event(recorder.frequent, logger.EventFlowDecided, fields...)
 }
 
@@ -111,7 +135,7 @@
 	logger.Event(recorder.frequent, logger.EventFlowEnded, "flow", flowName(summary.Flow),
 		"backend_server", summary.Server.Name, "accepted", summary.Accepted,
 		"opening_ms", summary.Opening.Milliseconds(), "response_ms", summary.Response.Milliseconds(),
-		"bytes", summary.Bytes, "reset", summary.Reset)
+		"bytes", summary.Bytes, "end", string(summary.End))
 }
 
 // bucket names the histogram bucket of a duration by its upper bound in milliseconds.
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -25,6 +25,7 @@
 	EventReadiness         decider.EventKind = 111
 	EventSettingsLoaded    decider.EventKind = 112
 	EventSettingsInvalid   decider.EventKind = 113
+	EventLinesDropped      decider.EventKind = 114
 
 	EventConfigurationTaken decider.EventKind = 501
 	EventServerChanged      decider.EventKind = 502
@@ -50,6 +51,7 @@
 	EventInstancesNotTaken: "list of instances is not valid",
 	EventReadiness:         "readiness changed",
 	EventSettingsLoaded:    "settings loaded again",
+	EventLinesDropped:      "log lines were dropped",
 	EventSettingsInvalid:   "settings have findings and are not taken",
 
 	EventConfigurationTaken: "configuration in force on this instance",
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -12,6 +12,8 @@
 	// quietLimit is how long an open flow may stay without packets before it no
 	// longer counts as load.
 	quietLimit = 10 * time.Second
+	// serverMemory is how long a server that is no candidate any more is remembered.
+	serverMemory = 2 * time.Minute
 )
 
 // flow is what an instance remembers of a flow that opened through it.
@@ -29,7 +31,6 @@
 
 	acceptedAt  time.Time
 	requestAt   time.Time // zero until the first data
-	answeredAt  time.Time // when the caller last acknowledged more
 	firstAnswer uint32
 	answer      uint32
 }
@@ -71,17 +72,21 @@
 		known.requestAt = now
 	}
 	if packet.Acknowledge != known.answer {
-		known.answer, known.answeredAt = packet.Acknowledge, now
+		known.answer = packet.Acknowledge
 	}
-	if packet.Flags.FIN || packet.Flags.RST {
-		known.finish(packet.Flags.RST, steerer, now)
+	switch {
+	case packet.Flags.RST:
+		steerer.forget(known, Aborted, now)
+	case packet.Flags.FIN:
+		steerer.took(known, now)
+		steerer.forget(known, Finished, now)
 	}
 }
 
 func (steerer *Steerer) accept(known *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	known.accepted = true
 	known.acceptedAt = now
-	known.opening = nil
+	known.opening, known.tried = nil, nil
 	if known.offeredAt.After(steerer.answered) {
 		steerer.answered = known.offeredAt
 	}
@@ -94,28 +99,37 @@
 	steerer.placer.Accepted(server, now)
 }
 
-func (flow *flow) finish(reset bool, steerer *Steerer, now time.Time) {
-	summary := Summary{
-		Flow: flow.flow, Server: flow.server, Accepted: true, Reset: reset,
-		Opening: flow.acceptedAt.Sub(flow.openedAt), Bytes: flow.answer - flow.firstAnswer,
-	}
-	if !flow.requestAt.IsZero() && flow.answer != flow.firstAnswer {
-		summary.Response = now.Sub(flow.requestAt)
-		if !reset {
-			steerer.placer.Took(flow.server, summary.Response, now)
-		}
+// took tells the placer how long the flow's last response took.
+func (steerer *Steerer) took(known *flow, now time.Time) {
+	if response := known.response(now); response > 0 {
+		steerer.placer.Took(known.server, response, now)
 	}
-	steerer.end(flow, now)
-	steerer.observer.Ended(&summary)
 }
 
-func (steerer *Steerer) end(known *flow, now time.Time) {
+// response returns the time since the request, or 0 before the first answer.
+func (flow *flow) response(now time.Time) time.Duration {
+	if flow.requestAt.IsZero() || flow.answer == flow.firstAnswer {
+		return 0
+	}
+	return now.Sub(flow.requestAt)
+}
+
+// forget ends what is known of a flow, and says so to the observer.
+func (steerer *Steerer) forget(known *flow, end End, now time.Time) {
 	if known.ended {
 		return
 	}
 	known.ended = true
 	steerer.placer.Closed(known.server, now)
 	delete(steerer.flows, known.flow)
+	summary := Summary{Flow: known.flow, Server: known.server, Accepted: known.accepted, Bytes: known.answer - known.firstAnswer, End: end}
+	if known.accepted {
+		summary.Opening = known.acceptedAt.Sub(known.openedAt)
+	}
+	if end == Finished {
+		summary.Response = known.response(now)
+	}
+	steerer.observer.Ended(&summary)
 }
 
 // sweep forgets flows that fell silent.
@@ -124,15 +138,14 @@
 		return
 	}
 	steerer.swept = now
+	steerer.placer.Forget(now.Add(-serverMemory))
 	for _, known := range steerer.flows {
 		limit := quietLimit
 		if !known.accepted {
 			limit = openingLifetime
 		}
-		if now.Sub(known.seenAt) <= limit {
-			continue
+		if now.Sub(known.seenAt) > limit {
+			steerer.forget(known, FellQuiet, now)
 		}
-		steerer.end(known, now)
-		steerer.observer.Ended(&Summary{Flow: known.flow, Server: known.server, Accepted: known.accepted, Bytes: known.answer - known.firstAnswer})
 	}
 }
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -41,6 +41,18 @@
 	Reset        // the caller's flow
 )
 
+// String returns the action's name for logs.
+func (action Action) String() string {
+	switch action {
+	case Send:
+		return "send"
+	case Reset:
+		return "reset"
+	default:
+		return "drop"
+	}
+}
+
 // Verdict says what is done with a packet and why.
 type Verdict struct {
 	Action Action
@@ -49,6 +61,9 @@
 	Flow   Flow
 	Raw    []byte // the packet to send
 	Answer uint32 // where the reset's sequence number lies
+
+	Candidates int // servers that could have been chosen for an opening
+	Tried      int // servers that the opening was sent to before
 }
 
 // Reason names the cause of a verdict; reasons are counted under these names.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -27,6 +27,7 @@
 	Accepted(server *viewer.BackendServer, now time.Time)
 	Silent(server *viewer.BackendServer, now time.Time) bool
 	Took(server *viewer.BackendServer, duration time.Duration, now time.Time)
+	Forget(before time.Time)
 }
 
 // Observer hears of every decision that concerns a whole flow.
@@ -47,9 +48,20 @@
 	Opening  time.Duration // from the first opening to the caller's acknowledgement
 	Response time.Duration // from the request to the end of the response
 	Bytes    uint32        // of the response, as far as the caller acknowledged it
-	Reset    bool          // the caller ended the flow with a reset
+	End      End
 }
 
+// End names how a flow ended for this instance.
+type End string
+
+// Ends of flows.
+const (
+	Finished  End = "finished"   // the caller closed it
+	Aborted   End = "aborted"    // the caller reset it
+	FellQuiet End = "fell_quiet" // no more packets came here
+	Replaced  End = "replaced"   // its caller opened another flow from the same port
+)
+
 // Steerer decides for the packets of one instance; it is not safe for concurrent use.
 type Steerer struct {
 	viewer   func() *viewer.View
@@ -90,7 +102,7 @@
 func (steerer *Steerer) open(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
 	known := steerer.flows[packet.Flow]
 	if known != nil && (known.sequence != packet.Sequence || now.Sub(known.openedAt) > openingLifetime) {
-		steerer.end(known, now)
+		steerer.forget(known, Replaced, now)
 		known = nil
 	}
 	if known != nil && known.accepted {
@@ -122,7 +134,9 @@
 	if known != nil {
 		tried = known.tried
 	}
-	server := steerer.placer.Place(view.Active(steerer.service(route)), tried, now)
+	candidates := view.Active(steerer.service(route))
+	verdict.Candidates, verdict.Tried = len(candidates), len(tried)
+	server := steerer.placer.Place(candidates, tried, now)
 	if server == nil {
 		verdict.Action, verdict.Reason = Reset, NoServer
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -207,6 +207,7 @@
 	assert.Equal(t, summary.Opening, 10*time.Millisecond)
 	assert.Equal(t, summary.Response, 50*time.Millisecond)
 	assert.Equal(t, summary.Bytes, uint32(1000))
+	assert.Equal(t, summary.End, Finished)
 	assert.Equal(t, len(rig.flows), 0)
 }
 
@@ -218,6 +219,7 @@
 	assert.Equal(t, len(rig.flows), 0)
 	assert.Equal(t, len(rig.ended), 1)
 	assert.Assert(t, !rig.ended[0].Accepted)
+	assert.Equal(t, rig.ended[0].End, FellQuiet)
 }
 
 func TestRoutesAreDividedByWeight(t *testing.T) {
