--- a/commander/commander.go
+++ b/commander/commander.go
@@ -93,6 +93,10 @@
 	checkSettings.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
 	checkSettings.Action(command.act(command.checkSettings))
 
+	checkEntrance := settings.Command("check-entrance", "Check a settings file for 'enter' and print every finding.")
+	checkEntrance.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
+	checkEntrance.Action(command.act(command.checkEntrance))
+
 	command.sheetCommands(application)
 	command.calendarCommands(application)
 	command.keyCommands(application)
@@ -173,6 +177,15 @@
 	return nil
 }
 
+func (command *command) checkEntrance() error {
+	entrance, err := configurer.ReadEntrance(command.file)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(command.output, "%s: settings of instance %q are right\n", command.file, entrance.Instance)
+	return nil
+}
+
 func (command *command) makeAuthority() error {
 	pair, err := issuer.NewAuthority(time.Now())
 	if err != nil {
--- /dev/null
+++ b/configurer/entrance_test.go
@@ -0,0 +1,54 @@
+package configurer
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const entranceSample = `{"instance": "lb-1", "failure_domain": "dakar-1", "address": "10.1.0.10",
+  "packet_address": "10.1.0.10:8172", "ready_address": "10.1.0.10:8167", "control_address": "10.1.0.10:8166",
+  "peer_ports": [7720, 7735], "store_address": "10.200.1.7:8169"}`
+
+func readEntrance(t *testing.T, content string) (*Entrance, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
+	return ReadEntrance(file)
+}
+
+func TestReadEntranceFillsDefaults(t *testing.T) {
+	entrance, err := readEntrance(t, entranceSample)
+	assert.NilError(t, err)
+	assert.Equal(t, entrance.StopTimeout, defaultStopTimeout)
+	assert.Equal(t, entrance.Log.Format, "json")
+	assert.Equal(t, entrance.PeerAddress().String(), "10.1.0.10:7720")
+}
+
+func TestReadEntranceFindings(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"unknown key", `"instance"`, `"machine"`, `unknown field "machine"`},
+		{"no instance", `"lb-1"`, `""`, "instance: must not be empty"},
+		{"IPv6", `"address": "10.1.0.10"`, `"address": "::1"`, "address: must be an IPv4 address"},
+		{"no ports", `[7720, 7735]`, `[]`, "peer_ports: must name at least one port"},
+		{"port too large", `7735`, `77350`, "settings.json: line"},
+		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
+		{"cut short", `}`, ``, "unexpected EOF"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := readEntrance(t, strings.Replace(entranceSample, c.old, c.new, 1))
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestReadEntranceReportsAllFindingsTogether(t *testing.T) {
+	_, err := readEntrance(t, `{}`)
+	findings, ok := err.(Findings)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(findings), 8)
+}
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -9,8 +9,11 @@
 const (
 	// sweepInterval is how often forgotten flows are looked for.
 	sweepInterval = time.Second
-	// quietLimit is how long an open flow may stay without packets before it no
-	// longer counts as load.
+	// loadLimit is how long an open flow may stay without packets before it no
+	// longer counts as load: it pauses between requests, or its packets take
+	// another way now.
+	loadLimit = 2 * time.Second
+	// quietLimit is how long a flow without packets is remembered.
 	quietLimit = 10 * time.Second
 	// serverMemory is how long a server that is no candidate any more is remembered.
 	serverMemory = 2 * time.Minute
@@ -28,6 +31,7 @@
 	seenAt    time.Time
 	accepted  bool
 	ended     bool
+	counted   bool // as load of server
 
 	acceptedAt  time.Time
 	requestAt   time.Time // zero until the first data
@@ -51,23 +55,34 @@
 
 // offer counts the flow as load of the server that its opening is sent to.
 func (steerer *Steerer) offer(known *flow, server *viewer.BackendServer, now time.Time) {
-	if known.server != nil {
-		steerer.placer.Closed(known.server, now)
-	}
-	known.server = server
+	steerer.count(known, server, now)
 	known.offeredAt = now
 	known.seenAt = now
 	known.tried = append(known.tried, server)
-	steerer.placer.Opened(server, now)
 	steerer.pending = append(steerer.pending, known)
 }
 
+// count has the flow count as load of a server, or of none when it is nil.
+func (steerer *Steerer) count(known *flow, server *viewer.BackendServer, now time.Time) {
+	if known.counted {
+		steerer.placer.Closed(known.server, now)
+	}
+	known.counted = server != nil
+	if server != nil {
+		known.server = server
+		steerer.placer.Opened(server, now)
+	}
+}
+
 // observe learns from a later packet of a caller.
 func (steerer *Steerer) observe(known *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	known.seenAt = now
 	if !known.accepted {
 		steerer.accept(known, packet, server, now)
 	}
+	if packet.Length > 0 && !known.counted {
+		steerer.count(known, server, now)
+	}
 	if packet.Length > 0 && (known.requestAt.IsZero() || packet.Acknowledge != known.answer) {
 		known.requestAt = now
 	}
@@ -92,9 +107,7 @@
 	}
 	known.firstAnswer, known.answer = packet.Acknowledge, packet.Acknowledge
 	if !server.Same(known.server) {
-		steerer.placer.Closed(known.server, now)
-		steerer.placer.Opened(server, now)
-		known.server = server
+		steerer.count(known, server, now)
 	}
 	steerer.placer.Accepted(server, now)
 }
@@ -120,7 +133,7 @@
 		return
 	}
 	known.ended = true
-	steerer.placer.Closed(known.server, now)
+	steerer.count(known, nil, now)
 	delete(steerer.flows, known.flow)
 	summary := Summary{Flow: known.flow, Server: known.server, Accepted: known.accepted, Bytes: known.answer - known.firstAnswer, End: end}
 	if known.accepted {
@@ -144,8 +157,11 @@
 		if !known.accepted {
 			limit = openingLifetime
 		}
-		if now.Sub(known.seenAt) > limit {
+		switch quiet := now.Sub(known.seenAt); {
+		case quiet > limit:
 			steerer.forget(known, FellQuiet, now)
+		case quiet > loadLimit:
+			steerer.count(known, nil, now)
 		}
 	}
 }
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -211,6 +211,40 @@
 	assert.Equal(t, len(rig.flows), 0)
 }
 
+// load counts the flows that are open at each server, as the placer is told.
+type load struct {
+	*placer.Placer
+	open map[string]int
+}
+
+func (load *load) Opened(server *viewer.BackendServer, now time.Time) {
+	load.open[server.Name]++
+	load.Placer.Opened(server, now)
+}
+
+func (load *load) Closed(server *viewer.BackendServer, now time.Time) {
+	load.open[server.Name]--
+	load.Placer.Closed(server, now)
+}
+
+func TestAFlowThatPausesIsNoLoad(t *testing.T) {
+	rig := newRig("a")
+	load := &load{Placer: rig.placer.(*placer.Placer), open: map[string]int{}}
+	rig.placer = load
+	token := tokenOf("a")
+	rig.Packet(opening(1), start)
+	rig.Packet(opening(1), start.Add(200*time.Millisecond))
+	rig.Packet(later(1, token, 100, 50, Flags{}), start.Add(300*time.Millisecond))
+	assert.Equal(t, load.open["a"], 1)
+	pause := start.Add(5 * time.Second)
+	rig.Overdue(pause, start)
+	assert.Equal(t, load.open["a"], 0)
+	rig.Packet(later(1, token, 1100, 50, Flags{}), pause)
+	assert.Equal(t, load.open["a"], 1)
+	rig.Packet(later(1, token, 2100, 0, Flags{FIN: true}), pause)
+	assert.Equal(t, load.open["a"], 0)
+}
+
 func TestForgottenFlowsAreNoLoad(t *testing.T) {
 	rig := newRig("a")
 	rig.Packet(opening(1), start)
