--- a/storer/doc.go
+++ b/storer/doc.go
@@ -1,4 +1,5 @@
-// Package storer reads, conditionally updates and watches objects of the
-// platform's object API over HTTP. Versions travel as entity tags and
-// conditions as If-Match (RFC 9110 section 13.1); a watch is a long poll.
+// Package storer calls platforms over HTTP. A Client makes the calls and tells
+// their outcomes apart; a Storer reads, conditionally updates and watches objects
+// of the object API of the product itself, where versions travel as entity tags
+// and conditions as If-Match (RFC 9110 section 13.1) and a watch is a long poll.
 package storer
