--- a/director/director.go
+++ b/director/director.go
@@ -36,6 +36,9 @@
 	// collectionPercent is how far the heap grows between collections; memory is
 	// scarcer on the instances than processor time.
 	collectionPercent = 20
+	// startTime is how long an instance collects garbage as seldom as by default:
+	// after its start it has to work off a burst.
+	startTime = 3 * time.Second
 )
 
 // parts makes the parts of an instance and keeps their clean-up functions.
@@ -48,7 +51,7 @@
 // Run runs the instance that the settings file describes until ctx ends, and
 // then stops it gracefully. A hangup signal has the file read again.
 func Run(ctx context.Context, file string, output io.Writer) error {
-	debug.SetGCPercent(collectionPercent)
+	time.AfterFunc(startTime, func() { debug.SetGCPercent(collectionPercent) })
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
