--- a/director/director.go
+++ b/director/director.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -32,6 +33,12 @@
 	stopMargin = time.Second
 	// lingerTime is how long a leaving instance goes on after its last packet.
 	lingerTime = 1500 * time.Millisecond
+	// collectionPercent is how far the heap grows between collections; memory is
+	// scarcer on the instances than processor time.
+	collectionPercent = 20
+	// startTime is how long an instance collects garbage as seldom as by default:
+	// after its start it has to work off a burst.
+	startTime = 3 * time.Second
 )
 
 // parts makes the parts of an instance and keeps their clean-up functions.
@@ -44,6 +51,7 @@
 // Run runs the instance that the settings file describes until ctx ends, and
 // then stops it gracefully. A hangup signal has the file read again.
 func Run(ctx context.Context, file string, output io.Writer) error {
+	time.AfterFunc(startTime, func() { debug.SetGCPercent(collectionPercent) })
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -84,7 +92,6 @@
 	dig.In
 
 	Entrance *configurer.Entrance
-	Queue    *logger.Queue
 	Recorder *Recorder
 	Reloader *Reloader
 	Viewer   *viewer.Viewer
@@ -162,6 +169,7 @@
 		instance.Relayer.SetSeeds(entrance.Seeds)
 		instance.Recorder.SetVerbosity(entrance.Log.Verbosity)
 	})
+	instance.Recorder.SetAge(instance.Relayer.Age)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.Entrance.Instance,
 		"failure_domain", instance.Entrance.FailureDomain, "packet_address", instance.Entrance.PacketAddress.String())
 	go instance.Network.Run(func(content []byte) {
@@ -174,7 +182,7 @@
 	go instance.Relayer.Run(work)
 	instance.Relayer.Tick(work, time.Now())
 	defer instance.Ticker.Subscribe(turnInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
-	defer instance.Ticker.Subscribe(logInterval, func(time.Time) { instance.Queue.Flush() })()
+	defer instance.Ticker.Subscribe(logInterval, instance.Recorder.Flush)()
 	defer instance.Ticker.Subscribe(settingsInterval, instance.Reloader.Look)()
 	err := instance.wait(ctx, hangups, forwarding)
 	instance.Recorder.Event(logger.EventStopped, "instance", instance.Entrance.Instance)
