--- a/configurer/entrance.go
+++ b/configurer/entrance.go
@@ -15,6 +15,7 @@
 	ControlAddress netip.AddrPort   `json:"control_address"` // TCP, for other instances
 	PeerPorts      []uint16         `json:"peer_ports"`      // first and last port between instances
 	Seeds          []netip.AddrPort `json:"seeds"`           // control addresses of some instances
+	ProcessorShare float64          `json:"processor_share"` // of a core; the strongest instances read the store
 	StoreAddress   netip.AddrPort   `json:"store_address"`
 	MetricsPort    uint16           `json:"metrics_port"`  // 0 serves no metrics
 	StopTimeout    Duration         `json:"stop_timeout"`  // from the signal to stop until the process is killed
@@ -53,6 +54,7 @@
 	need(entrance.ControlAddress.IsValid(), "control_address", "must be an address with a port")
 	need(entrance.StoreAddress.IsValid(), "store_address", "must be an address with a port")
 	need(len(entrance.PeerPorts) > 0, "peer_ports", "must name at least one port")
+	need(entrance.ProcessorShare >= 0, "processor_share", "must not be negative")
 	need(entrance.StopTimeout > 0, "stop_timeout", "must be above 0")
 	need(entrance.Log.Format == "text" || entrance.Log.Format == "json", "log.format", `must be "text" or "json"`)
 	return findings
--- a/director/director.go
+++ b/director/director.go
@@ -130,6 +130,7 @@
 		FailureDomain: entrance.FailureDomain,
 		Peer:          entrance.PeerAddress(),
 		Control:       entrance.ControlAddress,
+		Share:         entrance.ProcessorShare,
 	}
 	return relayer.NewRelayer(self, entrance.Seeds, current, source, network, recorder)
 }
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -12,17 +12,20 @@
 	FailureDomain string         `json:"failure_domain"`
 	Peer          netip.AddrPort `json:"peer"`    // takes heartbeats, over UDP
 	Control       netip.AddrPort `json:"control"` // serves the view, over HTTP
+	Share         float64        `json:"share"`   // of a processor core; the strongest read first
 }
 
 // leadsPerDomain is how many instances lead a failure domain: those of the
 // others are told directly and tell the rest of theirs.
 const leadsPerDomain = 2
 
-// order sorts members so that the first of each failure domain come before the
-// second ones, and returns for each its position within its failure domain.
+// order sorts members so that the strongest of each failure domain come before
+// the second ones, and returns for each its position within its failure domain.
 func order(members []Member) ([]Member, map[string]int) {
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(sorted, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.Name, b.Name))
+	})
 	positions := map[string]int{}
 	counts := map[string]int{}
 	for _, member := range sorted {
