Say many changes of servers in one line, and bound heartbeats by their size

A heartbeat whose changes do not fit 1,200 bytes goes without them. Encoding has no error any more that nobody could cause.

--- a/director/door.go
+++ b/director/door.go
@@ -92,13 +92,8 @@
 		http.Error(writer, "configuration and revision must be numbers", http.StatusBadRequest)
 		return
 	}
-	content, err := door.relayer.Snapshot(version, known)
-	if err != nil {
-		http.Error(writer, err.Error(), http.StatusInternalServerError)
-		return
-	}
 	writer.Header().Set("Content-Type", "application/cbor")
-	writer.Write(content)
+	writer.Write(door.relayer.Snapshot(version, known))
 }
 
 func (door *Door) serveVars(writer http.ResponseWriter, _ *http.Request) {
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -186,9 +186,22 @@
 	recorder.Event(logger.EventConfigurationTaken, "version", version, "from", from)
 }
 
-// ServersTaken writes one line for each backend server that changed.
+// maxChangeLines is how many changes of one list get a line each.
+const maxChangeLines = 10
+
+// ServersTaken writes one line for each backend server that changed, or one for
+// all when there are many.
 func (recorder *Recorder) ServersTaken(before, after *viewer.Servers, from string) {
-	for _, change := range viewer.Changes(before, after) {
+	changes := viewer.Changes(before, after)
+	if len(changes) > maxChangeLines {
+		counts := map[string]int{}
+		for _, change := range changes {
+			counts[change.State]++
+		}
+		recorder.Event(logger.EventServersChanged, "changed", counts, "listed", len(after.List), "revision", after.Revision, "from", from)
+		return
+	}
+	for _, change := range changes {
 		recorder.Event(logger.EventServerChanged, "backend_server", change.Name, "service", change.Service,
 			"state", change.State, "revision", after.Revision, "from", from)
 	}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -33,6 +33,7 @@
 	EventFetchFailed        decider.EventKind = 504
 	EventServerHeld         decider.EventKind = 505
 	EventServerExpired      decider.EventKind = 506
+	EventServersChanged     decider.EventKind = 507
 	EventFlowDecided        decider.EventKind = 601
 	EventFlowEnded          decider.EventKind = 602
 )
@@ -59,6 +60,7 @@
 	EventUnreadable:         "document in the store cannot be read",
 	EventFetchFailed:        "view of another instance was not fetched",
 	EventServerHeld:         "backend server gets no new flows for a while",
+	EventServersChanged:     "many backend servers changed",
 	EventServerExpired:      "backend server did not come back after an outage of the store",
 	EventFlowDecided:        "flow decided",
 	EventFlowEnded:          "flow ended",
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -26,7 +26,7 @@
 
 // tellEveryone makes this instance known after its start.
 func (relayer *Relayer) tellEveryone() {
-	relayer.tell(func(Member, int) bool { return true }, false)
+	relayer.tell(func(Member, int) bool { return true })
 }
 
 func (relayer *Relayer) merge(members []Member, now time.Time) {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -12,26 +12,18 @@
 func (relayer *Relayer) tellAll() {
 	relayer.tell(func(member Member, position int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain || position < leadsPerDomain
-	}, false)
+	})
 }
 
 // tellDomain sends a heartbeat to the instances of the failure domain.
 func (relayer *Relayer) tellDomain() {
-	relayer.tell(func(member Member, _ int) bool { return member.FailureDomain == relayer.self.FailureDomain }, false)
+	relayer.tell(func(member Member, _ int) bool { return member.FailureDomain == relayer.self.FailureDomain })
 }
 
-func (relayer *Relayer) tell(wanted func(member Member, position int) bool, answer bool) {
+func (relayer *Relayer) tell(wanted func(member Member, position int) bool) {
 	now := time.Now()
 	relayer.mutex.Lock()
-	heartbeat := relayer.heartbeat(now, answer)
-	if delta := relayer.history.since(relayer.told); delta != nil && delta.Len() <= pushLength {
-		heartbeat.Delta = delta
-	}
-	relayer.told = heartbeat.Revision
-	content, err := encode(heartbeat)
-	if err != nil {
-		panic(err) // the type is fixed, so encoding cannot fail
-	}
+	content := relayer.news(now)
 	sorted, positions := order(relayer.all())
 	var told []Member
 	for _, member := range sorted {
@@ -46,6 +38,21 @@
 	}
 }
 
+// news returns a heartbeat with the changes since the last one, if they fit; the mutex is held.
+func (relayer *Relayer) news(now time.Time) []byte {
+	heartbeat := relayer.heartbeat(now, false)
+	delta := relayer.history.since(relayer.told)
+	relayer.told = heartbeat.Revision
+	if delta != nil && delta.Len() <= pushLength {
+		heartbeat.Delta = delta
+		if content := encode(heartbeat); len(content) <= maxHeartbeat {
+			return content
+		}
+		heartbeat.Delta = nil
+	}
+	return encode(heartbeat)
+}
+
 func (peer *peer) asked(now time.Time) {
 	if !peer.askedAt.After(peer.heardAt) {
 		peer.askedAt = now
@@ -176,11 +183,8 @@
 		return
 	}
 	known.answeredAt = now
-	content, err := encode(relayer.heartbeat(now, true))
+	content := encode(relayer.heartbeat(now, true))
 	relayer.mutex.Unlock()
-	if err != nil {
-		panic(err) // the type is fixed, so encoding cannot fail
-	}
 	relayer.network.Tell(to.Peer, content)
 }
 
@@ -223,7 +227,7 @@
 
 // Snapshot returns the view for another instance that has a version of the
 // configuration and a revision of the servers.
-func (relayer *Relayer) Snapshot(configuration, revision uint64) ([]byte, error) {
+func (relayer *Relayer) Snapshot(configuration, revision uint64) []byte {
 	now := time.Now()
 	relayer.mutex.Lock()
 	view := relayer.viewer.Current()
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -213,11 +213,11 @@
 	if other == nil {
 		return nil, errUnreachable
 	}
-	content, err := other.Snapshot(configuration, revision)
+	content := other.Snapshot(configuration, revision)
 	node.world.mutex.Lock()
 	defer node.world.mutex.Unlock()
 	node.world.fetched += len(content)
-	return content, err
+	return content, nil
 }
 
 func (node *node) ConfigurationTaken(uint64, string)           {}
--- a/relayer/history.go
+++ b/relayer/history.go
@@ -6,9 +6,10 @@
 	// historyLength is how many steps of the list of servers are kept for
 	// instances that lag.
 	historyLength = 64
-	// pushLength is how many servers a heartbeat carries at most, so that it fits
-	// one datagram of 1,200 bytes.
+	// pushLength is how many servers a heartbeat carries at most.
 	pushLength = 6
+	// maxHeartbeat bounds a heartbeat with changes, so that it fits one datagram.
+	maxHeartbeat = 1200 // bytes
 )
 
 // history is the last steps of the list of servers, oldest first; each begins
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -31,12 +31,13 @@
 	Age           time.Duration         `cbor:"age"`
 }
 
-func encode(message any) ([]byte, error) {
+// encode panics on an error, which the types above cannot cause.
+func encode(message any) []byte {
 	content, err := cbor.Marshal(message)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode message")
+		panic(err)
 	}
-	return content, nil
+	return content
 }
 
 func decode(content []byte, message any) error {
