Reset nothing just after a pause

An instance stopped for 2.3 s woke with openings in its socket and a view from before, in which the entries of all servers had lapsed (lines 601 no_server, revision 29, age_ms 2659); other instances had opened these flows meanwhile at revision 38. Ruled out: later packets (they are never reset). Change: the ticker looks at both clocks; for a second after a pause what would be refused is dropped, and the caller's next copy decides.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	duration := application.Flag("for", "How long faults come.").Default("60s").Duration()
 	instances := application.Flag("instances", "Number of instances, 250 at most.").Default("6").Int()
 	callers := application.Flag("callers", "Number of callers, 250 at most.").Default("4").Int()
+	regressions := application.Flag("regressions", "Run the seeds that once failed instead.").Bool()
 	keepGoing := application.Flag("keep-going", "Go on with the next seed after a violation.").Bool()
 	if _, err := application.Parse(arguments); err != nil {
 		return err
@@ -44,11 +45,22 @@
 		return err
 	}
 	settings := soaker.Settings{
-		Duration: *duration, Instances: *instances, Callers: *callers, JudgeTimes: true,
+		Instances: *instances, Callers: *callers, JudgeTimes: true,
 		Binary: filepath.Join(directory, "pimentowind"),
 	}
+	var runs []soaker.Regression
+	for i := range *seeds {
+		runs = append(runs, soaker.Regression{Seed: *seed + uint64(i), Duration: *duration})
+	}
+	if *regressions {
+		runs = soaker.Regressions
+	}
 	violated := 0
-	for settings.Seed = *seed; settings.Seed < *seed+uint64(*seeds) && ctx.Err() == nil; settings.Seed++ {
+	for _, run := range runs {
+		if ctx.Err() != nil {
+			break
+		}
+		settings.Seed, settings.Duration = run.Seed, run.Duration
 		clean, err := runSeed(ctx, settings, directory)
 		if err != nil {
 			return err
--- a/director/director.go
+++ b/director/director.go
@@ -135,10 +135,10 @@
 	return relayer.NewRelayer(self, entrance.Seeds, current, source, network, recorder)
 }
 
-func newSteerer(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) *steerer.Steerer {
+func newSteerer(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(entrance.FailureDomain, relayer.Instances, random)
-	return steerer.NewSteerer(current.Current, placer, recorder, random)
+	return steerer.NewSteerer(current.Current, ticker.Resumed, placer, recorder, random)
 }
 
 func (parts *parts) newSocket(entrance *configurer.Entrance, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -77,6 +77,7 @@
 	Kept         Reason = "kept"             // a later packet followed its token
 	NoRoute      Reason = "no_route"
 	NoServer     Reason = "no_server"
+	JustResumed  Reason = "just_resumed" // would be refused, but the process was paused
 	UnknownToken Reason = "unknown_token"
 	NoView       Reason = "no_view"
 	FromServer   Reason = "not_from_caller"
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -65,6 +65,7 @@
 // Steerer decides for the packets of one instance; it is not safe for concurrent use.
 type Steerer struct {
 	viewer   func() *viewer.View
+	resumed  func(now time.Time) bool
 	placer   serverPlacer
 	observer Observer
 	random   *rand.Rand
@@ -74,9 +75,10 @@
 	swept    time.Time
 }
 
-// NewSteerer returns a Steerer that decides by the view that current returns.
-func NewSteerer(current func() *viewer.View, placer serverPlacer, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{viewer: current, placer: placer, observer: observer, random: random, flows: map[Flow]*flow{}}
+// NewSteerer returns a Steerer that decides by the view that current returns;
+// resumed reports whether the process has just come out of a pause.
+func NewSteerer(current func() *viewer.View, resumed func(now time.Time) bool, placer serverPlacer, observer Observer, random *rand.Rand) *Steerer {
+	return &Steerer{viewer: current, resumed: resumed, placer: placer, observer: observer, random: random, flows: map[Flow]*flow{}}
 }
 
 // Packet decides about one packet of a caller.
@@ -127,7 +129,7 @@
 func (steerer *Steerer) choose(flow Flow, known *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
 	route := view.Route(flow.Service)
 	if route == nil {
-		verdict.Action, verdict.Reason = Reset, NoRoute
+		steerer.refuse(verdict, NoRoute, now)
 		return nil
 	}
 	var tried []*viewer.BackendServer
@@ -138,11 +140,21 @@
 	verdict.Candidates, verdict.Tried = len(candidates), len(tried)
 	server := steerer.placer.Place(candidates, tried, now)
 	if server == nil {
-		verdict.Action, verdict.Reason = Reset, NoServer
+		steerer.refuse(verdict, NoServer, now)
 	}
 	return server
 }
 
+// refuse resets a flow that cannot be served. After a pause the view may be old,
+// and the opening may be a late copy of one that another instance has served, so
+// the flow is left alone.
+func (steerer *Steerer) refuse(verdict *Verdict, reason Reason, now time.Time) {
+	verdict.Action, verdict.Reason = Reset, reason
+	if steerer.resumed(now) {
+		verdict.Action, verdict.Reason = Drop, JustResumed
+	}
+}
+
 // service draws one of the route's services in proportion to their weights.
 func (steerer *Steerer) service(route *viewer.Route) string {
 	if len(route.Shares) == 1 {
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -22,6 +22,7 @@
 // rig is one instance's steerer with what it observed.
 type rig struct {
 	*Steerer
+	resumed bool
 	viewer  *viewer.Viewer
 	decided []Reason
 	ended   []Summary
@@ -37,7 +38,7 @@
 func newRig(names ...string) *rig {
 	rig := &rig{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
-	rig.Steerer = NewSteerer(rig.viewer.Current, placer.NewPlacer("dakar-1", func() int { return 1 }, random), rig, random)
+	rig.Steerer = NewSteerer(rig.viewer.Current, func(time.Time) bool { return rig.resumed }, placer.NewPlacer("dakar-1", func() int { return 1 }, random), rig, random)
 	rig.viewer.TakeConfiguration(&viewer.Configuration{Version: 1, Routes: []viewer.Route{{
 		Name: "r", Address: address, Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}},
 	}}})
@@ -112,8 +113,19 @@
 	}
 }
 
+func TestAfterAPauseNothingIsReset(t *testing.T) {
+	rig := newRig()
+	rig.resumed = true
+	verdict := rig.Packet(opening(1), start)
+	assert.Equal(t, verdict.Action, Drop)
+	assert.Equal(t, verdict.Reason, JustResumed)
+	elsewhere := opening(2)
+	elsewhere.Flow.Service = netip.MustParseAddrPort("198.18.0.9:443")
+	assert.Equal(t, rig.Packet(elsewhere, start).Action, Drop)
+}
+
 func TestWithoutAViewNothingIsReset(t *testing.T) {
-	empty := NewSteerer(viewer.NewViewer().Current, nil, &rig{}, nil)
+	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, &rig{}, nil)
 	verdict := empty.Packet(opening(1), start)
 	assert.Equal(t, verdict.Action, Drop)
 	assert.Equal(t, verdict.Reason, NoView)
--- a/ticker/ticker.go
+++ b/ticker/ticker.go
@@ -8,6 +8,9 @@
 // Resolution is the shortest interval that a subscription can have.
 const Resolution = 20 * time.Millisecond
 
+// lookInterval is how often the clock is looked at for pauses, at least.
+const lookInterval = pauseLimit / 4
+
 type subscription struct {
 	interval time.Duration
 	due      time.Time
@@ -21,6 +24,7 @@
 	order         []int
 	next          int
 	changed       chan struct{}
+	pauses        pauses
 }
 
 // NewTicker starts a Ticker; the returned function stops it and waits for the running call.
@@ -58,6 +62,14 @@
 	}
 }
 
+// Resumed reports whether the process has just come out of a pause: what it
+// knows may be old, and what it reads may have waited.
+func (ticker *Ticker) Resumed(now time.Time) bool {
+	ticker.mutex.Lock()
+	defer ticker.mutex.Unlock()
+	return ticker.pauses.resumed(now)
+}
+
 // run sleeps until the next call is due, so that a process with slow subscribers is seldom woken.
 func (ticker *Ticker) run(done <-chan struct{}) {
 	timer := time.NewTimer(0)
@@ -81,7 +93,8 @@
 func (ticker *Ticker) due(now time.Time) ([]func(time.Time), time.Time) {
 	ticker.mutex.Lock()
 	defer ticker.mutex.Unlock()
-	next := now.Add(time.Minute)
+	ticker.pauses.look(now)
+	next := now.Add(lookInterval)
 	var calls []func(time.Time)
 	kept := ticker.order[:0]
 	for _, id := range ticker.order {
