Draw candidates instead of looking at all

Change: a candidate is drawn and taken if it is neither tried nor held off; all are looked at only when eight draws find none. A step of more than 200 servers empties the history.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,8 @@
 	coldPenalty = 1.6
 	// choices is how many candidates are compared for one flow.
 	choices = 3
+	// maxDraws is how often a candidate is drawn before all are looked at.
+	maxDraws = 8
 )
 
 // Placer keeps what is known of the load of every backend server.
@@ -71,14 +73,13 @@
 // Place returns the candidate for a new flow, or nil when there is none. Those
 // in tried are taken only when nothing else is left.
 func (placer *Placer) Place(candidates []*viewer.BackendServer, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
-	usable := placer.usable(candidates, tried, now)
-	if len(usable) == 0 {
-		return nil
-	}
 	var best *viewer.BackendServer
 	bestCost := 0.0
 	for range choices {
-		candidate := usable[placer.random.IntN(len(usable))]
+		candidate := placer.draw(candidates, tried, now)
+		if candidate == nil {
+			break
+		}
 		cost := placer.cost(candidate, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
@@ -87,6 +88,23 @@
 	return best
 }
 
+// draw returns a random candidate that is neither tried nor held off. Only when a
+// few draws find none are all candidates looked at, so that the work does not grow
+// with their number.
+func (placer *Placer) draw(candidates, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+	for range min(maxDraws, len(candidates)) {
+		candidate := candidates[placer.random.IntN(len(candidates))]
+		if !contains(tried, candidate) && !placer.state(candidate, now).hold.active(now) {
+			return candidate
+		}
+	}
+	usable := placer.usable(candidates, tried, now)
+	if len(usable) == 0 {
+		return nil
+	}
+	return usable[placer.random.IntN(len(usable))]
+}
+
 // usable leaves out the servers that are held off or tried, unless nothing would be left.
 func (placer *Placer) usable(candidates, tried []*viewer.BackendServer, now time.Time) []*viewer.BackendServer {
 	var fresh, held []*viewer.BackendServer
--- a/relayer/history.go
+++ b/relayer/history.go
@@ -6,6 +6,9 @@
 	// historyLength is how many steps of the list of servers are kept for
 	// instances that lag.
 	historyLength = 64
+	// maxStep bounds a step that is kept; after a longer one, as at a start, those
+	// that lag take the whole list.
+	maxStep = 200
 	// pushLength is how many servers a heartbeat carries at most.
 	pushLength = 6
 	// maxHeartbeat bounds a heartbeat with changes, so that it fits one datagram.
@@ -26,10 +29,15 @@
 	if last := len(history.steps) - 1; last >= 0 && history.steps[last].Revision != before.Revision {
 		history.steps = nil // two lists were taken at once
 	}
+	step := viewer.Difference(before, after)
+	if step.Len() > maxStep {
+		history.steps = nil
+		return
+	}
 	if len(history.steps) == historyLength {
 		history.steps = history.steps[1:]
 	}
-	history.steps = append(history.steps, viewer.Difference(before, after))
+	history.steps = append(history.steps, step)
 }
 
 // since returns the delta from a revision to the newest one, or nil when the
