Hold off a failure domain that answers nothing

Each instance opens a flow at one server every seven seconds, so it never saw enough of one server to hold it off; in the domain that was cut off three of four choices went to servers out of reach, and four tries in a row did for a third of its flows. Ruled out: the rolling stops of the same seconds (late fell without a change of them). Change: four silent openings without an answer from a failure domain hold off all its servers of the service; a retry leaves the domains that it was tried in. Tests of a cut with 5 and 40 servers a domain failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -32,6 +32,7 @@
 	instances     func() int // how many instances share the load
 	random        *rand.Rand
 	servers       map[key]*server
+	domains       map[domainKey]*hold
 	services      map[string]*average
 }
 
@@ -40,6 +41,12 @@
 	startedAt int64
 }
 
+// domainKey names the servers of a service in one failure domain.
+type domainKey struct {
+	service string
+	domain  string
+}
+
 // server is the state of one incarnation of a backend server.
 type server struct {
 	open int
@@ -66,6 +73,7 @@
 		instances:     instances,
 		random:        random,
 		servers:       map[key]*server{},
+		domains:       map[domainKey]*hold{},
 		services:      map[string]*average{},
 	}
 }
@@ -88,13 +96,13 @@
 	return best
 }
 
-// draw returns a random candidate that is neither tried nor held off. Only when a
-// few draws find none are all candidates looked at, so that the work does not grow
-// with their number.
+// draw returns a random candidate that is not held off, outside the failure
+// domains of tried ones. Only when a few draws find none are all candidates looked
+// at, so that the work does not grow with their number.
 func (placer *Placer) draw(candidates, tried []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	for range min(maxDraws, len(candidates)) {
 		candidate := candidates[placer.random.IntN(len(candidates))]
-		if !contains(tried, candidate) && !placer.state(candidate, now).hold.active(now) {
+		if !sharesDomain(tried, candidate) && !placer.heldOff(candidate, now) {
 			return candidate
 		}
 	}
@@ -105,27 +113,54 @@
 	return usable[placer.random.IntN(len(usable))]
 }
 
-// usable leaves out the servers that are held off or tried, unless nothing would be left.
+// usable returns the best group of candidates that is not empty: those that
+// answer, outside the failure domains of tried ones; those that answer; those
+// that are held off; all.
 func (placer *Placer) usable(candidates, tried []*viewer.BackendServer, now time.Time) []*viewer.BackendServer {
-	var fresh, held []*viewer.BackendServer
+	var elsewhere, fresh, held []*viewer.BackendServer
 	for _, candidate := range candidates {
 		switch {
 		case contains(tried, candidate):
-		case placer.state(candidate, now).hold.active(now):
+		case placer.heldOff(candidate, now):
 			held = append(held, candidate)
-		default:
+		case sharesDomain(tried, candidate):
 			fresh = append(fresh, candidate)
+		default:
+			elsewhere = append(elsewhere, candidate)
 		}
 	}
-	if len(fresh) > 0 {
-		return fresh
-	}
-	if len(held) > 0 {
-		return held
+	for _, group := range [][]*viewer.BackendServer{elsewhere, fresh, held} {
+		if len(group) > 0 {
+			return group
+		}
 	}
 	return candidates
 }
 
+func (placer *Placer) heldOff(candidate *viewer.BackendServer, now time.Time) bool {
+	return placer.state(candidate, now).hold.active(now) || placer.domain(candidate).active(now)
+}
+
+// domain returns the hold of the failure domain of a server.
+func (placer *Placer) domain(backendServer *viewer.BackendServer) *hold {
+	key := domainKey{service: backendServer.Service, domain: backendServer.FailureDomain}
+	domain := placer.domains[key]
+	if domain == nil {
+		domain = &hold{}
+		placer.domains[key] = domain
+	}
+	return domain
+}
+
+func sharesDomain(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
+	for _, server := range servers {
+		if server.FailureDomain == wanted.FailureDomain {
+			return true
+		}
+	}
+	return false
+}
+
 func contains(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
 	for _, server := range servers {
 		if server.Same(wanted) {
@@ -177,11 +212,13 @@
 // Accepted says that a server took an opening.
 func (placer *Placer) Accepted(backendServer *viewer.BackendServer, now time.Time) {
 	placer.state(backendServer, now).hold.accepted()
+	placer.domain(backendServer).accepted()
 }
 
 // Silent says that a server did not answer an opening, and reports whether it is held off from now on.
 func (placer *Placer) Silent(backendServer *viewer.BackendServer, now time.Time) bool {
-	return placer.state(backendServer, now).hold.silent(now)
+	placer.domain(backendServer).silent(domainSilentLimit, now)
+	return placer.state(backendServer, now).hold.silent(silentLimit, now)
 }
 
 // Took adds the time from a request to the end of its response.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -148,3 +149,63 @@
 	placer.Forget(start.Add(time.Second))
 	assert.Equal(t, len(placer.servers), 1)
 }
+
+// fleetOf returns servers in three failure domains.
+func fleetOf(each int) []*viewer.BackendServer {
+	var servers []*viewer.BackendServer
+	for domain := range 3 {
+		for i := range each {
+			servers = append(servers, &viewer.BackendServer{
+				Name: fmt.Sprintf("s-%d-%d", domain, i), Service: "desk-sync",
+				FailureDomain: fmt.Sprintf("dakar-%d", domain), Slots: 3,
+			})
+		}
+	}
+	return servers
+}
+
+// openUntilAccepted places a flow and retries it as long as dead servers are
+// chosen, and returns how often it was placed.
+func openUntilAccepted(placer *Placer, servers []*viewer.BackendServer, alive string, now time.Time) int {
+	var tried []*viewer.BackendServer
+	for range servers {
+		server := placer.Place(servers, tried, now)
+		tried = append(tried, server)
+		if server.FailureDomain == alive {
+			placer.Accepted(server, now)
+			break
+		}
+		placer.Silent(server, now)
+	}
+	return len(tried)
+}
+
+func TestInADomainThatIsCutOffFewFlowsAreRetried(t *testing.T) {
+	for _, each := range []int{5, 40} {
+		for seed := range uint64(10) {
+			placer, servers := newPlacer(seed), fleetOf(each)
+			retried, often := 0, 0
+			for i := range 120 {
+				placed := openUntilAccepted(placer, servers, "dakar-1", start.Add(time.Duration(i)*50*time.Millisecond))
+				if placed > 1 {
+					retried++
+				}
+				if placed > 3 {
+					often++
+				}
+			}
+			assert.Equal(t, often, 0, "a retry leaves the failure domains that were silent")
+			// Four to find out each of two domains, then one for each pause of 0.5, 1, 2 and 4 s.
+			assert.Assert(t, retried <= 16, "%d servers, seed %d: %d of 120 flows in six seconds", each, seed, retried)
+		}
+	}
+}
+
+func TestADomainIsNotHeldOffForOneDeadServer(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("dead", "b", "c")
+	for range 20 {
+		placer.Silent(servers[0], start)
+		placer.Accepted(servers[1], start)
+	}
+	assert.Assert(t, !placer.heldOff(servers[2], start))
+}
