Let a fleet that starts read long lists from the store

Whoever had a view first told all, and all that had none fetched 250 kB from it at once, over links from 10 Mbit/s; the history of changes is empty after a start. Change: with more than 500 servers listed an instance without a view waits for its own read of the store, for 1.5 s or until it fails. An instance gives four views at a time and turns the others away, who ask again after another heartbeat.

--- a/director/door.go
+++ b/director/door.go
@@ -19,6 +19,11 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
+// maxViews bounds the views that are given at once, so that a fleet that starts
+// does not fill the link of the first instance that has one; who is turned away
+// asks again after another heartbeat.
+const maxViews = 4
+
 // headerTimeout bounds how long a connection may take to send its request.
 const headerTimeout = 2 * time.Second
 
@@ -29,6 +34,7 @@
 	relayer  *relayer.Relayer
 	recorder *Recorder
 	closed   atomic.Bool
+	views    chan struct{} // holds one entry for each view that is being given
 	vars     *expvar.Map
 }
 
@@ -47,7 +53,7 @@
 
 // NewDoor listens on the addresses in the settings; the returned function stops it.
 func NewDoor(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Door, func(), error) {
-	door := &Door{viewer: current, relayer: relayer, recorder: recorder, vars: &expvar.Map{}}
+	door := &Door{viewer: current, relayer: relayer, recorder: recorder, views: make(chan struct{}, maxViews), vars: &expvar.Map{}}
 	recorder.publish(door.vars)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, door.serveReady)
@@ -92,6 +98,13 @@
 		http.Error(writer, "configuration and revision must be numbers", http.StatusBadRequest)
 		return
 	}
+	select {
+	case door.views <- struct{}{}:
+		defer func() { <-door.views }()
+	default:
+		http.Error(writer, "too many views at once", http.StatusServiceUnavailable)
+		return
+	}
 	writer.Header().Set("Content-Type", "application/cbor")
 	writer.Write(door.relayer.Snapshot(version, known))
 }
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -78,6 +78,7 @@
 	}
 	if view.Servers != nil {
 		heartbeat.Revision = view.Servers.Revision
+		heartbeat.Listed = len(view.Servers.List)
 		heartbeat.Digest = relayer.digestFor(view.Servers)
 	}
 	return heartbeat
@@ -152,6 +153,9 @@
 	case heartbeat.Delta != nil:
 		servers = view.Servers.Apply(heartbeat.Delta)
 	}
+	if !view.Complete() && heartbeat.Listed > smallList && relayer.mayRead(now) {
+		return // the store gives a long list faster than an instance that all ask at once
+	}
 	if servers == nil || servers.Revision != heartbeat.Revision || servers.Digest() != heartbeat.Digest {
 		relayer.once("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
 		return
@@ -160,6 +164,13 @@
 	relayer.learned(heartbeat, now)
 }
 
+// mayRead reports whether the first read of the store may still succeed.
+func (relayer *Relayer) mayRead(now time.Time) bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return relayer.turn.failures == 0 && now.Sub(relayer.startedAt) < firstReadTime
+}
+
 // learned notes how fresh the view is, passes on what came from another
 // failure domain, and shows the sender now and then that this instance lives.
 func (relayer *Relayer) learned(heartbeat Heartbeat, now time.Time) {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -347,6 +347,27 @@
 	})
 }
 
+func TestAFleetThatStartsReadsLongListsFromTheStore(t *testing.T) {
+	play(t, 30, func(world *world, nodes []*node) {
+		world.change(func() {
+			for i := range smallList {
+				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
+			}
+		})
+		time.Sleep(2 * applyLimit)
+		for i, node := range nodes {
+			node.kill()
+			nodes[i] = world.start(t, node.member.Name, i/30, byte(i%30))
+		}
+		world.change(func() { world.fetched = 0 })
+		time.Sleep(time.Second)
+		for _, node := range nodes {
+			assert.Assert(t, node.knows(1), "%s has no view", node.member.Name)
+		}
+		assert.Equal(t, world.fetched, 0)
+	})
+}
+
 func TestAnInstanceThatMissedHeartbeatsFetchesOnlyTheChanges(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		world.change(func() {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -15,6 +15,7 @@
 	Configuration uint64        `cbor:"configuration"` // version; 0 when none is known
 	Revision      uint64        `cbor:"revision"`      // of the backend servers; 0 when none is known
 	Digest        uint64        `cbor:"digest"`        // of the backend servers
+	Listed        int           `cbor:"listed"`        // number of backend servers
 	Age           time.Duration `cbor:"age"`           // since the store had that revision
 	Leaving       bool          `cbor:"leaving"`
 	Answer        bool          `cbor:"answer"` // sent because of another heartbeat
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,6 +25,11 @@
 	// returnTime is how long backend servers have to write their entries again
 	// after an outage; the users' pages say about two seconds.
 	returnTime = 2500 * time.Millisecond
+	// smallList is the length up to which an instance that starts takes the list
+	// of backend servers from whoever has it first.
+	smallList = 500
+	// firstReadTime is how long an instance that starts waits for the store.
+	firstReadTime = 1500 * time.Millisecond
 	// retryInterval is the pause after a call of the store that failed.
 	retryInterval = 400 * time.Millisecond
 )
@@ -63,14 +68,15 @@
 
 // Relayer keeps one instance's view up to date with the store and the others.
 type Relayer struct {
-	self     Member
-	viewer   *viewer.Viewer
-	source   Source
-	network  Network
-	observer Observer
-	seeds    []netip.AddrPort
+	self      Member
+	viewer    *viewer.Viewer
+	source    Source
+	network   Network
+	observer  Observer
+	startedAt time.Time
 
 	mutex    sync.Mutex
+	seeds    []netip.AddrPort
 	turn     Turn
 	members  map[string]*peer
 	leaving  bool
@@ -95,7 +101,7 @@
 func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, observer Observer) *Relayer {
 	return &Relayer{
 		self: self, viewer: current, source: source, network: network, observer: observer, seeds: seeds,
-		members: map[string]*peer{}, busy: map[string]bool{}, listedAt: time.Now(),
+		members: map[string]*peer{}, busy: map[string]bool{}, startedAt: time.Now(), listedAt: time.Now(),
 	}
 }
 
