--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -41,9 +41,10 @@
 	cut           map[string]bool // failure domains that reach only themselves
 	nodes         map[netip.AddrPort]*node
 	started       []*node
-	fetched       int    // bytes of views between instances
-	longest       int    // bytes of the longest heartbeat
-	nextVersion   uint64 // comes into force right after the configuration was read
+	fetched       int           // bytes of views between instances
+	longest       int           // bytes of the longest heartbeat
+	listTime      time.Duration // that a list of servers takes
+	nextVersion   uint64        // comes into force right after the configuration was read
 }
 
 // node is one instance in the world.
@@ -139,6 +140,10 @@
 }
 
 func (node *node) Servers(ctx context.Context) (servers *viewer.Servers, err error) {
+	node.world.mutex.Lock()
+	listTime := node.world.listTime
+	node.world.mutex.Unlock()
+	sleep(ctx, listTime)
 	err = node.call(ctx, func(world *world) {
 		servers = &viewer.Servers{Revision: world.revision, List: slices.Clone(world.servers)}
 	})
@@ -355,11 +360,11 @@
 			}
 		})
 		time.Sleep(2 * applyLimit)
-		for i, node := range nodes {
+		world.change(func() { world.listTime, world.fetched = 900*time.Millisecond, 0 })
+		for i, node := range nodes[1:] {
 			node.kill()
-			nodes[i] = world.start(t, node.member.Name, i/30, byte(i%30))
+			nodes[i+1] = world.start(t, node.member.Name, (i+1)/30, byte((i+1)%30))
 		}
-		world.change(func() { world.fetched = 0 })
 		time.Sleep(time.Second)
 		for _, node := range nodes {
 			assert.Assert(t, node.knows(1), "%s has no view", node.member.Name)
