--- a/balancer/follower.go
+++ b/balancer/follower.go
@@ -17,6 +17,8 @@
 	"github.com/pimentowind/pimentowind/loader"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/storer"
+
+	"github.com/pimentowind/pimentowind/ticker"
 )
 
 const (
@@ -82,7 +84,7 @@
 	wait := newBackoff()
 	for ctx.Err() == nil {
 		if !follower.engine.Leads() {
-			sleep(ctx, leadershipPoll)
+			ticker.Sleep(ctx, leadershipPoll)
 			continue
 		}
 		after := follower.engine.Status().SheetVersion
@@ -92,7 +94,7 @@
 			wait.Reset()
 		case err != nil:
 			follower.failed(ctx, loader.SheetObject, err)
-			sleep(ctx, wait.NextBackOff())
+			ticker.Sleep(ctx, wait.NextBackOff())
 			continue
 		default:
 			wait.Reset()
@@ -113,7 +115,7 @@
 			wait.Reset()
 		case err != nil:
 			follower.failed(ctx, loader.InstancesObject, err)
-			sleep(ctx, wait.NextBackOff())
+			ticker.Sleep(ctx, wait.NextBackOff())
 			continue
 		default:
 			wait.Reset()
@@ -123,7 +125,7 @@
 		follower.reached(loader.InstancesObject)
 		if !follower.engine.Leads() {
 			// Spread over the fleet, so that instances started together do not read together.
-			sleep(ctx, followerPoll/2+rand.N(followerPoll))
+			ticker.Sleep(ctx, followerPoll/2+rand.N(followerPoll))
 		}
 	}
 }
@@ -152,7 +154,7 @@
 				follower.reached(loader.StatusObject(follower.settings.FailureDomain))
 			}
 		}
-		sleep(ctx, pause)
+		ticker.Sleep(ctx, pause)
 	}
 }
 
@@ -216,12 +218,3 @@
 	exponential.MaxInterval = maxBackoff
 	return exponential
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/director/director_test.go
+++ b/director/director_test.go
@@ -5,9 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,16 +16,9 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-)
 
-// freePort returns a loopback port that nothing listens on.
-func freePort(t *testing.T) uint16 {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort().Port()
-}
+	"github.com/pimentowind/pimentowind/internal/rehearser"
+)
 
 // syncBuffer is a buffer that a running instance writes to.
 type syncBuffer struct {
@@ -61,64 +52,65 @@
 
 func sampleSettings(t *testing.T) map[string]any {
 	t.Helper()
-	at := func() string { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), freePort(t)).String() }
+	at := func() string { return rehearser.FreeAddress().String() }
 	return map[string]any{
 		"instance": "lb-1", "failure_domain": "dakar-1", "address": "127.0.0.1",
 		"packet_address": at(), "ready_address": at(), "control_address": at(),
-		"peer_ports": []uint16{freePort(t)}, "store_address": at(), "stop_timeout": "2s",
+		"peer_ports": []uint16{rehearser.FreeAddress().Port()}, "store_address": at(), "stop_timeout": "2s",
 		"log": map[string]any{"format": "json", "verbosity": 1},
 	}
 }
 
-func TestAHangupReloadsTheSettingsAndAStopEndsTheProcess(t *testing.T) {
-	file := filepath.Join(t.TempDir(), "settings.json")
-	settings := sampleSettings(t)
-	writeSettings(t, file, settings)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	log := &syncBuffer{}
+// process is an instance that runs in the test.
+type process struct {
+	file     string
+	settings map[string]any
+	log      *syncBuffer
+	stop     func() error // ends it and returns how it ended
+}
+
+// startProcess starts an instance and waits until it says so.
+func startProcess(t *testing.T, settings map[string]any) *process {
+	t.Helper()
+	process := &process{file: filepath.Join(t.TempDir(), "settings.json"), settings: settings, log: &syncBuffer{}}
+	writeSettings(t, process.file, settings)
+	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, file, log) }()
-	poll.WaitOn(t, log.contains("instance started"))
+	go func() { ended <- Run(ctx, process.file, process.log) }()
+	process.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-ended
+	})
+	t.Cleanup(func() { assert.NilError(t, process.stop()) })
+	poll.WaitOn(t, process.log.contains("instance started"))
+	return process
+}
 
-	settings["peer_ports"] = []uint16{1}
-	writeSettings(t, file, settings)
-	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
-	poll.WaitOn(t, log.contains(`"at_next_start":["peer_ports"]`))
+func TestAHangupReloadsTheSettingsAndAStopEndsTheProcess(t *testing.T) {
+	process := startProcess(t, sampleSettings(t))
+	hangup := func() { assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
+	process.settings["peer_ports"] = []uint16{1}
+	writeSettings(t, process.file, process.settings)
+	hangup()
+	poll.WaitOn(t, process.log.contains(`"at_next_start":["peer_ports"]`))
 
-	settings["instance"] = ""
-	writeSettings(t, file, settings)
-	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
-	poll.WaitOn(t, log.contains("instance: must not be empty"))
+	process.settings["instance"] = ""
+	writeSettings(t, process.file, process.settings)
+	hangup()
+	poll.WaitOn(t, process.log.contains("instance: must not be empty"))
 
-	response, err := http.Get(fmt.Sprintf("http://%s/-/ready", settings["ready_address"]))
+	response, err := http.Get(fmt.Sprintf("http://%s/-/ready", process.settings["ready_address"]))
 	assert.NilError(t, err)
 	response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	stop()
-	select {
-	case err := <-ended:
-		assert.NilError(t, err)
-	case <-time.After(10 * time.Second):
-		t.Fatal("the instance did not stop")
-	}
-	poll.WaitOn(t, log.contains("instance stopped"))
+	assert.NilError(t, process.stop())
+	poll.WaitOn(t, process.log.contains("instance stopped"))
 }
 
 func TestAChangeWithoutASignalIsFound(t *testing.T) {
-	file := filepath.Join(t.TempDir(), "settings.json")
-	settings := sampleSettings(t)
-	writeSettings(t, file, settings)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	log := &syncBuffer{}
-	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, file, log) }()
-	poll.WaitOn(t, log.contains("instance started"))
-	settings["seeds"] = []string{"127.0.0.1:1"}
-	writeSettings(t, file, settings)
-	assert.NilError(t, os.Chtimes(file, time.Time{}, time.Now().Add(time.Hour)))
-	poll.WaitOn(t, log.contains("settings loaded again"))
-	stop()
-	assert.NilError(t, <-ended)
+	process := startProcess(t, sampleSettings(t))
+	process.settings["seeds"] = []string{"127.0.0.1:1"}
+	writeSettings(t, process.file, process.settings)
+	assert.NilError(t, os.Chtimes(process.file, time.Time{}, time.Now().Add(time.Hour)))
+	poll.WaitOn(t, process.log.contains("settings loaded again"))
 }
--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -1,14 +1,12 @@
 package director
 
 import (
-	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http/httptest"
 	"net/netip"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -54,23 +52,15 @@
 	t.Cleanup(server.Close)
 	settings := sampleSettings(t)
 	settings["store_address"] = strings.TrimPrefix(server.URL, "http://")
-	file := filepath.Join(t.TempDir(), "settings.json")
-	writeSettings(t, file, settings)
 	packetAddress := netip.MustParseAddrPort(settings["packet_address"].(string))
 	site := &site{
-		t: t, store: store, log: &syncBuffer{}, packetPort: packetAddress.Port(),
+		t: t, store: store, packetPort: packetAddress.Port(),
 		caller: listenUDP(t, "127.0.0.2", packetAddress.Port()),
 		live:   listenUDP(t, "127.0.0.1", 0),
 		dead:   listenUDP(t, "127.0.0.1", 0),
 	}
 	store.Put("config", "main", `{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","path_prefix":"/443/","service":"desk-sync"}]}`)
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, file, site.log) }()
-	t.Cleanup(func() {
-		stop()
-		assert.NilError(t, <-ended)
-	})
+	site.log = startProcess(t, settings).log
 	poll.WaitOn(t, site.log.contains("configuration in force"))
 	return site
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -14,6 +14,8 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/pimentowind/pimentowind/decider"
+
+	"github.com/pimentowind/pimentowind/ticker"
 )
 
 // protocolName is the ALPN name; a change of the messages that old instances cannot read changes it.
@@ -143,7 +145,7 @@
 		if err != nil {
 			messenger.stats.DialFailures.Add(1)
 			link.discard()
-			pause(messenger.context, redialPause)
+			ticker.Sleep(messenger.context, redialPause)
 			continue
 		}
 		messenger.pump(link, stream)
@@ -241,15 +243,6 @@
 	return mode
 })
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // countingConn counts the bytes of a socket.
 type countingConn struct {
 	*net.UDPConn
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
+	"github.com/pimentowind/pimentowind/ticker"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -91,7 +92,7 @@
 	go func() {
 		for node.ctx.Err() == nil {
 			node.Tick(node.ctx, time.Now())
-			sleep(node.ctx, tickInterval)
+			ticker.Sleep(node.ctx, tickInterval)
 		}
 	}()
 	return node
@@ -122,7 +123,7 @@
 
 // call waits as a call of the store does, and runs work unless the store is out of reach.
 func (node *node) call(ctx context.Context, work func(world *world)) error {
-	sleep(ctx, storeDelay)
+	ticker.Sleep(ctx, storeDelay)
 	world := node.world
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
@@ -143,7 +144,7 @@
 	node.world.mutex.Lock()
 	listTime := node.world.listTime
 	node.world.mutex.Unlock()
-	sleep(ctx, listTime)
+	ticker.Sleep(ctx, listTime)
 	err = node.call(ctx, func(world *world) {
 		servers = &viewer.Servers{Revision: world.revision, List: slices.Clone(world.servers)}
 	})
@@ -213,7 +214,7 @@
 }
 
 func (node *node) Fetch(ctx context.Context, control netip.AddrPort, configuration, revision uint64) ([]byte, error) {
-	sleep(ctx, 2*networkDelay)
+	ticker.Sleep(ctx, 2*networkDelay)
 	other := node.reach(control)
 	if other == nil {
 		return nil, errUnreachable
@@ -237,6 +238,7 @@
 func (node *node) ServerExpired(server *viewer.BackendServer) {
 	node.expired = append(node.expired, server.Name)
 }
+
 func (node *node) knows(version uint64) bool {
 	configuration := node.viewer.Current().Configuration
 	return configuration != nil && configuration.Version == version
@@ -248,6 +250,16 @@
 	return viewer.BackendServer{Name: name, Identity: hash, Token: uint32(hash), Service: "desk-sync", State: state, Address: address}
 }
 
+// addServers adds count servers and lets every instance hear of them.
+func (world *world) addServers(count int) {
+	world.change(func() {
+		for i := range count {
+			world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
+		}
+	})
+	time.Sleep(2 * applyLimit)
+}
+
 // play runs test with a fleet that has settled.
 func play(t *testing.T, count int, test func(world *world, nodes []*node)) {
 	t.Helper()
@@ -328,12 +340,7 @@
 
 func TestAChangeOfFewServersTravelsInHeartbeats(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range 400 {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
+		world.addServers(400)
 		world.change(func() { world.fetched = 0 })
 		for i := range 20 {
 			world.change(func() {
@@ -354,12 +361,7 @@
 
 func TestAFleetThatStartsReadsLongListsFromTheStore(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range smallList {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
+		world.addServers(smallList)
 		world.change(func() { world.listTime, world.fetched = 900*time.Millisecond, 0 })
 		for i, node := range nodes[1:] {
 			node.kill()
@@ -375,12 +377,7 @@
 
 func TestAnInstanceThatMissedHeartbeatsFetchesOnlyTheChanges(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range 400 {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
+		world.addServers(400)
 		world.change(func() { world.cut["dakar-0"] = true })
 		for i := range 10 {
 			world.change(func() { world.servers[i+7].State = parser.Leaving })
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
+
+	"github.com/pimentowind/pimentowind/ticker"
 )
 
 const (
@@ -252,14 +254,14 @@
 			relayer.once("members", func() { relayer.readMembers(ctx) })
 			return
 		}
-		sleep(ctx, 2*retryInterval)
+		ticker.Sleep(ctx, 2*retryInterval)
 	}
 }
 
 // askSeeds takes a first view from the instances in the settings while the store does not give one.
 func (relayer *Relayer) askSeeds(ctx context.Context) {
 	for {
-		sleep(ctx, retryInterval)
+		ticker.Sleep(ctx, retryInterval)
 		if ctx.Err() != nil || relayer.viewer.Current().Complete() {
 			return
 		}
@@ -327,12 +329,3 @@
 	}
 	return members
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
