--- a/commander/commander.go
+++ b/commander/commander.go
@@ -84,18 +84,18 @@
 	balance.Flag("settings", "JSON settings file of the instance.").Required().StringVar(&command.settings)
 	balance.Action(command.act(command.balance))
 
-	enter := application.Command("enter", "Run one instance on the users' platform until it is told to stop.")
-	enter.Flag("settings", "JSON settings file of the instance.").Envar(platform.SettingsVariable).Required().StringVar(&command.settings)
-	enter.Action(command.act(command.enter))
+	serve := application.Command("serve", "Run one instance on the users' platform until it is told to stop.")
+	serve.Flag("settings", "JSON settings file of the instance.").Envar(platform.SettingsVariable).Required().StringVar(&command.settings)
+	serve.Action(command.act(command.serve))
 
 	settings := application.Command("settings", "Work with settings files.")
 	checkSettings := settings.Command("check", "Check a settings file and print every finding.")
 	checkSettings.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
 	checkSettings.Action(command.act(command.checkSettings))
 
-	checkEntrance := settings.Command("check-entrance", "Check a settings file for 'enter' and print every finding.")
-	checkEntrance.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
-	checkEntrance.Action(command.act(command.checkEntrance))
+	checkServe := settings.Command("check-serve", "Check a settings file for 'serve' and print every finding.")
+	checkServe.Arg("file", "JSON settings file.").Required().StringVar(&command.file)
+	checkServe.Action(command.act(command.checkServe))
 
 	command.sheetCommands(application)
 	command.calendarCommands(application)
@@ -164,7 +164,7 @@
 	return balancer.Run(command.context, settings, command.errors)
 }
 
-func (command *command) enter() error {
+func (command *command) serve() error {
 	return director.Run(command.context, command.settings, command.output)
 }
 
@@ -177,12 +177,12 @@
 	return nil
 }
 
-func (command *command) checkEntrance() error {
-	entrance, err := configurer.ReadEntrance(command.file)
+func (command *command) checkServe() error {
+	settings, err := configurer.ReadPlatformSettings(command.file)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(command.output, "%s: settings of instance %q are right\n", command.file, entrance.Instance)
+	fmt.Fprintf(command.output, "%s: settings of instance %q are right\n", command.file, settings.Instance)
 	return nil
 }
 
--- a/configurer/entrance_test.go
+++ b/configurer/platform_settings_test.go
@@ -9,26 +9,26 @@
 	"gotest.tools/v3/assert"
 )
 
-const entranceSample = `{"instance": "lb-1", "failure_domain": "dakar-1", "address": "10.1.0.10",
+const platformSample = `{"instance": "lb-1", "failure_domain": "dakar-1", "address": "10.1.0.10",
   "packet_address": "10.1.0.10:8172", "ready_address": "10.1.0.10:8167", "control_address": "10.1.0.10:8166",
   "peer_ports": [7720, 7735], "store_address": "10.200.1.7:8169"}`
 
-func readEntrance(t *testing.T, content string) (*Entrance, error) {
+func readPlatform(t *testing.T, content string) (*PlatformSettings, error) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
-	return ReadEntrance(file)
+	return ReadPlatformSettings(file)
 }
 
-func TestReadEntranceFillsDefaults(t *testing.T) {
-	entrance, err := readEntrance(t, entranceSample)
+func TestReadPlatformSettingsFillsDefaults(t *testing.T) {
+	settings, err := readPlatform(t, platformSample)
 	assert.NilError(t, err)
-	assert.Equal(t, entrance.StopTimeout, defaultStopTimeout)
-	assert.Equal(t, entrance.Log.Format, "json")
-	assert.Equal(t, entrance.PeerAddress().String(), "10.1.0.10:7720")
+	assert.Equal(t, settings.StopTimeout, defaultStopTimeout)
+	assert.Equal(t, settings.Log.Format, "json")
+	assert.Equal(t, settings.PeerAddress().String(), "10.1.0.10:7720")
 }
 
-func TestReadEntranceFindings(t *testing.T) {
+func TestReadPlatformSettingsFindings(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"unknown key", `"instance"`, `"machine"`, `unknown field "machine"`},
 		{"no instance", `"lb-1"`, `""`, "instance: must not be empty"},
@@ -40,14 +40,14 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			_, err := readEntrance(t, strings.Replace(entranceSample, c.old, c.new, 1))
+			_, err := readPlatform(t, strings.Replace(platformSample, c.old, c.new, 1))
 			assert.ErrorContains(t, err, c.want)
 		})
 	}
 }
 
-func TestReadEntranceReportsAllFindingsTogether(t *testing.T) {
-	_, err := readEntrance(t, `{}`)
+func TestReadPlatformSettingsReportsAllFindingsTogether(t *testing.T) {
+	_, err := readPlatform(t, `{}`)
 	findings, ok := err.(Findings)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(findings), 8)
--- a/director/director.go
+++ b/director/director.go
@@ -55,7 +55,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	entrance, err := configurer.ReadEntrance(file)
+	settings, err := configurer.ReadPlatformSettings(file)
 	if err != nil {
 		return err
 	}
@@ -65,10 +65,10 @@
 	defer stopWork()
 	container := dig.New()
 	constructors := []any{
-		func() *configurer.Entrance { return entrance },
+		func() *configurer.PlatformSettings { return settings },
 		parts.newQueue,
 		NewRecorder,
-		func(recorder *Recorder) *Reloader { return NewReloader(file, entrance, recorder) },
+		func(recorder *Recorder) *Reloader { return NewReloader(file, settings, recorder) },
 		viewer.NewViewer,
 		parts.newSource,
 		parts.newNetwork,
@@ -76,7 +76,7 @@
 		newSteerer,
 		parts.newSocket,
 		parts.newTicker,
-		parts.newDoor,
+		parts.newResponder,
 	}
 	for _, constructor := range constructors {
 		if err := container.Provide(constructor); err != nil {
@@ -91,7 +91,7 @@
 type instance struct {
 	dig.In
 
-	Entrance *configurer.Entrance
+	PlatformSettings *configurer.PlatformSettings
 	Recorder *Recorder
 	Reloader *Reloader
 	Viewer   *viewer.Viewer
@@ -99,7 +99,7 @@
 	Network  *Network
 	Socket   *Socket
 	Ticker   *ticker.Ticker
-	Door     *Door
+	Responder     *Responder
 }
 
 func (parts *parts) newQueue() *logger.Queue {
@@ -108,15 +108,15 @@
 	return queue
 }
 
-func (parts *parts) newSource(entrance *configurer.Entrance, reloader *Reloader, recorder *Recorder) relayer.Source {
-	store, cleanup := platform.NewStore(entrance.StoreAddress)
+func (parts *parts) newSource(settings *configurer.PlatformSettings, reloader *Reloader, recorder *Recorder) relayer.Source {
+	store, cleanup := platform.NewStore(settings.StoreAddress)
 	parts.Add(cleanup)
-	reloader.Subscribe(func(entrance *configurer.Entrance) { store.SetAddress(entrance.StoreAddress) })
+	reloader.Subscribe(func(settings *configurer.PlatformSettings) { store.SetAddress(settings.StoreAddress) })
 	return platform.NewSource(store, recorder)
 }
 
-func (parts *parts) newNetwork(entrance *configurer.Entrance) (*Network, error) {
-	network, cleanup, err := NewNetwork(entrance.PeerAddress())
+func (parts *parts) newNetwork(settings *configurer.PlatformSettings) (*Network, error) {
+	network, cleanup, err := NewNetwork(settings.PeerAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -124,25 +124,25 @@
 	return network, nil
 }
 
-func (parts *parts) newRelayer(entrance *configurer.Entrance, current *viewer.Viewer, source relayer.Source, network *Network, recorder *Recorder) *relayer.Relayer {
+func (parts *parts) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
-		Name:          entrance.Instance,
-		FailureDomain: entrance.FailureDomain,
-		Peer:          entrance.PeerAddress(),
-		Control:       entrance.ControlAddress,
-		Share:         entrance.ProcessorShare,
+		Name:          settings.Instance,
+		FailureDomain: settings.FailureDomain,
+		Peer:          settings.PeerAddress(),
+		Control:       settings.ControlAddress,
+		Share:         settings.ProcessorShare,
 	}
-	return relayer.NewRelayer(self, entrance.Seeds, current, source, network, recorder)
+	return relayer.NewRelayer(self, settings.Seeds, current, source, network, recorder)
 }
 
-func newSteerer(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(entrance.FailureDomain, relayer.Instances, random)
+	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, random)
 	return steerer.NewSteerer(current.Current, ticker.Resumed, placer, recorder, random)
 }
 
-func (parts *parts) newSocket(entrance *configurer.Entrance, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
-	socket, cleanup, err := NewSocket(entrance.PacketAddress, steerer, recorder)
+func (parts *parts) newSocket(settings *configurer.PlatformSettings, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
+	socket, cleanup, err := NewSocket(settings.PacketAddress, steerer, recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -156,23 +156,23 @@
 	return built
 }
 
-func (parts *parts) newDoor(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Door, error) {
-	door, cleanup, err := NewDoor(entrance, current, relayer, recorder)
+func (parts *parts) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, error) {
+	responder, cleanup, err := NewResponder(settings, current, relayer, recorder)
 	if err != nil {
 		return nil, err
 	}
 	parts.Add(cleanup)
-	return door, nil
+	return responder, nil
 }
 
 func (instance *instance) run(ctx, work context.Context, hangups <-chan os.Signal) error {
-	instance.Reloader.Subscribe(func(entrance *configurer.Entrance) {
-		instance.Relayer.SetSeeds(entrance.Seeds)
-		instance.Recorder.SetVerbosity(entrance.Log.Verbosity)
+	instance.Reloader.Subscribe(func(settings *configurer.PlatformSettings) {
+		instance.Relayer.SetSeeds(settings.Seeds)
+		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetAge(instance.Relayer.Age)
-	instance.Recorder.Event(logger.EventStarted, "instance", instance.Entrance.Instance,
-		"failure_domain", instance.Entrance.FailureDomain, "packet_address", instance.Entrance.PacketAddress.String())
+	instance.Recorder.Event(logger.EventStarted, "instance", instance.PlatformSettings.Instance,
+		"failure_domain", instance.PlatformSettings.FailureDomain, "packet_address", instance.PlatformSettings.PacketAddress.String())
 	go instance.Network.Run(func(content []byte) {
 		if err := instance.Relayer.Receive(work, content); err != nil {
 			instance.Recorder.MessageRefused(err)
@@ -186,7 +186,7 @@
 	defer instance.Ticker.Subscribe(logInterval, instance.Recorder.Flush)()
 	defer instance.Ticker.Subscribe(settingsInterval, instance.Reloader.Look)()
 	err := instance.wait(ctx, hangups, forwarding)
-	instance.Recorder.Event(logger.EventStopped, "instance", instance.Entrance.Instance)
+	instance.Recorder.Event(logger.EventStopped, "instance", instance.PlatformSettings.Instance)
 	return err
 }
 
@@ -207,8 +207,8 @@
 
 // leave has the fabric send packets elsewhere and goes on until none comes any more.
 func (instance *instance) leave() {
-	instance.Recorder.Event(logger.EventStopping, "instance", instance.Entrance.Instance)
-	instance.Door.Close()
+	instance.Recorder.Event(logger.EventStopping, "instance", instance.PlatformSettings.Instance)
+	instance.Responder.Close()
 	instance.Relayer.Leave()
 	startedAt := time.Now()
 	deadline := startedAt.Add(time.Duration(instance.Reloader.Current().StopTimeout) - stopMargin)
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -37,17 +37,17 @@
 const flowVerbosity = 1
 
 // NewRecorder returns a Recorder that writes into queue.
-func NewRecorder(entrance *configurer.Entrance, queue *logger.Queue) *Recorder {
+func NewRecorder(settings *configurer.PlatformSettings, queue *logger.Queue) *Recorder {
 	recorder := &Recorder{
-		rare:     logger.New(queue.Rare(), entrance.Log.Format, entrance.Log.Verbosity),
-		frequent: logger.New(queue.Frequent(), entrance.Log.Format, entrance.Log.Verbosity),
+		rare:     logger.New(queue.Rare(), settings.Log.Format, settings.Log.Verbosity),
+		frequent: logger.New(queue.Frequent(), settings.Log.Format, settings.Log.Verbosity),
 		counters: &expvar.Map{},
 		opening:  &expvar.Map{},
 		response: &expvar.Map{},
 		queue:    queue,
 		outages:  map[string]bool{},
 	}
-	recorder.SetVerbosity(entrance.Log.Verbosity)
+	recorder.SetVerbosity(settings.Log.Verbosity)
 	return recorder
 }
 
--- a/director/reloader.go
+++ b/director/reloader.go
@@ -20,27 +20,27 @@
 	recorder *Recorder
 
 	mutex    sync.Mutex
-	current  *configurer.Entrance
+	current  *configurer.PlatformSettings
 	modified time.Time
-	apply    []func(entrance *configurer.Entrance)
+	apply    []func(settings *configurer.PlatformSettings)
 }
 
-// NewReloader returns a Reloader of file, whose settings are entrance.
-func NewReloader(file string, entrance *configurer.Entrance, recorder *Recorder) *Reloader {
-	reloader := &Reloader{file: file, recorder: recorder, current: entrance}
+// NewReloader returns a Reloader of file, whose settings are settings.
+func NewReloader(file string, settings *configurer.PlatformSettings, recorder *Recorder) *Reloader {
+	reloader := &Reloader{file: file, recorder: recorder, current: settings}
 	reloader.modified, _ = reloader.changedAt()
 	return reloader
 }
 
 // Current returns the settings in force.
-func (reloader *Reloader) Current() *configurer.Entrance {
+func (reloader *Reloader) Current() *configurer.PlatformSettings {
 	reloader.mutex.Lock()
 	defer reloader.mutex.Unlock()
 	return reloader.current
 }
 
 // Subscribe has apply called with every new settings.
-func (reloader *Reloader) Subscribe(apply func(entrance *configurer.Entrance)) {
+func (reloader *Reloader) Subscribe(apply func(settings *configurer.PlatformSettings)) {
 	reloader.mutex.Lock()
 	defer reloader.mutex.Unlock()
 	reloader.apply = append(reloader.apply, apply)
@@ -73,21 +73,21 @@
 	if modified, err := reloader.changedAt(); err == nil {
 		reloader.modified = modified
 	}
-	entrance, err := configurer.ReadEntrance(reloader.file)
+	settings, err := configurer.ReadPlatformSettings(reloader.file)
 	if err != nil {
 		reloader.recorder.Event(logger.EventSettingsInvalid, "error", err.Error())
 		return
 	}
-	later := needsRestart(reloader.current, entrance)
-	reloader.current = entrance
+	later := needsRestart(reloader.current, settings)
+	reloader.current = settings
 	for _, apply := range reloader.apply {
-		apply(entrance)
+		apply(settings)
 	}
 	reloader.recorder.Event(logger.EventSettingsLoaded, "at_next_start", later)
 }
 
 // needsRestart names the changed settings that the running process goes on without.
-func needsRestart(before, after *configurer.Entrance) []string {
+func needsRestart(before, after *configurer.PlatformSettings) []string {
 	names := []string{}
 	compare := func(name string, before, after any) {
 		if !reflect.DeepEqual(before, after) {
--- a/director/door.go
+++ b/director/responder.go
@@ -27,9 +27,9 @@
 // headerTimeout bounds how long a connection may take to send its request.
 const headerTimeout = 2 * time.Second
 
-// Door answers HTTP: the fabric's question for readiness, other instances'
+// Responder answers HTTP: the fabric's question for readiness, other instances'
 // for the view, and operators' for metrics and state.
-type Door struct {
+type Responder struct {
 	viewer   *viewer.Viewer
 	relayer  *relayer.Relayer
 	recorder *Recorder
@@ -51,18 +51,18 @@
 	ReadingRank   int     `json:"reading_rank"`
 }
 
-// NewDoor listens on the addresses in the settings; the returned function stops it.
-func NewDoor(entrance *configurer.Entrance, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Door, func(), error) {
-	door := &Door{viewer: current, relayer: relayer, recorder: recorder, views: make(chan struct{}, maxViews), vars: &expvar.Map{}}
-	recorder.publish(door.vars)
+// NewResponder listens on the addresses in the settings; the returned function stops it.
+func NewResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, func(), error) {
+	responder := &Responder{viewer: current, relayer: relayer, recorder: recorder, views: make(chan struct{}, maxViews), vars: &expvar.Map{}}
+	recorder.publish(responder.vars)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.ReadyPath, door.serveReady)
-	mux.HandleFunc("GET "+viewPath, door.serveView)
-	mux.HandleFunc("GET /debug/vars", door.serveVars)
-	mux.HandleFunc("GET /state", func(writer http.ResponseWriter, _ *http.Request) { door.serveState(writer, entrance.Instance) })
-	addresses := []netip.AddrPort{entrance.ReadyAddress, entrance.ControlAddress}
-	if entrance.MetricsPort != 0 {
-		addresses = append(addresses, netip.AddrPortFrom(entrance.Address, entrance.MetricsPort))
+	mux.HandleFunc("GET "+platform.ReadyPath, responder.serveReady)
+	mux.HandleFunc("GET "+viewPath, responder.serveView)
+	mux.HandleFunc("GET /debug/vars", responder.serveVars)
+	mux.HandleFunc("GET /state", func(writer http.ResponseWriter, _ *http.Request) { responder.serveState(writer, settings.Instance) })
+	addresses := []netip.AddrPort{settings.ReadyAddress, settings.ControlAddress}
+	if settings.MetricsPort != 0 {
+		addresses = append(addresses, netip.AddrPortFrom(settings.Address, settings.MetricsPort))
 	}
 	closer := &closer.Closer{}
 	for _, address := range addresses {
@@ -75,23 +75,23 @@
 		closer.Add(func() { server.Close() })
 		go server.Serve(listener)
 	}
-	return door, closer.Close, nil
+	return responder, closer.Close, nil
 }
 
 // Close has the instance answer that it is not ready from now on.
-func (door *Door) Close() { door.closed.Store(true) }
+func (responder *Responder) Close() { responder.closed.Store(true) }
 
-func (door *Door) ready() bool { return !door.closed.Load() && door.viewer.Current().Complete() }
+func (responder *Responder) ready() bool { return !responder.closed.Load() && responder.viewer.Current().Complete() }
 
-func (door *Door) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	ready := door.ready()
-	door.recorder.Ready(ready)
+func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	ready := responder.ready()
+	responder.recorder.Ready(ready)
 	if !ready {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-func (door *Door) serveView(writer http.ResponseWriter, request *http.Request) {
+func (responder *Responder) serveView(writer http.ResponseWriter, request *http.Request) {
 	version, versionErr := strconv.ParseUint(request.FormValue(configuration), 10, 64)
 	known, revisionErr := strconv.ParseUint(request.FormValue(revision), 10, 64)
 	if versionErr != nil || revisionErr != nil {
@@ -99,29 +99,29 @@
 		return
 	}
 	select {
-	case door.views <- struct{}{}:
-		defer func() { <-door.views }()
+	case responder.views <- struct{}{}:
+		defer func() { <-responder.views }()
 	default:
 		http.Error(writer, "too many views at once", http.StatusServiceUnavailable)
 		return
 	}
 	writer.Header().Set("Content-Type", "application/cbor")
-	writer.Write(door.relayer.Snapshot(version, known))
+	writer.Write(responder.relayer.Snapshot(version, known))
 }
 
-func (door *Door) serveVars(writer http.ResponseWriter, _ *http.Request) {
+func (responder *Responder) serveVars(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "application/json")
-	writer.Write([]byte(door.vars.String()))
+	writer.Write([]byte(responder.vars.String()))
 }
 
-func (door *Door) serveState(writer http.ResponseWriter, instance string) {
-	view := door.viewer.Current()
+func (responder *Responder) serveState(writer http.ResponseWriter, instance string) {
+	view := responder.viewer.Current()
 	state := State{
 		Instance:    instance,
-		Ready:       door.ready(),
-		AgeSeconds:  door.relayer.Age(time.Now()).Seconds(),
-		Instances:   door.relayer.Instances(),
-		ReadingRank: door.relayer.Rank(),
+		Ready:       responder.ready(),
+		AgeSeconds:  responder.relayer.Age(time.Now()).Seconds(),
+		Instances:   responder.relayer.Instances(),
+		ReadingRank: responder.relayer.Rank(),
 	}
 	if view.Configuration != nil {
 		state.Configuration, state.Routes = view.Configuration.Version, len(view.Configuration.Routes)
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -74,7 +74,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer log.Close()
-	command := exec.Command(instance.binary, "enter", "--settings", instance.file("json"))
+	command := exec.Command(instance.binary, "serve", "--settings", instance.file("json"))
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", instance.name)
