--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
+	"github.com/pimentowind/pimentowind/ticker"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -41,9 +42,10 @@
 	cut           map[string]bool // failure domains that reach only themselves
 	nodes         map[netip.AddrPort]*node
 	started       []*node
-	fetched       int    // bytes of views between instances
-	longest       int    // bytes of the longest heartbeat
-	nextVersion   uint64 // comes into force right after the configuration was read
+	fetched       int           // bytes of views between instances
+	longest       int           // bytes of the longest heartbeat
+	listTime      time.Duration // that a list of servers takes
+	nextVersion   uint64        // comes into force right after the configuration was read
 }
 
 // node is one instance in the world.
@@ -90,7 +92,7 @@
 	go func() {
 		for node.ctx.Err() == nil {
 			node.Tick(node.ctx, time.Now())
-			sleep(node.ctx, tickInterval)
+			ticker.Sleep(node.ctx, tickInterval)
 		}
 	}()
 	return node
@@ -121,7 +123,7 @@
 
 // call waits as a call of the store does, and runs work unless the store is out of reach.
 func (node *node) call(ctx context.Context, work func(world *world)) error {
-	sleep(ctx, storeDelay)
+	ticker.Sleep(ctx, storeDelay)
 	world := node.world
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
@@ -139,6 +141,10 @@
 }
 
 func (node *node) Servers(ctx context.Context) (servers *viewer.Servers, err error) {
+	node.world.mutex.Lock()
+	listTime := node.world.listTime
+	node.world.mutex.Unlock()
+	ticker.Sleep(ctx, listTime)
 	err = node.call(ctx, func(world *world) {
 		servers = &viewer.Servers{Revision: world.revision, List: slices.Clone(world.servers)}
 	})
@@ -208,7 +214,7 @@
 }
 
 func (node *node) Fetch(ctx context.Context, control netip.AddrPort, configuration, revision uint64) ([]byte, error) {
-	sleep(ctx, 2*networkDelay)
+	ticker.Sleep(ctx, 2*networkDelay)
 	other := node.reach(control)
 	if other == nil {
 		return nil, errUnreachable
@@ -232,6 +238,7 @@
 func (node *node) ServerExpired(server *viewer.BackendServer) {
 	node.expired = append(node.expired, server.Name)
 }
+
 func (node *node) knows(version uint64) bool {
 	configuration := node.viewer.Current().Configuration
 	return configuration != nil && configuration.Version == version
@@ -243,6 +250,16 @@
 	return viewer.BackendServer{Name: name, Identity: hash, Token: uint32(hash), Service: "desk-sync", State: state, Address: address}
 }
 
+// addServers adds count servers and lets every instance hear of them.
+func (world *world) addServers(count int) {
+	world.change(func() {
+		for i := range count {
+			world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
+		}
+	})
+	time.Sleep(2 * applyLimit)
+}
+
 // play runs test with a fleet that has settled.
 func play(t *testing.T, count int, test func(world *world, nodes []*node)) {
 	t.Helper()
@@ -323,12 +340,7 @@
 
 func TestAChangeOfFewServersTravelsInHeartbeats(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range 400 {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
+		world.addServers(400)
 		world.change(func() { world.fetched = 0 })
 		for i := range 20 {
 			world.change(func() {
@@ -349,17 +361,12 @@
 
 func TestAFleetThatStartsReadsLongListsFromTheStore(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range smallList {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
-		for i, node := range nodes {
+		world.addServers(smallList)
+		world.change(func() { world.listTime, world.fetched = 900*time.Millisecond, 0 })
+		for i, node := range nodes[1:] {
 			node.kill()
-			nodes[i] = world.start(t, node.member.Name, i/30, byte(i%30))
+			nodes[i+1] = world.start(t, node.member.Name, (i+1)/30, byte((i+1)%30))
 		}
-		world.change(func() { world.fetched = 0 })
 		time.Sleep(time.Second)
 		for _, node := range nodes {
 			assert.Assert(t, node.knows(1), "%s has no view", node.member.Name)
@@ -370,12 +377,7 @@
 
 func TestAnInstanceThatMissedHeartbeatsFetchesOnlyTheChanges(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
-		world.change(func() {
-			for i := range 400 {
-				world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
-			}
-		})
-		time.Sleep(2 * applyLimit)
+		world.addServers(400)
 		world.change(func() { world.cut["dakar-0"] = true })
 		for i := range 10 {
 			world.change(func() { world.servers[i+7].State = parser.Leaving })
