Forget instances that another reader took off the list

Cause: only the reader of an instance's own failure domain removed it after 90 s; the others went on telling it and counted it when they placed flows. Change: a reader drops members that the list lacks and that it has not heard for ten seconds. A test failed before (9 instances counted, 8 live).

--- a/director/director.go
+++ b/director/director.go
@@ -92,14 +92,14 @@
 	dig.In
 
 	PlatformSettings *configurer.PlatformSettings
-	Recorder *Recorder
-	Reloader *Reloader
-	Viewer   *viewer.Viewer
-	Relayer  *relayer.Relayer
-	Network  *Network
-	Socket   *Socket
-	Ticker   *ticker.Ticker
-	Responder     *Responder
+	Recorder         *Recorder
+	Reloader         *Reloader
+	Viewer           *viewer.Viewer
+	Relayer          *relayer.Relayer
+	Network          *Network
+	Socket           *Socket
+	Ticker           *ticker.Ticker
+	Responder        *Responder
 }
 
 func (parts *parts) newQueue() *logger.Queue {
--- a/director/responder.go
+++ b/director/responder.go
@@ -81,7 +81,9 @@
 // Close has the instance answer that it is not ready from now on.
 func (responder *Responder) Close() { responder.closed.Store(true) }
 
-func (responder *Responder) ready() bool { return !responder.closed.Load() && responder.viewer.Current().Complete() }
+func (responder *Responder) ready() bool {
+	return !responder.closed.Load() && responder.viewer.Current().Complete()
+}
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	ready := responder.ready()
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -18,6 +18,7 @@
 	relayer.listedAt, relayer.listed = now, true
 	relayer.mutex.Unlock()
 	relayer.merge(members, now)
+	relayer.forgetUnlisted(members, now)
 	if first {
 		relayer.tellEveryone()
 	}
@@ -43,6 +44,23 @@
 	relayer.rerank()
 }
 
+// forgetUnlisted drops the members that another instance has taken off the list;
+// one that is heard may not have got onto it yet.
+func (relayer *Relayer) forgetUnlisted(listed []Member, now time.Time) {
+	names := map[string]bool{}
+	for _, member := range listed {
+		names[member.Name] = true
+	}
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	for name, peer := range relayer.members {
+		if !names[name] && now.Sub(peer.heardAt) > directoryInterval {
+			delete(relayer.members, name)
+		}
+	}
+	relayer.rerank()
+}
+
 // silent returns for how long the member has left heartbeats unanswered.
 func (peer *peer) silent(now time.Time) time.Duration {
 	if !peer.askedAt.After(peer.heardAt) {
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -500,6 +500,16 @@
 	})
 }
 
+func TestAReaderForgetsInstancesThatAnotherTookOffTheList(t *testing.T) {
+	play(t, 3, func(world *world, nodes []*node) {
+		nodes[5].kill()
+		world.change(func() { delete(world.members, nodes[5].member.Name) })
+		time.Sleep(3 * directoryInterval)
+		synctest.Wait()
+		assert.Equal(t, nodes[0].Instances(), 8)
+	})
+}
+
 func TestAStoreThatIsAwayIsTriedByFew(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
 		world.change(func() { world.down = true })
