--- a/director/director.go
+++ b/director/director.go
@@ -44,7 +44,6 @@
 // parts makes the parts of an instance and keeps their clean-up functions.
 type parts struct {
 	closer.Closer
-	ctx    context.Context
 	output io.Writer
 }
 
@@ -60,7 +59,7 @@
 		return err
 	}
 	work, stopWork := context.WithCancel(context.Background())
-	parts := &parts{ctx: work, output: output}
+	parts := &parts{output: output}
 	defer parts.Close()
 	defer stopWork()
 	container := dig.New()
@@ -94,7 +93,6 @@
 	PlatformSettings *configurer.PlatformSettings
 	Recorder         *Recorder
 	Reloader         *Reloader
-	Viewer           *viewer.Viewer
 	Relayer          *relayer.Relayer
 	Network          *Network
 	Socket           *Socket
@@ -115,8 +113,8 @@
 	return platform.NewSource(store, recorder)
 }
 
-func (parts *parts) newNetwork(settings *configurer.PlatformSettings) (*Network, error) {
-	network, cleanup, err := NewNetwork(settings.PeerAddress())
+func (parts *parts) newNetwork(settings *configurer.PlatformSettings, recorder *Recorder) (*Network, error) {
+	network, cleanup, err := NewNetwork(settings.PeerAddress(), recorder)
 	if err != nil {
 		return nil, err
 	}
--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -33,6 +34,7 @@
 	store      *standin.Store
 	log        *syncBuffer
 	packetPort uint16
+	control    string       // address
 	caller     *net.UDPConn // callers take packets at the port of the instance's packet address
 	live, dead *net.UDPConn
 }
@@ -54,7 +56,7 @@
 	settings["store_address"] = strings.TrimPrefix(server.URL, "http://")
 	packetAddress := netip.MustParseAddrPort(settings["packet_address"].(string))
 	site := &site{
-		t: t, store: store, packetPort: packetAddress.Port(),
+		t: t, store: store, packetPort: packetAddress.Port(), control: settings["control_address"].(string),
 		caller: listenUDP(t, "127.0.0.2", packetAddress.Port()),
 		live:   listenUDP(t, "127.0.0.1", 0),
 		dead:   listenUDP(t, "127.0.0.1", 0),
@@ -183,3 +185,25 @@
 	assert.Equal(t, line["backend_server"], "i-0a")
 	assert.Equal(t, line["accepted"], true)
 }
+
+func TestMalformedDatagramsAreCounted(t *testing.T) {
+	site := newSite(t)
+	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), site.packetPort)
+	for _, content := range [][]byte{{}, make([]byte, headLength-1), make([]byte, headLength+1)} {
+		_, err := site.caller.WriteToUDPAddrPort(content, to)
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		response, err := http.Get("http://" + site.control + "/debug/vars")
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		var vars struct {
+			Decisions map[string]int `json:"decisions"`
+		}
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&vars))
+		if vars.Decisions["malformed_short"] == 2 && vars.Decisions["malformed_length"] == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("counted %v", vars.Decisions)
+	})
+}
--- a/director/network.go
+++ b/director/network.go
@@ -25,10 +25,11 @@
 type Network struct {
 	connection *net.UDPConn
 	client     *http.Client
+	recorder   *Recorder
 }
 
 // NewNetwork binds address for heartbeats; the returned function closes it.
-func NewNetwork(address netip.AddrPort) (*Network, func(), error) {
+func NewNetwork(address netip.AddrPort, recorder *Recorder) (*Network, func(), error) {
 	connection, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen for instances on %s", address)
@@ -38,7 +39,7 @@
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
 	}
-	network := &Network{connection: connection, client: &http.Client{Transport: transport, Timeout: fetchTimeout}}
+	network := &Network{connection: connection, client: &http.Client{Transport: transport, Timeout: fetchTimeout}, recorder: recorder}
 	cleanup := func() {
 		connection.Close()
 		transport.CloseIdleConnections()
@@ -55,7 +56,8 @@
 			return
 		}
 		if err != nil {
-			continue // an ICMP error of an earlier datagram; the next read goes on
+			network.recorder.SocketFailed("heartbeats", err)
+			continue
 		}
 		receive(buffer[:count])
 	}
@@ -63,7 +65,9 @@
 
 // Tell sends a datagram; one that cannot be sent is as good as lost on the way.
 func (network *Network) Tell(to netip.AddrPort, content []byte) {
-	network.connection.WriteToUDPAddrPort(content, to)
+	if _, err := network.connection.WriteToUDPAddrPort(content, to); err != nil {
+		network.recorder.SocketFailed("heartbeats", err)
+	}
 }
 
 // Fetch takes the view of the instance at control, as far as it is newer than what this one has.
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -6,11 +6,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/decider"
 	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
 	"github.com/pimentowind/pimentowind/steerer"
 	"github.com/pimentowind/pimentowind/viewer"
@@ -27,10 +29,11 @@
 	queue    *logger.Queue
 	age      atomic.Pointer[func(now time.Time) time.Duration] // of the view
 
-	mutex   sync.Mutex
-	outages map[string]bool
-	ready   bool
-	dropped uint64 // log lines, as last said
+	mutex    sync.Mutex
+	outages  map[string]bool
+	failedAt map[string]time.Time // of the last line about a socket
+	ready    bool
+	dropped  uint64 // log lines, as last said
 }
 
 // flowVerbosity is the verbosity from which lines about single flows are written.
@@ -46,6 +49,7 @@
 		response: &expvar.Map{},
 		queue:    queue,
 		outages:  map[string]bool{},
+		failedAt: map[string]time.Time{},
 	}
 	recorder.SetVerbosity(settings.Log.Verbosity)
 	return recorder
@@ -87,11 +91,33 @@
 // Count counts a verdict.
 func (recorder *Recorder) Count(reason steerer.Reason) { recorder.counters.Add(string(reason), 1) }
 
-// Malformed counts a datagram that is no packet.
-func (recorder *Recorder) Malformed(error) { recorder.counters.Add("malformed", 1) }
+// Malformed counts a datagram that is no packet, by its fault.
+func (recorder *Recorder) Malformed(err error) {
+	if errors.Is(err, platform.ErrShort) {
+		recorder.counters.Add("malformed_short", 1)
+		return
+	}
+	recorder.counters.Add("malformed_length", 1)
+}
 
-// SocketFailed counts a packet that could not be read or sent.
-func (recorder *Recorder) SocketFailed(error) { recorder.counters.Add("socket_errors", 1) }
+// failureInterval is the shortest time between two lines about one socket.
+const failureInterval = 10 * time.Second
+
+// SocketFailed counts a datagram that could not be read or sent, and now and then
+// writes a line about it.
+func (recorder *Recorder) SocketFailed(socket string, err error) {
+	recorder.counters.Add("socket_errors_"+socket, 1)
+	now := time.Now()
+	recorder.mutex.Lock()
+	due := now.Sub(recorder.failedAt[socket]) >= failureInterval
+	if due {
+		recorder.failedAt[socket] = now
+	}
+	recorder.mutex.Unlock()
+	if due {
+		recorder.Event(logger.EventPacketNotSent, "socket", socket, "error", err.Error())
+	}
+}
 
 // MessageRefused counts a heartbeat that cannot be read.
 func (recorder *Recorder) MessageRefused(error) { recorder.counters.Add("malformed_heartbeats", 1) }
--- a/director/reloader.go
+++ b/director/reloader.go
@@ -28,7 +28,9 @@
 // NewReloader returns a Reloader of file, whose settings are settings.
 func NewReloader(file string, settings *configurer.PlatformSettings, recorder *Recorder) *Reloader {
 	reloader := &Reloader{file: file, recorder: recorder, current: settings}
-	reloader.modified, _ = reloader.changedAt()
+	if modified, err := reloader.changedAt(); err == nil {
+		reloader.modified = modified // else the next look reads the file again
+	}
 	return reloader
 }
 
--- a/director/responder.go
+++ b/director/responder.go
@@ -14,6 +14,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
 	"github.com/pimentowind/pimentowind/viewer"
@@ -73,7 +74,11 @@
 		}
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 		closer.Add(func() { server.Close() })
-		go server.Serve(listener)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				recorder.Event(logger.EventHTTPFailed, "address", address.String(), "error", err.Error())
+			}
+		}()
 	}
 	return responder, closer.Close, nil
 }
--- a/director/socket.go
+++ b/director/socket.go
@@ -64,7 +64,7 @@
 			return nil
 		}
 		if err != nil {
-			socket.recorder.SocketFailed(err)
+			socket.recorder.SocketFailed("packets", err)
 			continue
 		}
 		now := time.Now()
@@ -106,6 +106,6 @@
 		return
 	}
 	if _, err := socket.connection.WriteToUDPAddrPort(socket.outgoing, to); err != nil {
-		socket.recorder.SocketFailed(err)
+		socket.recorder.SocketFailed("packets", err)
 	}
 }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -26,6 +26,7 @@
 	EventSettingsLoaded    decider.EventKind = 112
 	EventSettingsInvalid   decider.EventKind = 113
 	EventLinesDropped      decider.EventKind = 114
+	EventHTTPFailed        decider.EventKind = 115
 
 	EventConfigurationTaken decider.EventKind = 501
 	EventServerChanged      decider.EventKind = 502
@@ -52,6 +53,7 @@
 	EventInstancesNotTaken: "list of instances is not valid",
 	EventReadiness:         "readiness changed",
 	EventSettingsLoaded:    "settings loaded again",
+	EventHTTPFailed:        "an HTTP address is not served any more",
 	EventLinesDropped:      "log lines were dropped",
 	EventSettingsInvalid:   "settings have findings and are not taken",
 
