--- a/director/director_test.go
+++ b/director/director_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/pimentowind/pimentowind/internal/rehearser"
+	"github.com/pimentowind/pimentowind/platform"
 )
 
 // syncBuffer is a buffer that a running instance writes to.
@@ -99,7 +100,7 @@
 	hangup()
 	poll.WaitOn(t, process.log.contains("instance: must not be empty"))
 
-	response, err := http.Get(fmt.Sprintf("http://%s/-/ready", process.settings["ready_address"]))
+	response, err := http.Get(fmt.Sprintf("http://%s%s", process.settings["ready_address"], platform.ReadyPath))
 	assert.NilError(t, err)
 	response.Body.Close()
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/pimentowind/pimentowind/internal/standin"
+	"github.com/pimentowind/pimentowind/platform/standin"
 )
 
 // Offsets in a packet's head, and flags, as published.
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -8,7 +8,8 @@
 	"syscall"
 	"time"
 
-	"github.com/pimentowind/pimentowind/internal/standin"
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform/standin"
 )
 
 const (
@@ -146,21 +147,21 @@
 		}
 	}
 	soak.mutex.Unlock()
-	for name := range lapsed {
-		soak.store.Remove("servers", name)
+	for _, server := range lapsed {
+		server.removeEntry()
 	}
 	soak.store.SetFaults(standin.StoreFaults{})
 	time.Sleep(draw.length / 3)
-	for name, server := range lapsed {
+	for _, server := range lapsed {
 		server.mutex.Lock()
 		ended, leaving := server.ended, !server.leavingAt.IsZero()
 		server.mutex.Unlock()
 		switch {
 		case ended:
 		case leaving:
-			soak.store.Put("servers", name, server.entry("draining"))
+			server.write(parser.Leaving)
 		default:
-			soak.store.Put("servers", name, server.entry("ready"))
+			server.write(parser.Active)
 		}
 	}
 }
@@ -207,7 +208,7 @@
 	if victim := soak.victim(draw); victim != nil {
 		victim.end()
 		time.Sleep(lapseTime)
-		soak.store.Remove("servers", victim.name)
+		victim.removeEntry()
 	}
 }
 
--- a/internal/soaker/router.go
+++ b/internal/soaker/router.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/pimentowind/pimentowind/platform"
 )
 
 const (
@@ -42,7 +44,7 @@
 	client := &http.Client{Timeout: readyTimeout}
 	misses := missesAllowed
 	for ctx.Err() == nil {
-		response, err := client.Get("http://" + instance.at(readyPort) + "/-/ready")
+		response, err := client.Get("http://" + instance.at(readyPort) + platform.ReadyPath)
 		if err == nil {
 			response.Body.Close()
 		}
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -2,13 +2,16 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 const (
@@ -51,12 +54,18 @@
 	return server, nil
 }
 
-// entry is what the server writes of itself into the store.
-func (server *server) entry(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"domain-0","slots":3,"state":%q,"born":1}`,
-		server.service, server.socket.LocalAddr(), state)
+// write writes the server's entry into the store.
+func (server *server) write(state parser.State) {
+	entry := viewer.BackendServer{
+		Service: server.service, Address: server.socket.LocalAddr().(*net.UDPAddr).AddrPort(),
+		FailureDomain: "domain-0", Slots: 3, State: state, StartedAt: 1,
+	}
+	server.soak.store.Put(platform.ServersKind, server.name, platform.EncodeServer(&entry))
 }
 
+// removeEntry removes the server's entry from the store.
+func (server *server) removeEntry() { server.soak.store.Remove(platform.ServersKind, server.name) }
+
 func (server *server) run() {
 	buffer := make([]byte, 2048)
 	for {
@@ -141,10 +150,10 @@
 	server.mutex.Lock()
 	server.leavingAt = time.Now()
 	server.mutex.Unlock()
-	server.soak.store.Put("servers", server.name, server.entry("draining"))
+	server.write(parser.Leaving)
 	time.AfterFunc(grace, func() {
 		server.end()
-		server.soak.store.Remove("servers", server.name)
+		server.removeEntry()
 	})
 }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -16,7 +16,10 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/pimentowind/pimentowind/internal/standin"
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform"
+	"github.com/pimentowind/pimentowind/platform/standin"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // Bounds of the users' pages.
@@ -203,15 +206,19 @@
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
 	soak.version += 1 + uint64(soak.random.IntN(3))
-	routes := fmt.Sprintf(`{"name":"main","host":"%s","path_prefix":"/443/","service":"desk-sync"},
-		{"name":"report","host":"%s","path_prefix":"/443/","service":"report-desk"}`, mainRoute.Addr(), reportRoute.Addr())
+	routes := []viewer.Route{route("main", mainRoute), route("report", reportRoute)}
 	if extra {
-		routes += fmt.Sprintf(`,{"name":"extra","host":"%s","path_prefix":"/443/","service":"desk-sync"}`, extraRoute.Addr())
+		routes = append(routes, route("extra", extraRoute))
 		soak.extraGone = time.Time{}
 	} else if soak.extraGone.IsZero() {
 		soak.extraGone = time.Now()
 	}
-	soak.store.Put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[%s]}`, soak.version, routes))
+	configuration := &viewer.Configuration{Version: soak.version, Routes: routes}
+	soak.store.Put(platform.ConfigurationKind, platform.ConfigurationName, platform.EncodeConfiguration(configuration))
+}
+
+func route(name string, address netip.AddrPort) viewer.Route {
+	return viewer.Route{Name: name, Address: address, Shares: []viewer.Share{{Service: allowed[address], Weight: 1}}}
 }
 
 // addServer starts a backend server and writes its entry.
@@ -228,7 +235,7 @@
 	soak.mutex.Lock()
 	soak.servers[server.name] = server
 	soak.mutex.Unlock()
-	soak.store.Put("servers", server.name, server.entry("ready"))
+	server.write(parser.Active)
 	return server, nil
 }
 
