--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -15,7 +15,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/platform/standin"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // Offsets in a packet's head, and flags, as published.
@@ -61,7 +64,14 @@
 		live:   listenUDP(t, "127.0.0.1", 0),
 		dead:   listenUDP(t, "127.0.0.1", 0),
 	}
-	store.Put("config", "main", `{"version":7,"routes":[{"name":"r-1","host":"198.18.0.1","path_prefix":"/443/","service":"desk-sync"}]}`)
+	store.Put(platform.ConfigurationKind, platform.ConfigurationName, platform.EncodeConfiguration(&viewer.Configuration{
+		Version: 7,
+		Routes: []viewer.Route{{
+			Name:    "r-1",
+			Address: netip.MustParseAddrPort("198.18.0.1:443"),
+			Shares:  []viewer.Share{{Service: "desk-sync", Weight: 1}},
+		}},
+	}))
 	site.log = startProcess(t, settings).log
 	poll.WaitOn(t, site.log.contains("configuration in force"))
 	return site
@@ -70,8 +80,10 @@
 // addServer writes a backend server's entry and waits until the instance has it.
 func (site *site) addServer(name string, connection *net.UDPConn) {
 	site.t.Helper()
-	site.store.Put("servers", name, fmt.Sprintf(
-		`{"service":"desk-sync","address":"%s","zone":"dakar-1","slots":3,"state":"ready","born":1}`, connection.LocalAddr()))
+	site.store.Put(platform.ServersKind, name, platform.EncodeServer(&viewer.BackendServer{
+		Service: "desk-sync", Address: connection.LocalAddr().(*net.UDPAddr).AddrPort(),
+		FailureDomain: "dakar-1", Slots: 3, State: parser.Active, StartedAt: 1,
+	}))
 	poll.WaitOn(site.t, site.log.contains(fmt.Sprintf(`"backend_server":"%s"`, name)))
 }
 
@@ -192,7 +204,7 @@
 	token := binary.BigEndian.Uint32(forwarded[8+tokenOffset:])
 	site.send(1004, "198.18.0.1:443", token, flagACK)
 	receive(t, site.live)
-	site.store.Remove("servers", "i-0a")
+	site.store.Remove(platform.ServersKind, "i-0a")
 	poll.WaitOn(t, site.log.contains(`"state":"gone"`))
 	site.send(1004, "198.18.0.1:443", token, flagACK|flagRST)
 	line := site.awaitLine(1004, "end", "aborted")
