Compare lists of servers by one function

Change: viewer.Contains, next to Same, which it uses; both copies go. No decision changes; the tests of viewer, placer and steerer pass as they were.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -120,7 +120,7 @@
 	var elsewhere, fresh, held []*viewer.BackendServer
 	for _, candidate := range candidates {
 		switch {
-		case contains(tried, candidate):
+		case viewer.Contains(tried, candidate):
 		case placer.heldOff(candidate, now):
 			held = append(held, candidate)
 		case sharesDomain(tried, candidate):
@@ -161,15 +161,6 @@
 	return false
 }
 
-func contains(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
-	for _, server := range servers {
-		if server.Same(wanted) {
-			return true
-		}
-	}
-	return false
-}
-
 // cost is the time that a flow is expected to take at a server, up to a factor.
 func (placer *Placer) cost(candidate *viewer.BackendServer, now time.Time) float64 {
 	state := placer.state(candidate, now)
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -227,7 +227,7 @@
 	view := steerer.viewer()
 	verdict := Verdict{Flow: known.flow, Raw: known.opening}
 	server := steerer.choose(known.flow, known, view, &verdict, now)
-	if server == nil || contains(known.tried, server) {
+	if server == nil || viewer.Contains(known.tried, server) {
 		return Verdict{}, false
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, Retried
@@ -235,12 +235,3 @@
 	steerer.observer.Decided(&verdict, view)
 	return verdict, true
 }
-
-func contains(servers []*viewer.BackendServer, wanted *viewer.BackendServer) bool {
-	for _, server := range servers {
-		if server.Same(wanted) {
-			return true
-		}
-	}
-	return false
-}
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -56,6 +56,16 @@
 	return backendServer.Name == other.Name && backendServer.StartedAt == other.StartedAt
 }
 
+// Contains reports whether servers has the incarnation of wanted.
+func Contains(servers []*BackendServer, wanted *BackendServer) bool {
+	for _, server := range servers {
+		if server.Same(wanted) {
+			return true
+		}
+	}
+	return false
+}
+
 // Digest returns a number that changes with everything but Revision and ColdUntil.
 func (servers *Servers) Digest() uint64 {
 	digest := xxhash.New()
