Take a flow as accepted when its server's packets show it

Change: who sees the acceptance marks its entry; any packet of the server but a refusal accepts; an opening is believed only while its caller may repeat it and its home has not moved.

--- a/decider/open.go
+++ b/decider/open.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// witnessAcceptance notes that a flow which another instance opens is
+// established, so that this one tells its next home if that instance dies.
+func (decider *Decider) witnessAcceptance(server *server, packet *framer.Packet, key uint64) {
+	flow, known := decider.flows.get(key)
+	if !known || flow.state != opening || flow.server != server.id || isShed(packet) {
+		return
+	}
+	flow.state = established
+	decider.putFlow(key, flow)
+}
+
 // reopens reports whether an opening on a known flow starts a new one.
 func (decider *Decider) reopens(packet *framer.Packet, old flow) bool {
 	if packet.Tuple.Protocol == framer.ProtocolUDP {
--- a/decider/return.go
+++ b/decider/return.go
@@ -32,6 +32,7 @@
 			if service.certain(key) == server {
 				decider.witness(service, packet, key)
 			}
+			decider.witnessAcceptance(server, packet, key)
 			return decider.relay(home, 0, server.id)
 		}
 	}
@@ -39,7 +40,7 @@
 	if !known {
 		return decider.returnUnknown(service, server, packet, key)
 	}
-	believed := decider.consistent() && decider.isHome(key)
+	believed := decider.consistent() && decider.isHome(key) && decider.standing(flow)
 	if flow.server != server.id && flow.state == opening && !isAccept(packet) && !believed {
 		// Another home, beyond a cut, has opened it at the backend server that answers.
 		decider.dropFlow(key, flow)
@@ -51,6 +52,13 @@
 	return decider.toCaller(server, packet, key, flow)
 }
 
+// standing reports whether an opening of this home can still be accepted. One of a
+// time with another home, or that its caller repeats no more, has gone elsewhere.
+func (decider *Decider) standing(flow flow) bool {
+	silent := time.Duration(decider.seconds(decider.now)-flow.seen) * time.Second
+	return !flow.orphan && silent < UncertainWindow
+}
+
 // isAccept reports whether the packet accepts or resets an opening (RFC 9293
 // section 3.10.7.1: the reset of a SYN has sequence number 0).
 func isAccept(packet *framer.Packet) bool {
@@ -101,7 +109,7 @@
 // toCaller passes a backend server's packet on to the caller.
 func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
 	flow.seen = decider.seconds(decider.now)
-	accepted := flow.state == opening && isAccept(packet) && !isShed(packet)
+	accepted := flow.state == opening && !isShed(packet) // whatever else it sends, it has the flow
 	shed := flow.state == opening && isShed(packet)
 	decider.observe(server, packet, &flow)
 	if accepted && !flow.pinned && (flow.moved || decider.needsPin(server.service, key, server)) {
