Put links between the instances of a soak and disturb them

Change: the setting advertised_address says where other instances reach one; a soak puts a link for heartbeats and a proxy for views there. Three kinds of fault: one instance cut off (inwards, outwards, both), a failure domain cut off, all heartbeats cut, late, halved or doubled. Kinds are only added at the end, and a seed that once failed keeps the number of kinds that it was drawn from.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -60,7 +60,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		settings.Seed, settings.Duration = run.Seed, run.Duration
+		settings.Seed, settings.Duration, settings.Kinds = run.Seed, run.Duration, run.Kinds
 		clean, err := runSeed(ctx, settings, directory)
 		if err != nil {
 			return err
--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -9,13 +9,14 @@
 type PlatformSettings struct {
 	Instance       string           `json:"instance"`
 	FailureDomain  string           `json:"failure_domain"`
-	Address        netip.Addr       `json:"address"`         // of the instance
-	PacketAddress  netip.AddrPort   `json:"packet_address"`  // UDP, for callers' packets
-	ReadyAddress   netip.AddrPort   `json:"ready_address"`   // TCP, asked by the fabric
-	ControlAddress netip.AddrPort   `json:"control_address"` // TCP, for other instances
-	PeerPorts      []uint16         `json:"peer_ports"`      // first and last port between instances
-	Seeds          []netip.AddrPort `json:"seeds"`           // control addresses of some instances
-	ProcessorShare float64          `json:"processor_share"` // of a core; the strongest instances read the store
+	Address        netip.Addr       `json:"address"`            // of the instance
+	Advertised     netip.Addr       `json:"advertised_address"` // where other instances reach it; left out, address
+	PacketAddress  netip.AddrPort   `json:"packet_address"`     // UDP, for callers' packets
+	ReadyAddress   netip.AddrPort   `json:"ready_address"`      // TCP, asked by the fabric
+	ControlAddress netip.AddrPort   `json:"control_address"`    // TCP, for other instances
+	PeerPorts      []uint16         `json:"peer_ports"`         // first and last port between instances
+	Seeds          []netip.AddrPort `json:"seeds"`              // control addresses of some instances
+	ProcessorShare float64          `json:"processor_share"`    // of a core; the strongest instances read the store
 	StoreAddress   netip.AddrPort   `json:"store_address"`
 	MetricsPort    uint16           `json:"metrics_port"`  // 0 serves no metrics
 	StopTimeout    Duration         `json:"stop_timeout"`  // from the signal to stop until the process is killed
@@ -29,6 +30,14 @@
 	return netip.AddrPortFrom(platformSettings.Address, platformSettings.PeerPorts[0])
 }
 
+// Reached returns where other instances reach what listens at local.
+func (platformSettings *PlatformSettings) Reached(local netip.AddrPort) netip.AddrPort {
+	if !platformSettings.Advertised.IsValid() {
+		return local
+	}
+	return netip.AddrPortFrom(platformSettings.Advertised, local.Port())
+}
+
 const defaultStopTimeout = Duration(6 * time.Second)
 
 // ReadPlatformSettings loads and checks a settings file; it returns Findings when anything in it is wrong.
@@ -49,6 +58,8 @@
 	need(platformSettings.Instance != "", "instance", "must not be empty")
 	need(platformSettings.FailureDomain != "", "failure_domain", "must not be empty")
 	need(platformSettings.Address.Is4(), "address", "must be an IPv4 address")
+	advertised := platformSettings.Advertised
+	need(!advertised.IsValid() || advertised.Is4(), "advertised_address", "must be an IPv4 address")
 	need(platformSettings.PacketAddress.IsValid(), "packet_address", "must be an address with a port")
 	need(platformSettings.ReadyAddress.IsValid(), "ready_address", "must be an address with a port")
 	need(platformSettings.ControlAddress.IsValid(), "control_address", "must be an address with a port")
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -28,11 +28,23 @@
 	assert.Equal(t, settings.PeerAddress().String(), "10.1.0.10:7720")
 }
 
+func TestReachedIsTheAdvertisedAddressIfThereIsOne(t *testing.T) {
+	settings, err := readPlatform(t, platformSample)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Reached(settings.ControlAddress).String(), "10.1.0.10:8166")
+	advertised := strings.Replace(platformSample, `"packet_address"`, `"advertised_address": "192.0.2.7", "packet_address"`, 1)
+	settings, err = readPlatform(t, advertised)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Reached(settings.ControlAddress).String(), "192.0.2.7:8166")
+	assert.Equal(t, settings.PeerAddress().String(), "10.1.0.10:7720")
+}
+
 func TestReadPlatformSettingsFindings(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"unknown key", `"instance"`, `"machine"`, `unknown field "machine"`},
 		{"no instance", `"lb-1"`, `""`, "instance: must not be empty"},
 		{"IPv6", `"address": "10.1.0.10"`, `"address": "::1"`, "address: must be an IPv4 address"},
+		{"IPv6 advertised", `"packet_address"`, `"advertised_address": "::1", "packet_address"`, "advertised_address: must be an IPv4 address"},
 		{"no ports", `[7720, 7735]`, `[]`, "peer_ports: must name at least one port"},
 		{"port too large", `7735`, `77350`, "settings.json: line"},
 		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
--- a/director/director.go
+++ b/director/director.go
@@ -126,8 +126,8 @@
 	self := relayer.Member{
 		Name:          settings.Instance,
 		FailureDomain: settings.FailureDomain,
-		Peer:          settings.PeerAddress(),
-		Control:       settings.ControlAddress,
+		Peer:          settings.Reached(settings.PeerAddress()),
+		Control:       settings.Reached(settings.ControlAddress),
 		Share:         settings.ProcessorShare,
 	}
 	return relayer.NewRelayer(self, settings.Seeds, current, source, network, recorder)
--- a/director/reloader.go
+++ b/director/reloader.go
@@ -99,6 +99,7 @@
 	compare("instance", before.Instance, after.Instance)
 	compare("failure_domain", before.FailureDomain, after.FailureDomain)
 	compare("address", before.Address, after.Address)
+	compare("advertised_address", before.Advertised, after.Advertised)
 	compare("packet_address", before.PacketAddress, after.PacketAddress)
 	compare("ready_address", before.ReadyAddress, after.ReadyAddress)
 	compare("control_address", before.ControlAddress, after.ControlAddress)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +33,7 @@
 	length time.Duration
 }
 
+// faults grows at its end only: seeds that once failed draw from its beginning.
 var faults = []fault{
 	{"kill", func(soak *soak, draw draw) { soak.restart(soak.target(draw), syscall.SIGKILL, draw.length/4) }},
 	{"stop and start", func(soak *soak, draw draw) { soak.restart(soak.target(draw), syscall.SIGTERM, 0) }},
@@ -54,15 +56,22 @@
 	{"server crashes", crash},
 	{"server leaves", leave},
 	{"configuration", func(soak *soak, draw draw) { soak.publish(draw.choice%2 == 0) }},
+	{"instance cut from the others", cutInstance},
+	{"failure domain cut from the others", cutDomain},
+	{"heartbeats of all", heartbeats},
 }
 
 // inject starts faults, one after another and over each other, until the duration is over.
 func (soak *soak) inject(ctx context.Context) {
 	var work sync.WaitGroup
 	defer work.Wait()
+	kinds := faults
+	if soak.settings.Kinds > 0 {
+		kinds = faults[:soak.settings.Kinds]
+	}
 	deadline := time.Now().Add(soak.settings.Duration)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		fault := faults[soak.random.IntN(len(faults))]
+		fault := kinds[soak.random.IntN(len(kinds))]
 		draw := draw{
 			target: soak.random.IntN(len(soak.instances)),
 			choice: soak.random.IntN(1000),
@@ -178,6 +187,59 @@
 	}
 }
 
+// cutInstance takes the way of the others to one instance, its own way to them, or both.
+func cutInstance(soak *soak, draw draw) {
+	target := soak.target(draw)
+	if draw.choice%3 != 0 {
+		target.link.set(linkCut, nil)
+		target.views.set(proxySilence)
+	}
+	if draw.choice%3 != 1 {
+		soak.linkFault(linkCut, map[netip.Addr]bool{target.address: true}, func(instance *instance) bool { return instance != target })
+	}
+	time.Sleep(draw.length)
+	soak.heal()
+}
+
+// cutDomain cuts the instances of one failure domain off from those of the others.
+func cutDomain(soak *soak, draw draw) {
+	domain := soak.target(draw).domain
+	inside, outside := map[netip.Addr]bool{}, map[netip.Addr]bool{}
+	for _, instance := range soak.instances {
+		inside[instance.address] = instance.domain == domain
+		outside[instance.address] = instance.domain != domain
+	}
+	soak.linkFault(linkCut, outside, func(instance *instance) bool { return instance.domain == domain })
+	soak.linkFault(linkCut, inside, func(instance *instance) bool { return instance.domain != domain })
+	time.Sleep(draw.length)
+	soak.heal()
+}
+
+// heartbeats disturbs all datagrams between instances.
+func heartbeats(soak *soak, draw draw) {
+	mode := []linkMode{linkCut, linkDelay, linkHalf, linkDouble}[draw.choice%4]
+	soak.linkFault(mode, nil, func(*instance) bool { return true })
+	time.Sleep(draw.length)
+	soak.heal()
+}
+
+// linkFault sets the mode of some instances' links for the datagrams of some senders.
+func (soak *soak) linkFault(mode linkMode, from map[netip.Addr]bool, at func(*instance) bool) {
+	for _, instance := range soak.instances {
+		if at(instance) {
+			instance.link.set(mode, from)
+		}
+	}
+}
+
+// heal ends all faults between instances, those of others that overlap included.
+func (soak *soak) heal() {
+	for _, instance := range soak.instances {
+		instance.link.set(linkPass, nil)
+		instance.views.set(proxyPass)
+	}
+}
+
 // victim returns a server that takes new flows, and starts another one in its place.
 func (soak *soak) victim(draw draw) *server {
 	soak.mutex.Lock()
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -33,8 +34,11 @@
 	address netip.Addr
 	binary  string
 	files   string // directory for settings and log
-	proxy   *proxy
-	ready   bool // for the router, under its mutex
+	domain  int    // number of the failure domain
+	proxy   *proxy // to the store
+	views   *proxy // from other instances that fetch its view
+	link    *link  // from other instances' heartbeats
+	ready   bool   // for the router, under its mutex
 
 	life sync.Mutex // held while the process is ended and started again
 
@@ -44,14 +48,40 @@
 	version uint64 // of the configuration, as last seen of this process
 }
 
+// interpose puts proxies between the instance and the store, and between it and the others.
+func (instance *instance) interpose(number int, store string) error {
+	var err error
+	if instance.proxy, err = newProxy(netip.AddrPortFrom(address(2, number), storePort), store); err != nil {
+		return errors.Wrap(err, "proxy to the store")
+	}
+	if instance.views, err = newProxy(netip.AddrPortFrom(address(6, number), controlPort), instance.at(controlPort)); err != nil {
+		return errors.Wrap(err, "proxy between instances")
+	}
+	peer := netip.AddrPortFrom(instance.address, peerPort)
+	if instance.link, err = newLink(netip.AddrPortFrom(address(6, number), peerPort), peer); err != nil {
+		return errors.Wrap(err, "link between instances")
+	}
+	return nil
+}
+
+// close ends the process and the proxies around it.
+func (instance *instance) close() {
+	instance.signal(syscall.SIGKILL)
+	instance.await(time.Second)
+	instance.proxy.listener.Close()
+	instance.views.listener.Close()
+	instance.link.socket.Close()
+}
+
 func (instance *instance) at(port uint16) string {
 	return netip.AddrPortFrom(instance.address, port).String()
 }
 
-func (instance *instance) writeSettings(domain string, seeds []string) error {
+func (instance *instance) writeSettings(seeds []string) error {
 	settings := map[string]any{
-		"instance": instance.name, "failure_domain": domain, "address": instance.address.String(),
-		"packet_address": instance.at(packetPort), "ready_address": instance.at(readyPort),
+		"instance": instance.name, "failure_domain": fmt.Sprintf("domain-%d", instance.domain), "address": instance.address.String(),
+		"advertised_address": instance.link.socket.LocalAddr().(*net.UDPAddr).IP.String(),
+		"packet_address":     instance.at(packetPort), "ready_address": instance.at(readyPort),
 		"control_address": instance.at(controlPort), "peer_ports": []int{peerPort}, "seeds": seeds,
 		"store_address": instance.proxy.listener.Addr().String(), "stop_timeout": "6s",
 		"log": map[string]any{"format": "json", "verbosity": 1},
--- a/internal/soaker/regression.go
+++ b/internal/soaker/regression.go
@@ -6,10 +6,11 @@
 type Regression struct {
 	Seed     uint64
 	Duration time.Duration
+	Kinds    int // of faults at the time; 0 for all
 	Cause    string
 }
 
 // Regressions lists the seeds that once failed, with the cause that was mended.
 var Regressions = []Regression{
-	{109, 25 * time.Second, "an instance that woke from a pause refused late copies of openings by its old view"},
+	{109, 25 * time.Second, 14, "an instance that woke from a pause refused late copies of openings by its old view"},
 }
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -31,6 +30,9 @@
 	slack         = 500 * time.Millisecond
 )
 
+// domains is the number of failure domains.
+const domains = 3
+
 // Services and the addresses of their routes; the last route comes and goes.
 var (
 	mainRoute   = netip.MustParseAddrPort("198.18.0.1:443")
@@ -45,6 +47,7 @@
 	Duration   time.Duration // of the faults; the start and the recovery come on top
 	Instances  int           // in three failure domains
 	Callers    int
+	Kinds      int  // of faults to draw from, the first ones; 0 for all
 	JudgeTimes bool // whether bounds in time are checked, and not only what must never happen
 	Binary     string
 	Directory  string
@@ -164,18 +167,18 @@
 
 func (soak *soak) buildInstances(store string) error {
 	for i := range soak.settings.Instances {
-		proxy, err := newProxy(netip.AddrPortFrom(address(2, i), storePort), store)
-		if err != nil {
-			return errors.Wrap(err, "proxy")
-		}
-		soak.instances = append(soak.instances, &instance{
+		instance := &instance{
 			name: fmt.Sprintf("lb-%d", i), address: address(1, i), binary: soak.settings.Binary,
-			files: soak.settings.Directory, proxy: proxy,
-		})
+			files: soak.settings.Directory, domain: i % domains,
+		}
+		if err := instance.interpose(i, store); err != nil {
+			return err
+		}
+		soak.instances = append(soak.instances, instance)
 	}
-	seeds := []string{soak.instances[0].at(controlPort)}
-	for i, instance := range soak.instances {
-		if err := instance.writeSettings(fmt.Sprintf("domain-%d", i%3), seeds); err != nil {
+	seeds := []string{soak.instances[0].views.listener.Addr().String()}
+	for _, instance := range soak.instances {
+		if err := instance.writeSettings(seeds); err != nil {
 			return err
 		}
 		if err := instance.start(); err != nil {
@@ -188,9 +191,7 @@
 // close ends every process and socket that the soak started.
 func (soak *soak) close() {
 	for _, instance := range soak.instances {
-		instance.signal(syscall.SIGKILL)
-		instance.await(time.Second)
-		instance.proxy.listener.Close()
+		instance.close()
 	}
 	for _, caller := range soak.callers {
 		caller.socket.Close()
