Pin by a server's data at the flow's home alone

Change: data of its server accepts an opening at its home; elsewhere only an acceptance does. The formatter's line in the soak's links goes with it.

--- a/decider/return.go
+++ b/decider/return.go
@@ -109,7 +109,9 @@
 // toCaller passes a backend server's packet on to the caller.
 func (decider *Decider) toCaller(server *server, packet *framer.Packet, key uint64, flow flow) Verdict {
 	flow.seen = decider.seconds(decider.now)
-	accepted := flow.state == opening && !isShed(packet) // whatever else it sends, it has the flow
+	// Whatever the server of an opening sends but a refusal, it has the flow.
+	shows := isAccept(packet) || decider.isHome(key)
+	accepted := flow.state == opening && shows && !isShed(packet)
 	shed := flow.state == opening && isShed(packet)
 	decider.observe(server, packet, &flow)
 	if accepted && !flow.pinned && (flow.moved || decider.needsPin(server.service, key, server)) {
--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -29,7 +29,7 @@
 	mutex sync.Mutex
 	mode  linkMode
 	from  map[netip.Addr]bool // senders that mode is for; all if nil
-	taken int // datagrams since the start
+	taken int                 // datagrams since the start
 }
 
 func newLink(address, target netip.AddrPort) (*link, error) {
