Compress long views and make each ready once

Cause: in virtual time a change of 2,000 routes moved 145 kB to each of 300 instances (43 MB), encoded anew for each of them by the few that give views; 3,000 servers 186 kB each. The aim is 5 kB/s of control an instance with a change in ten seconds, so 50 kB. Before: 148,978 bytes an instance for 2,000 routes (test, bound 50,000). After: test green. Views of fleets with small lists are sent as before.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -225,8 +225,9 @@
 	startedAt := time.Now()
 	content, err := relayer.network.Fetch(ctx, from.Control, version, revision)
 	var snapshot Snapshot
+	var age time.Duration
 	if err == nil {
-		err = decode(content, &snapshot)
+		snapshot, age, err = unpack(content)
 	}
 	if err != nil {
 		relayer.observer.FetchFailed(from.Name, err)
@@ -235,16 +236,16 @@
 	if snapshot.Delta != nil && view.Servers != nil {
 		snapshot.Servers = view.Servers.Apply(snapshot.Delta)
 	}
-	relayer.takeSnapshot(snapshot, from, startedAt)
+	relayer.takeSnapshot(snapshot, age, from, startedAt)
 }
 
-func (relayer *Relayer) takeSnapshot(snapshot Snapshot, from Member, at time.Time) {
+func (relayer *Relayer) takeSnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
 	if snapshot.Configuration != nil {
 		relayer.takeConfiguration(snapshot.Configuration, from.Name)
 	}
 	if snapshot.Servers != nil {
 		relayer.takeServers(snapshot.Servers, from.Name)
-		relayer.learned(Heartbeat{Sender: from, Age: snapshot.Age, Answer: true}, at)
+		relayer.learned(Heartbeat{Sender: from, Age: age, Answer: true}, at)
 	}
 	relayer.merge(snapshot.Members, at)
 }
@@ -254,17 +255,37 @@
 func (relayer *Relayer) Snapshot(configuration, revision uint64) []byte {
 	now := time.Now()
 	relayer.mutex.Lock()
-	view := relayer.viewer.Current()
-	snapshot := Snapshot{Age: relayer.turn.Age(now), Delta: relayer.history.since(revision)}
+	view, last := relayer.viewer.Current(), relayer.packing
+	request := snapshotRequest{configuration: configuration, revision: revision}
+	if view.Configuration != nil {
+		request.ownConfiguration = view.Configuration.Version
+	}
+	if view.Servers != nil {
+		request.ownRevision = view.Servers.Revision
+	}
+	snapshot := Snapshot{Delta: relayer.history.since(revision)}
 	if revision == 0 {
 		snapshot.Members = relayer.list() // the asker has just started
 	}
+	request.members = len(snapshot.Members)
+	age := relayer.turn.Age(now)
 	relayer.mutex.Unlock()
-	if snapshot.Delta == nil || snapshot.Delta.Revision != view.Servers.Revision {
+	if last == nil || last.request != request {
+		last = pack(request, snapshot.of(view, configuration))
+		relayer.mutex.Lock()
+		relayer.packing = last
+		relayer.mutex.Unlock()
+	}
+	return encode(packet{Age: age, Packed: last.isPacked, Content: last.content})
+}
+
+// of completes a snapshot with what its delta does not say of the view.
+func (snapshot Snapshot) of(view *viewer.View, configuration uint64) Snapshot {
+	if view.Servers != nil && (snapshot.Delta == nil || snapshot.Delta.Revision != view.Servers.Revision) {
 		snapshot.Delta, snapshot.Servers = nil, view.Servers
 	}
 	if view.Configuration != nil && view.Configuration.Version > configuration {
 		snapshot.Configuration = view.Configuration
 	}
-	return encode(snapshot)
+	return snapshot
 }
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -135,6 +135,20 @@
 	})
 }
 
+// TestALongConfigurationFitsTheBoundOnControl: 8,700 changes a day are one in ten seconds.
+func TestALongConfigurationFitsTheBoundOnControl(t *testing.T) {
+	play(t, 10, func(world *world, nodes []*node) {
+		world.change(func() { world.configuration, world.fetched = longConfiguration(2, 2000), 0 })
+		time.Sleep(applyLimit)
+		for _, node := range nodes {
+			configuration := node.viewer.Current().Configuration
+			assert.Assert(t, node.knows(2) && len(configuration.Routes) == 2000, "%s", node.member.Name)
+		}
+		fetched := world.fetched / (len(nodes) - 1)
+		assert.Assert(t, fetched <= 10*controlLimit, "%d bytes an instance", fetched)
+	})
+}
+
 func TestAnInstanceThatMissedHeartbeatsFetchesOnlyTheChanges(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		world.addServers(400)
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"testing"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+	"gotest.tools/v3/assert"
 
 	"github.com/pimentowind/pimentowind/viewer"
 )
@@ -16,3 +20,19 @@
 		}
 	})
 }
+
+func FuzzUnpack(f *testing.F) {
+	plain := pack(snapshotRequest{}, Snapshot{Members: []Member{{Name: "lb-1"}}})
+	f.Add(encode(packet{Age: time.Second, Content: plain.content}))
+	f.Add(encode(packet{Packed: true, Content: s2.Encode(nil, plain.content)}))
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		unpack(content)
+	})
+}
+
+func TestASnapshotThatIsTooLongIsNotUnpacked(t *testing.T) {
+	content := encode(packet{Packed: true, Content: s2.Encode(nil, make([]byte, maxSnapshot+1))})
+	_, _, err := unpack(content)
+	assert.ErrorContains(t, err, "too long")
+}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -30,7 +30,6 @@
 	Servers       *viewer.Servers       `cbor:"servers"` // nil when Delta says the same
 	Delta         *viewer.Delta         `cbor:"delta"`   // since the revision that the asker has
 	Members       []Member              `cbor:"members"`
-	Age           time.Duration         `cbor:"age"`
 }
 
 // encode panics on an error, which the types above cannot cause.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -89,7 +89,8 @@
 	digest   uint64
 	digestOf uint64 // revision of the servers that digest describes
 	history  history
-	told     uint64 // revision of the last heartbeat to the others
+	packing  *packing // last snapshot that was given; nil before the first
+	told     uint64   // revision of the last heartbeat to the others
 }
 
 type peer struct {
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -252,6 +252,18 @@
 	return viewer.BackendServer{Name: name, Identity: hash, Token: uint32(hash), Service: "desk-sync", State: state, Address: address}
 }
 
+func longConfiguration(version uint64, routes int) *viewer.Configuration {
+	configuration := &viewer.Configuration{Version: version}
+	for i := range routes {
+		configuration.Routes = append(configuration.Routes, viewer.Route{
+			Name:    fmt.Sprintf("route-%d", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+			Shares:  []viewer.Share{{Service: "desk-sync", Weight: 1}},
+		})
+	}
+	return configuration
+}
+
 // addServers adds count servers and lets every instance hear of them.
 func (world *world) addServers(count int) {
 	world.change(func() {
