Send changes of routes as changes

Change: who takes a version keeps what changed against the one before; heartbeats carry it up to six routes, a fetched view whatever its length. The delta of servers and that of routes go into one datagram if both fit.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -45,19 +45,29 @@
 	}
 }
 
-// news returns a heartbeat with the changes since the last one, if they fit; the mutex is held.
+// news returns a heartbeat with the changes since the last one, as far as they
+// fit; the mutex is held.
 func (relayer *Relayer) news(now time.Time) []byte {
 	heartbeat := relayer.heartbeat(now, false)
-	delta := relayer.history.since(relayer.told)
-	relayer.told = heartbeat.Revision
-	if delta != nil && delta.Len() <= pushLength {
-		heartbeat.Delta = delta
-		if content := encode(heartbeat); len(content) <= maxHeartbeat {
-			return content
-		}
-		heartbeat.Delta = nil
+	content := encode(heartbeat)
+	if delta := relayer.routeDelta; delta != nil && delta.Base == relayer.toldVersion && delta.Len() <= pushLength {
+		content, heartbeat = extend(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.RouteDelta = delta })
+	}
+	if delta := relayer.history.since(relayer.told); delta != nil && delta.Len() <= pushLength {
+		content, heartbeat = extend(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.Delta = delta })
 	}
-	return encode(heartbeat)
+	relayer.told, relayer.toldVersion = heartbeat.Revision, heartbeat.Configuration
+	return content
+}
+
+// extend adds to an encoded heartbeat if the result still fits one datagram.
+func extend(content []byte, heartbeat Heartbeat, add func(*Heartbeat)) ([]byte, Heartbeat) {
+	extended := heartbeat
+	add(&extended)
+	if longer := encode(extended); len(longer) <= maxHeartbeat {
+		return longer, extended
+	}
+	return content, heartbeat
 }
 
 func (peer *peer) asked(now time.Time) {
@@ -158,25 +168,53 @@
 
 // catchUp takes what is new from the heartbeat if it is all there, and fetches it otherwise.
 func (relayer *Relayer) catchUp(ctx context.Context, heartbeat, own Heartbeat, view *viewer.View, now time.Time) {
-	var servers *viewer.Servers
-	switch {
-	case heartbeat.Configuration > own.Configuration || !view.Complete():
-	case heartbeat.Digest == own.Digest:
-		servers = &viewer.Servers{Revision: heartbeat.Revision, List: view.Servers.List}
-	case heartbeat.Delta != nil:
-		servers = view.Servers.Apply(heartbeat.Delta)
-	}
 	if !view.Complete() && heartbeat.Listed > smallList && relayer.mayRead(now) {
 		return // the store gives a long list faster than an instance that all ask at once
 	}
-	if servers == nil || servers.Revision != heartbeat.Revision || servers.Digest() != heartbeat.Digest {
+	configuration, servers := heartbeat.configuration(own, view), heartbeat.servers(own, view)
+	if configuration == nil || servers == nil {
 		relayer.once("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
 		return
 	}
+	relayer.takeConfiguration(configuration, heartbeat.Sender.Name)
 	relayer.takeServers(servers, heartbeat.Sender.Name)
 	relayer.learned(heartbeat, now)
 }
 
+// configuration returns the newest configuration after the heartbeat, or nil when
+// the heartbeat does not say enough.
+func (heartbeat *Heartbeat) configuration(own Heartbeat, view *viewer.View) *viewer.Configuration {
+	switch {
+	case view.Configuration == nil:
+		return nil
+	case heartbeat.Configuration <= own.Configuration:
+		return view.Configuration
+	case heartbeat.RouteDelta == nil || heartbeat.RouteDelta.Version != heartbeat.Configuration:
+		return nil
+	}
+	return view.Configuration.Apply(heartbeat.RouteDelta)
+}
+
+// servers returns the newest list of servers after the heartbeat, or nil when the
+// heartbeat does not say enough.
+func (heartbeat *Heartbeat) servers(own Heartbeat, view *viewer.View) *viewer.Servers {
+	var servers *viewer.Servers
+	switch {
+	case view.Servers == nil:
+		return nil
+	case heartbeat.Revision <= own.Revision:
+		return view.Servers
+	case heartbeat.Digest == own.Digest:
+		return &viewer.Servers{Revision: heartbeat.Revision, List: view.Servers.List}
+	case heartbeat.Delta != nil:
+		servers = view.Servers.Apply(heartbeat.Delta)
+	}
+	if servers == nil || servers.Revision != heartbeat.Revision || servers.Digest() != heartbeat.Digest {
+		return nil
+	}
+	return servers
+}
+
 // mayRead reports whether the first read of the store may still succeed.
 func (relayer *Relayer) mayRead(now time.Time) bool {
 	relayer.mutex.Lock()
@@ -236,6 +274,9 @@
 	if snapshot.Delta != nil && view.Servers != nil {
 		snapshot.Servers = view.Servers.Apply(snapshot.Delta)
 	}
+	if snapshot.RouteDelta != nil && view.Configuration != nil {
+		snapshot.Configuration = view.Configuration.Apply(snapshot.RouteDelta)
+	}
 	relayer.takeSnapshot(snapshot, age, from, startedAt)
 }
 
@@ -268,6 +309,9 @@
 		snapshot.Members = relayer.list() // the asker has just started
 	}
 	request.members = len(snapshot.Members)
+	if delta := relayer.routeDelta; delta != nil && delta.Base == configuration {
+		snapshot.RouteDelta = delta
+	}
 	age := relayer.turn.Age(now)
 	relayer.mutex.Unlock()
 	if last == nil || last.request != request {
@@ -284,8 +328,10 @@
 	if view.Servers != nil && (snapshot.Delta == nil || snapshot.Delta.Revision != view.Servers.Revision) {
 		snapshot.Delta, snapshot.Servers = nil, view.Servers
 	}
-	if view.Configuration != nil && view.Configuration.Version > configuration {
-		snapshot.Configuration = view.Configuration
+	known := view.Configuration == nil || view.Configuration.Version <= configuration
+	if known || (snapshot.RouteDelta != nil && snapshot.RouteDelta.Version == view.Configuration.Version) {
+		return snapshot
 	}
+	snapshot.RouteDelta, snapshot.Configuration = nil, view.Configuration
 	return snapshot
 }
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -135,6 +135,33 @@
 	})
 }
 
+func TestAChangeOfFewRoutesTravelsInHeartbeats(t *testing.T) {
+	play(t, 30, func(world *world, nodes []*node) {
+		world.change(func() { world.configuration = longConfiguration(2, 500) })
+		time.Sleep(2 * applyLimit)
+		world.change(func() { world.fetched = 0 })
+		for i := range uint64(10) {
+			world.change(func() {
+				next := longConfiguration(3+i, 500)
+				next.Routes = slices.Delete(next.Routes, int(i), int(i)+1)
+				world.configuration = next
+			})
+			time.Sleep(time.Second)
+		}
+		time.Sleep(applyLimit)
+		for _, node := range nodes {
+			view := node.viewer.Current()
+			assert.Assert(t, node.knows(12), "%s", node.member.Name)
+			for _, route := range world.configuration.Routes {
+				assert.Assert(t, view.Route(route.Address) != nil, "%s lacks %s", node.member.Name, route.Name)
+			}
+			assert.Equal(t, len(view.Configuration.Routes), 499)
+		}
+		assert.Assert(t, world.longest <= 1200, "a heartbeat had %d bytes", world.longest)
+		assert.Assert(t, world.fetched == 0, "%d bytes of views were fetched", world.fetched)
+	})
+}
+
 // TestALongConfigurationFitsTheBoundOnControl: 8,700 changes a day are one in ten seconds.
 func TestALongConfigurationFitsTheBoundOnControl(t *testing.T) {
 	play(t, 10, func(world *world, nodes []*node) {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -21,14 +21,19 @@
 	Leaving       bool          `cbor:"leaving"`
 	Answer        bool          `cbor:"answer"` // sent because of another heartbeat
 	Delta         *viewer.Delta `cbor:"delta"`  // of the backend servers since the sender's last heartbeat; nil when it is too long
+
+	// RouteDelta leads to Configuration from the version of the sender's last
+	// heartbeat; nil when it is too long.
+	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 }
 
 // Snapshot is a whole view as one instance gives it to another; what the asker
 // has already is nil.
 type Snapshot struct {
-	Configuration *viewer.Configuration `cbor:"configuration"`
-	Servers       *viewer.Servers       `cbor:"servers"` // nil when Delta says the same
-	Delta         *viewer.Delta         `cbor:"delta"`   // since the revision that the asker has
+	Configuration *viewer.Configuration `cbor:"configuration"` // nil when RouteDelta says the same
+	RouteDelta    *viewer.RouteDelta    `cbor:"route_delta"`   // since the version that the asker has
+	Servers       *viewer.Servers       `cbor:"servers"`       // nil when Delta says the same
+	Delta         *viewer.Delta         `cbor:"delta"`         // since the revision that the asker has
 	Members       []Member              `cbor:"members"`
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -91,6 +91,9 @@
 	history  history
 	packing  *packing // last snapshot that was given; nil before the first
 	told     uint64   // revision of the last heartbeat to the others
+
+	routeDelta  *viewer.RouteDelta // to the configuration in force; nil when it is the first
+	toldVersion uint64             // of the configuration, in the last heartbeat to the others
 }
 
 type peer struct {
@@ -236,11 +239,24 @@
 }
 
 func (relayer *Relayer) takeConfiguration(configuration *viewer.Configuration, from string) {
+	before := relayer.viewer.Current().Configuration
 	if relayer.viewer.TakeConfiguration(configuration) {
+		relayer.keepRouteDelta(before, configuration)
 		relayer.observer.ConfigurationTaken(configuration.Version, from)
 	}
 }
 
+// keepRouteDelta keeps what changed for instances that have the version before.
+func (relayer *Relayer) keepRouteDelta(before, after *viewer.Configuration) {
+	var delta *viewer.RouteDelta
+	if before != nil {
+		delta = viewer.RouteDifference(before, after)
+	}
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.routeDelta = delta
+}
+
 func (relayer *Relayer) reached(ctx context.Context, call string, err error) {
 	switch {
 	case err == nil:
