Hold off servers that fail their requests, found out together

An instance sees such a server once in several seconds, so none can tell alone, and nothing was shared. Weighed: response times (failures are fast, but so are light requests; the placer gives no credit for speed already); each instance alone (too few flows); counts in heartbeats each 0.8 s (later than this); a datagram for each suspicious response to those that lead the failure domain, which add up and tell the domain: taken. Nothing else is sent. Change: examiner.Examiner judges the last response of a flow by its route's average length, examiner.Tally holds a server for 2 s at the third suspicion in 1.5 s, twice as long each time up to 8 s, examiner.Holds keeps that under three tenths of a service. Tests: tables for judging, adding up, longer holds, the bound; a route whose responses become short is learned; ten minutes of regular traffic; a domain in virtual time.

--- a/director/director.go
+++ b/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/placer"
 	"github.com/pimentowind/pimentowind/platform"
@@ -69,6 +70,7 @@
 		NewRecorder,
 		func(recorder *Recorder) *Reloader { return NewReloader(file, settings, recorder) },
 		viewer.NewViewer,
+		examiner.NewHolds,
 		parts.newSource,
 		parts.newNetwork,
 		parts.newRelayer,
@@ -122,7 +124,7 @@
 	return network, nil
 }
 
-func (parts *parts) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, recorder *Recorder) *relayer.Relayer {
+func (parts *parts) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, holds *examiner.Holds, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
 		Name:          settings.Instance,
 		FailureDomain: settings.FailureDomain,
@@ -130,13 +132,15 @@
 		Control:       settings.Reached(settings.ControlAddress),
 		Share:         settings.ProcessorShare,
 	}
-	return relayer.NewRelayer(self, settings.Seeds, current, source, network, recorder)
+	observer := &failures{Recorder: recorder, current: current, holds: holds}
+	return relayer.NewRelayer(self, settings.Seeds, current, source, network, examiner.NewTally(), observer)
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, holds *examiner.Holds, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, random)
-	return steerer.NewSteerer(current.Current, ticker.Resumed, placer, recorder, random)
+	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, holds.Held, random)
+	examiner := examiner.NewExaminer(func(server *viewer.BackendServer) { relayer.Suspect(server.Token) })
+	return steerer.NewSteerer(current.Current, ticker.Resumed, placer, examiner, recorder, random)
 }
 
 func (parts *parts) newSocket(settings *configurer.PlatformSettings, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
--- /dev/null
+++ b/director/failures.go
@@ -0,0 +1,27 @@
+package director
+
+import (
+	"time"
+
+	"github.com/pimentowind/pimentowind/examiner"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// failures is a Recorder that has servers held off which fail their requests.
+type failures struct {
+	*Recorder
+	current *viewer.Viewer
+	holds   *examiner.Holds
+}
+
+// ServerFailing holds a server off for a time, unless too many of its service are.
+func (failures *failures) ServerFailing(token uint32, duration time.Duration) {
+	view := failures.current.Current()
+	server := view.ByToken(token)
+	if server == nil {
+		return
+	}
+	now := time.Now()
+	held := failures.holds.Hold(server, view.Active(server.Service), now.Add(duration), now)
+	failures.Failing(server, duration, held)
+}
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -196,6 +196,13 @@
 	recorder.Event(logger.EventServerHeld, "backend_server", server.Name, "service", server.Service)
 }
 
+// Failing writes that a server fails its requests, and whether it is held off for it.
+func (recorder *Recorder) Failing(server *viewer.BackendServer, duration time.Duration, held bool) {
+	recorder.counters.Add("failing", 1)
+	recorder.Event(logger.EventServerFailing, "backend_server", server.Name, "service", server.Service,
+		"for", duration.String(), "held_off", held)
+}
+
 // Ready notes what the fabric was told and writes a line when it changes.
 func (recorder *Recorder) Ready(ready bool) {
 	recorder.mutex.Lock()
--- /dev/null
+++ b/examiner/holds.go
@@ -0,0 +1,52 @@
+package examiner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// maxHeldShare is the largest part of a service's servers that is held off at a
+// time: when more fail, the fault is likely elsewhere, and the rest would be too few.
+const maxHeldShare = 0.3
+
+// Holds knows which servers get no new flows because they fail their requests;
+// it is safe for concurrent use.
+type Holds struct {
+	mutex sync.RWMutex
+	until map[uint32]time.Time // by token
+}
+
+// NewHolds returns Holds without any.
+func NewHolds() *Holds { return &Holds{until: map[uint32]time.Time{}} }
+
+// Hold keeps new flows off a server until a time, and reports whether it does:
+// not if too many of its peers, the servers of its service, are held off.
+func (holds *Holds) Hold(server *viewer.BackendServer, peers []*viewer.BackendServer, until, now time.Time) bool {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	for token, end := range holds.until {
+		if now.After(end) {
+			delete(holds.until, token)
+		}
+	}
+	held := 1
+	for _, peer := range peers {
+		if _, ok := holds.until[peer.Token]; ok && peer.Token != server.Token {
+			held++
+		}
+	}
+	if float64(held) > maxHeldShare*float64(len(peers)) {
+		return false
+	}
+	holds.until[server.Token] = until
+	return true
+}
+
+// Held reports whether the server with a token is held off.
+func (holds *Holds) Held(token uint32, now time.Time) bool {
+	holds.mutex.RLock()
+	defer holds.mutex.RUnlock()
+	return now.Before(holds.until[token])
+}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -36,6 +36,7 @@
 	EventServerExpired      decider.EventKind = 506
 	EventServersChanged     decider.EventKind = 507
 	EventHistoryMissed      decider.EventKind = 508
+	EventServerFailing      decider.EventKind = 509
 	EventFlowDecided        decider.EventKind = 601
 	EventFlowEnded          decider.EventKind = 602
 )
@@ -65,6 +66,7 @@
 	EventServerHeld:         "backend server gets no new flows for a while",
 	EventServersChanged:     "many backend servers changed",
 	EventHistoryMissed:      "changes were not given by the store, all entries are read",
+	EventServerFailing:      "backend server fails its requests",
 	EventServerExpired:      "backend server did not come back after an outage of the store",
 	EventFlowDecided:        "flow decided",
 	EventFlowEnded:          "flow ended",
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,6 +30,7 @@
 type Placer struct {
 	failureDomain string
 	instances     func() int // how many instances share the load
+	failing       func(token uint32, now time.Time) bool
 	random        *rand.Rand
 	servers       map[key]*server
 	domains       map[domainKey]*hold
@@ -66,11 +67,13 @@
 	average.value += timeGain * (sample - average.value)
 }
 
-// NewPlacer returns a Placer for an instance in failureDomain; instances tells how many share the load.
-func NewPlacer(failureDomain string, instances func() int, random *rand.Rand) *Placer {
+// NewPlacer returns a Placer for an instance in failureDomain; instances tells how
+// many share the load, failing which servers get no new flows.
+func NewPlacer(failureDomain string, instances func() int, failing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
 	return &Placer{
 		failureDomain: failureDomain,
 		instances:     instances,
+		failing:       failing,
 		random:        random,
 		servers:       map[key]*server{},
 		domains:       map[domainKey]*hold{},
@@ -138,7 +141,8 @@
 }
 
 func (placer *Placer) heldOff(candidate *viewer.BackendServer, now time.Time) bool {
-	return placer.state(candidate, now).hold.active(now) || placer.domain(candidate).active(now)
+	silent := placer.state(candidate, now).hold.active(now) || placer.domain(candidate).active(now)
+	return silent || placer.failing(candidate.Token, now)
 }
 
 // domain returns the hold of the failure domain of a server.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newPlacer(seed uint64) *Placer {
-	return NewPlacer("dakar-1", func() int { return 1 }, rand.New(rand.NewPCG(seed, seed)))
+	return NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, rand.New(rand.NewPCG(seed, seed)))
 }
 
 func candidates(names ...string) []*viewer.BackendServer {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -123,6 +123,7 @@
 	}
 	now := time.Now()
 	relayer.heard(heartbeat, now)
+	relayer.takeSuspicions(heartbeat, now)
 	relayer.compare(ctx, heartbeat, now)
 	return nil
 }
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -162,6 +162,19 @@
 	})
 }
 
+func TestADomainHoldsOffAServerThatItsInstancesSuspect(t *testing.T) {
+	play(t, 10, func(world *world, nodes []*node) {
+		for _, node := range nodes[4:7] {
+			node.Relayer.Suspect(7)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, node := range nodes {
+			want := node.member.FailureDomain == "dakar-0"
+			assert.Equal(t, slices.Contains(node.failing, 7), want, "%s", node.member.Name)
+		}
+	})
+}
+
 // TestALongConfigurationFitsTheBoundOnControl: 8,700 changes a day are one in ten seconds.
 func TestALongConfigurationFitsTheBoundOnControl(t *testing.T) {
 	play(t, 10, func(world *world, nodes []*node) {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -22,11 +22,23 @@
 	Answer        bool          `cbor:"answer"` // sent because of another heartbeat
 	Delta         *viewer.Delta `cbor:"delta"`  // of the backend servers since the sender's last heartbeat; nil when it is too long
 
+	// Suspects are the tokens of backend servers whose responses looked like
+	// failures to the sender, one for each response.
+	Suspects []uint32 `cbor:"suspects,omitempty"`
+	// Failing are those that get no new flows for a time.
+	Failing []Failing `cbor:"failing,omitempty"`
+
 	// RouteDelta leads to Configuration from the version of the sender's last
 	// heartbeat; nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 }
 
+// Failing is a backend server that fails its requests, and for how long it is held off.
+type Failing struct {
+	Token uint32        `cbor:"1,keyasint"`
+	For   time.Duration `cbor:"2,keyasint"`
+}
+
 // Snapshot is a whole view as one instance gives it to another; what the asker
 // has already is nil.
 type Snapshot struct {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -67,6 +67,8 @@
 	MemberHeard(member Member)
 	MemberLost(member Member, silent time.Duration)
 	FetchFailed(from string, err error)
+	// ServerFailing says that the server with a token is to get no new flows for a time.
+	ServerFailing(token uint32, duration time.Duration)
 }
 
 // Relayer keeps one instance's view up to date with the store and the others.
@@ -90,6 +92,7 @@
 	digest   uint64
 	digestOf uint64 // revision of the servers that digest describes
 	history  history
+	tally    tally
 	packing  *packing // last snapshot that was given; nil before the first
 	told     uint64   // revision of the last heartbeat to the others
 
@@ -106,9 +109,9 @@
 }
 
 // NewRelayer returns a Relayer; Run and Tick do its work.
-func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, observer Observer) *Relayer {
+func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, tally tally, observer Observer) *Relayer {
 	return &Relayer{
-		self: self, viewer: current, source: source, network: network, observer: observer, seeds: seeds,
+		self: self, viewer: current, source: source, network: network, tally: tally, observer: observer, seeds: seeds,
 		members: map[string]*peer{}, busy: map[string]bool{}, startedAt: time.Now(), listedAt: time.Now(),
 	}
 }
--- /dev/null
+++ b/relayer/suspicion.go
@@ -0,0 +1,74 @@
+package relayer
+
+import "time"
+
+// Each response that looks like a failure is told to those that lead the failure
+// domain. They add up what its instances saw, each of which sees a small part, and
+// tell the domain which servers to hold off. Two that lead may both do so; the
+// later end counts.
+
+// tally adds up suspicions and returns for how long a server is held off from now
+// on, 0 if it is not.
+type tally interface {
+	Suspect(token uint32, now time.Time) time.Duration
+}
+
+// Suspect takes a response of the server with a token that looked like a failure.
+func (relayer *Relayer) Suspect(token uint32) {
+	now := time.Now()
+	if relayer.leads() {
+		relayer.addUp([]uint32{token}, now)
+		return
+	}
+	relayer.send(func(heartbeat *Heartbeat) { heartbeat.Suspects = []uint32{token} }, now, func(member Member, position int) bool {
+		return member.FailureDomain == relayer.self.FailureDomain && position < leadsPerDomain
+	})
+}
+
+// addUp counts suspicions and tells the failure domain which servers are held off.
+func (relayer *Relayer) addUp(suspects []uint32, now time.Time) {
+	var failing []Failing
+	relayer.mutex.Lock()
+	for _, token := range suspects {
+		if hold := relayer.tally.Suspect(token, now); hold > 0 {
+			failing = append(failing, Failing{Token: token, For: hold})
+		}
+	}
+	relayer.mutex.Unlock()
+	if len(failing) == 0 {
+		return
+	}
+	relayer.holdOff(failing)
+	relayer.send(func(heartbeat *Heartbeat) { heartbeat.Failing = failing }, now, func(member Member, _ int) bool {
+		return member.FailureDomain == relayer.self.FailureDomain
+	})
+}
+
+// takeSuspicions acts on what a heartbeat says of failing servers.
+func (relayer *Relayer) takeSuspicions(heartbeat Heartbeat, now time.Time) {
+	if len(heartbeat.Suspects) > 0 && relayer.leads() {
+		relayer.addUp(heartbeat.Suspects, now)
+	}
+	relayer.holdOff(heartbeat.Failing)
+}
+
+func (relayer *Relayer) holdOff(failing []Failing) {
+	for _, server := range failing {
+		relayer.observer.ServerFailing(server.Token, server.For)
+	}
+}
+
+// send sends some members a heartbeat that is no news of its own and asks for no answer.
+func (relayer *Relayer) send(extend func(*Heartbeat), now time.Time, wanted func(member Member, position int) bool) {
+	relayer.mutex.Lock()
+	heartbeat := relayer.heartbeat(now, true)
+	extend(&heartbeat)
+	content := encode(heartbeat)
+	sorted, positions := order(relayer.list())
+	relayer.mutex.Unlock()
+	for _, member := range sorted {
+		if member.Name != relayer.self.Name && wanted(member, positions[member.Name]) {
+			relayer.network.Tell(member.Peer, content)
+		}
+	}
+}
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -59,6 +59,9 @@
 	member  Member
 	lost    []string
 	expired []string
+	failing []uint32 // tokens of servers that it was to hold off
+
+	suspects int
 }
 
 func newWorld() *world {
@@ -84,7 +87,7 @@
 	member := Member{Name: name, FailureDomain: fmt.Sprintf("dakar-%d", domain), Peer: address, Control: address}
 	node := &node{world: world, viewer: viewer.NewViewer(), member: member}
 	node.ctx, node.stop = context.WithCancel(context.Background())
-	node.Relayer = NewRelayer(member, nil, node.viewer, node, node, node)
+	node.Relayer = NewRelayer(member, nil, node.viewer, node, node, node, node)
 	world.mutex.Lock()
 	world.nodes[address] = node
 	world.started = append(world.started, node)
@@ -241,6 +244,21 @@
 	node.expired = append(node.expired, server.Name)
 }
 
+func (node *node) ServerFailing(token uint32, _ time.Duration) {
+	node.world.mutex.Lock()
+	defer node.world.mutex.Unlock()
+	node.failing = append(node.failing, token)
+}
+
+// Suspect holds a server off at the third suspicion.
+func (node *node) Suspect(token uint32, _ time.Time) time.Duration {
+	node.suspects++
+	if token == 7 && node.suspects == 3 {
+		return time.Second
+	}
+	return 0
+}
+
 func (node *node) knows(version uint64) bool {
 	configuration := node.viewer.Current().Configuration
 	return configuration != nil && configuration.Version == version
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -37,6 +37,7 @@
 	requestAt   time.Time // zero until the first data
 	firstAnswer uint32
 	answer      uint32
+	requested   uint32 // answer when the last request came
 }
 
 func (steerer *Steerer) remember(packet *Packet, now time.Time) *flow {
@@ -84,7 +85,7 @@
 		steerer.count(known, server, now)
 	}
 	if packet.Length > 0 && (known.requestAt.IsZero() || packet.Acknowledge != known.answer) {
-		known.requestAt = now
+		known.requestAt, known.requested = now, packet.Acknowledge
 	}
 	if packet.Acknowledge != known.answer {
 		known.answer = packet.Acknowledge
@@ -116,6 +117,7 @@
 func (steerer *Steerer) took(known *flow, now time.Time) {
 	if response := known.response(now); response > 0 {
 		steerer.placer.Took(known.server, response, now)
+		steerer.examiner.Answered(known.flow.Service, known.server, known.answer-known.requested)
 	}
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -30,6 +31,11 @@
 	Forget(before time.Time)
 }
 
+// responseExaminer judges whole responses.
+type responseExaminer interface {
+	Answered(route netip.AddrPort, server *viewer.BackendServer, bytes uint32)
+}
+
 // Observer hears of every decision that concerns a whole flow.
 type Observer interface {
 	// Decided is called for openings, refusals and drops.
@@ -67,6 +73,7 @@
 	viewer   func() *viewer.View
 	resumed  func(now time.Time) bool
 	placer   serverPlacer
+	examiner responseExaminer
 	observer Observer
 	random   *rand.Rand
 	flows    map[Flow]*flow
@@ -77,8 +84,8 @@
 
 // NewSteerer returns a Steerer that decides by the view that current returns;
 // resumed reports whether the process has just come out of a pause.
-func NewSteerer(current func() *viewer.View, resumed func(now time.Time) bool, placer serverPlacer, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{viewer: current, resumed: resumed, placer: placer, observer: observer, random: random, flows: map[Flow]*flow{}}
+func NewSteerer(current func() *viewer.View, resumed func(now time.Time) bool, placer serverPlacer, examiner responseExaminer, observer Observer, random *rand.Rand) *Steerer {
+	return &Steerer{viewer: current, resumed: resumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[Flow]*flow{}}
 }
 
 // Packet decides about one packet of a caller.
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -27,6 +27,11 @@
 	decided []Reason
 	ended   []Summary
 	held    []string
+	lengths []uint32 // of responses
+}
+
+func (rig *rig) Answered(_ netip.AddrPort, _ *viewer.BackendServer, bytes uint32) {
+	rig.lengths = append(rig.lengths, bytes)
 }
 
 func (rig *rig) Decided(verdict *Verdict, _ *viewer.View) {
@@ -38,7 +43,7 @@
 func newRig(names ...string) *rig {
 	rig := &rig{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
-	rig.Steerer = NewSteerer(rig.viewer.Current, func(time.Time) bool { return rig.resumed }, placer.NewPlacer("dakar-1", func() int { return 1 }, random), rig, random)
+	rig.Steerer = NewSteerer(rig.viewer.Current, func(time.Time) bool { return rig.resumed }, placer.NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, random), rig, rig, random)
 	rig.viewer.TakeConfiguration(&viewer.Configuration{Version: 1, Routes: []viewer.Route{{
 		Name: "r", Address: address, Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}},
 	}}})
@@ -125,7 +130,7 @@
 }
 
 func TestWithoutAViewNothingIsReset(t *testing.T) {
-	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, &rig{}, nil)
+	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, nil, &rig{}, nil)
 	verdict := empty.Packet(opening(1), start)
 	assert.Equal(t, verdict.Action, Drop)
 	assert.Equal(t, verdict.Reason, NoView)
@@ -221,6 +226,19 @@
 	assert.Equal(t, summary.Bytes, uint32(1000))
 	assert.Equal(t, summary.End, Finished)
 	assert.Equal(t, len(rig.flows), 0)
+	assert.DeepEqual(t, rig.lengths, []uint32{1000})
+}
+
+func TestTheLastResponseOfAFlowIsExamined(t *testing.T) {
+	rig := newRig("a")
+	rig.Packet(opening(1), start)
+	token := tokenOf("a")
+	rig.Packet(later(1, token, 100, 0, Flags{}), start)
+	for _, acknowledged := range []uint32{100, 1100} {
+		rig.Packet(later(1, token, acknowledged, 50, Flags{}), start)
+	}
+	rig.Packet(later(1, token, 1300, 0, Flags{FIN: true}), start.Add(time.Millisecond))
+	assert.DeepEqual(t, rig.lengths, []uint32{200})
 }
 
 // load counts the flows that are open at each server, as the placer is told.
