Bound the suspicions that an instance tells

Cause: a service that fails as a whole has each instance send two datagrams for each response; the 22 instances of a failure domain would load the two that lead, which may have 0.045 of a core, with some 370 a second. Change: five a second and a burst of five an instance; three within 1.5 s hold a server off, so a domain still finds out many at once. The second of those that lead, which says the same a moment later, makes no second line.

--- a/director/failures.go
+++ b/director/failures.go
@@ -22,6 +22,9 @@
 		return
 	}
 	now := time.Now()
+	known := failures.holds.Held(token, now)
 	held := failures.holds.Hold(server, view.Active(server.Service), now.Add(duration), now)
-	failures.Failing(server, duration, held)
+	if !known { // the second of those that lead says so too
+		failures.Failing(server, duration, held)
+	}
 }
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -175,6 +175,21 @@
 	})
 }
 
+func TestAServiceThatFailsAsAWholeDoesNotLoadThoseThatLead(t *testing.T) {
+	play(t, 10, func(world *world, nodes []*node) {
+		before := nodes[0].suspects
+		for range 300 {
+			for _, node := range nodes[4:7] {
+				node.Relayer.Suspect(9)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Three seconds and the burst of three instances.
+		heard := nodes[0].suspects - before
+		assert.Assert(t, heard > 0 && heard <= 3*4*suspicionRate, "%d suspicions", heard)
+	})
+}
+
 // TestALongConfigurationFitsTheBoundOnControl: 8,700 changes a day are one in ten seconds.
 func TestALongConfigurationFitsTheBoundOnControl(t *testing.T) {
 	play(t, 10, func(world *world, nodes []*node) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -7,9 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/pimentowind/pimentowind/viewer"
+	"golang.org/x/time/rate"
 
 	"github.com/pimentowind/pimentowind/ticker"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 const (
@@ -80,21 +81,22 @@
 	observer  Observer
 	startedAt time.Time
 
-	mutex    sync.Mutex
-	seeds    []netip.AddrPort
-	turn     Turn
-	members  map[string]*peer
-	counted  int // instances that the last teller knew
-	leaving  bool
-	busy     map[string]bool // calls under way
-	listedAt time.Time       // when the members were last read, or the start
-	listed   bool            // whether they were ever read
-	digest   uint64
-	digestOf uint64 // revision of the servers that digest describes
-	history  history
-	tally    tally
-	packing  *packing // last snapshot that was given; nil before the first
-	told     uint64   // revision of the last heartbeat to the others
+	mutex      sync.Mutex
+	seeds      []netip.AddrPort
+	turn       Turn
+	members    map[string]*peer
+	counted    int // instances that the last teller knew
+	leaving    bool
+	busy       map[string]bool // calls under way
+	listedAt   time.Time       // when the members were last read, or the start
+	listed     bool            // whether they were ever read
+	digest     uint64
+	digestOf   uint64 // revision of the servers that digest describes
+	history    history
+	tally      tally
+	suspicions *rate.Limiter // that are told
+	packing    *packing      // last snapshot that was given; nil before the first
+	told       uint64        // revision of the last heartbeat to the others
 
 	routeDelta  *viewer.RouteDelta // to the configuration in force; nil when it is the first
 	toldVersion uint64             // of the configuration, in the last heartbeat to the others
@@ -112,7 +114,8 @@
 func NewRelayer(self Member, seeds []netip.AddrPort, current *viewer.Viewer, source Source, network Network, tally tally, observer Observer) *Relayer {
 	return &Relayer{
 		self: self, viewer: current, source: source, network: network, tally: tally, observer: observer, seeds: seeds,
-		members: map[string]*peer{}, busy: map[string]bool{}, startedAt: time.Now(), listedAt: time.Now(),
+		suspicions: newSuspicionLimit(),
+		members:    map[string]*peer{}, busy: map[string]bool{}, startedAt: time.Now(), listedAt: time.Now(),
 	}
 }
 
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -1,6 +1,16 @@
 package relayer
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// suspicionRate bounds the suspicions that one instance sends a second, and in a
+// burst, so that a service that fails as a whole does not load those that lead.
+const suspicionRate = 5
+
+func newSuspicionLimit() *rate.Limiter { return rate.NewLimiter(suspicionRate, suspicionRate) }
 
 // Each response that looks like a failure is told to those that lead the failure
 // domain. They add up what its instances saw, each of which sees a small part, and
@@ -20,6 +30,9 @@
 		relayer.addUp([]uint32{token}, now)
 		return
 	}
+	if !relayer.suspicions.AllowN(now, 1) {
+		return
+	}
 	relayer.send(func(heartbeat *Heartbeat) { heartbeat.Suspects = []uint32{token} }, now, func(member Member, position int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain && position < leadsPerDomain
 	})
