--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -3,8 +3,42 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pimentowind/pimentowind/ticker"
 )
 
+// register writes this instance into the list of members, and then reads the
+// list: of instances that start together, the last one finds all others.
+func (relayer *Relayer) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := relayer.source.Register(ctx, relayer.self)
+		relayer.reached(ctx, "register", err)
+		if err == nil {
+			relayer.once("members", func() { relayer.readMembers(ctx) })
+			return
+		}
+		ticker.Sleep(ctx, 2*retryInterval)
+	}
+}
+
+// askSeeds takes a first view from the instances in the settings while the store does not give one.
+func (relayer *Relayer) askSeeds(ctx context.Context) {
+	for {
+		ticker.Sleep(ctx, retryInterval)
+		if ctx.Err() != nil || relayer.viewer.Current().Complete() {
+			return
+		}
+		relayer.mutex.Lock()
+		seeds := relayer.seeds
+		relayer.mutex.Unlock()
+		for _, seed := range seeds {
+			if seed != relayer.self.Control {
+				relayer.fetch(ctx, Member{Name: seed.String(), Control: seed})
+			}
+		}
+	}
+}
+
 // readMembers reads the list of instances and removes those that have been silent for long.
 func (relayer *Relayer) readMembers(ctx context.Context) {
 	members, err := relayer.source.Members(ctx)
