--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,7 +25,14 @@
 	}
 }
 
-func run(ctx context.Context, arguments []string) error {
+// options are what the command line asks for.
+type options struct {
+	settings  soaker.Settings
+	runs      []soaker.Regression
+	keepGoing bool
+}
+
+func parse(arguments []string) (*options, error) {
 	application := kingpin.New("soak", "Run instances as processes under random faults and check what callers and backend servers see.")
 	seed := application.Flag("seed", "First seed.").Default("1").Uint64()
 	seeds := application.Flag("seeds", "How many seeds to run, one after another.").Default("1").Int()
@@ -35,6 +42,22 @@
 	regressions := application.Flag("regressions", "Run the seeds that once failed instead.").Bool()
 	keepGoing := application.Flag("keep-going", "Go on with the next seed after a violation.").Bool()
 	if _, err := application.Parse(arguments); err != nil {
+		return nil, err
+	}
+	options := &options{keepGoing: *keepGoing}
+	options.settings = soaker.Settings{Instances: *instances, Callers: *callers, JudgeTimes: true}
+	for i := range *seeds {
+		options.runs = append(options.runs, soaker.Regression{Seed: *seed + uint64(i), Duration: *duration})
+	}
+	if *regressions {
+		options.runs = soaker.Regressions
+	}
+	return options, nil
+}
+
+func run(ctx context.Context, arguments []string) error {
+	options, err := parse(arguments)
+	if err != nil {
 		return err
 	}
 	directory, err := os.MkdirTemp("", "pimentowind-soak")
@@ -44,38 +67,39 @@
 	if err := rehearser.Build(ctx, ".", directory); err != nil {
 		return err
 	}
-	settings := soaker.Settings{
-		Instances: *instances, Callers: *callers, JudgeTimes: true,
-		Binary: filepath.Join(directory, "pimentowind"),
-	}
-	var runs []soaker.Regression
-	for i := range *seeds {
-		runs = append(runs, soaker.Regression{Seed: *seed + uint64(i), Duration: *duration})
+	options.settings.Binary = filepath.Join(directory, "pimentowind")
+	violated, err := runAll(ctx, options, directory)
+	if err != nil {
+		return err
 	}
-	if *regressions {
-		runs = soaker.Regressions
+	if violated > 0 {
+		return errors.Errorf("%d seeds with violations; logs are in %s", violated, directory)
 	}
+	return os.RemoveAll(directory)
+}
+
+// runAll runs the seeds and returns how many had violations.
+func runAll(ctx context.Context, options *options, directory string) (int, error) {
 	violated := 0
-	for _, run := range runs {
+	settings := options.settings
+	for _, run := range options.runs {
 		if ctx.Err() != nil {
 			break
 		}
 		settings.Seed, settings.Duration, settings.Kinds = run.Seed, run.Duration, run.Kinds
 		clean, err := runSeed(ctx, settings, directory)
 		if err != nil {
-			return err
+			return violated, err
 		}
-		if !clean {
-			violated++
-			if !*keepGoing {
-				break
-			}
+		if clean {
+			continue
+		}
+		violated++
+		if !options.keepGoing {
+			break
 		}
 	}
-	if violated > 0 {
-		return errors.Errorf("%d seeds with violations; logs are in %s", violated, directory)
-	}
-	return os.RemoveAll(directory)
+	return violated, nil
 }
 
 // runSeed runs one seed and prints what it saw; the logs of a clean one are removed.
