Take the number of instances only from those that know all

Cause: found while reading: an instance that had just started and read in its turn told the few instances that it knew, and the others placed by that number until the next heartbeat. Change: the number is sent only by one that leads and has read the list. The test of the start of 300 instances, which asks for the right number at each, stays green.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -89,9 +89,9 @@
 // heartbeat describes the present view; the mutex is held.
 func (relayer *Relayer) heartbeat(now time.Time, answer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{
-		Sender: relayer.self, Instances: 1 + len(relayer.members),
-		Leaving: relayer.leaving, Answer: answer, Age: relayer.turn.Age(now),
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, Answer: answer, Age: relayer.turn.Age(now)}
+	if relayer.turn.lead && relayer.listed {
+		heartbeat.Instances = 1 + len(relayer.members)
 	}
 	if view.Configuration != nil {
 		heartbeat.Configuration = view.Configuration.Version
@@ -138,7 +138,7 @@
 		relayer.members[heartbeat.Sender.Name] = known
 	}
 	changed := isNew || known.leaving != heartbeat.Leaving
-	if !heartbeat.Answer {
+	if heartbeat.Instances > 0 {
 		relayer.counted = heartbeat.Instances
 	}
 	known.Member, known.heardAt, known.leaving = heartbeat.Sender, now, heartbeat.Leaving
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -12,7 +12,7 @@
 // Heartbeat tells another instance how new the sender's knowledge is.
 type Heartbeat struct {
 	Sender        Member        `cbor:"sender"`
-	Instances     int           `cbor:"instances"`     // that the sender knows, itself included
+	Instances     int           `cbor:"instances"`     // of the fleet; 0 when the sender may not know all
 	Configuration uint64        `cbor:"configuration"` // version; 0 when none is known
 	Revision      uint64        `cbor:"revision"`      // of the backend servers; 0 when none is known
 	Digest        uint64        `cbor:"digest"`        // of the backend servers
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -84,7 +84,7 @@
 	seeds      []netip.AddrPort
 	turn       Turn
 	members    map[string]*peer
-	counted    int // instances that the last teller knew
+	counted    int // instances of the fleet, as last told by one that leads
 	leaving    bool
 	busy       map[string]bool // calls under way
 	listedAt   time.Time       // when the members were last read, or the start
