--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -6,17 +6,17 @@
 	"golang.org/x/time/rate"
 )
 
+// Each response that looks like a failure is told to those that lead the failure
+// domain. They add up what its instances saw, each of which sees a small part, and
+// tell the domain which servers to hold off. Two that lead may both do so; the
+// later end counts.
+
 // suspicionRate bounds the suspicions that one instance sends a second, and in a
 // burst, so that a service that fails as a whole does not load those that lead.
 const suspicionRate = 5
 
 func newSuspicionLimit() *rate.Limiter { return rate.NewLimiter(suspicionRate, suspicionRate) }
 
-// Each response that looks like a failure is told to those that lead the failure
-// domain. They add up what its instances saw, each of which sees a small part, and
-// tell the domain which servers to hold off. Two that lead may both do so; the
-// later end counts.
-
 // tally adds up suspicions and returns for how long a server is held off from now
 // on, 0 if it is not.
 type tally interface {
