Send what can wait with heartbeats

Change: heartbeats carry them, every half second; the flush of its own is gone. Before: the test's message came alone. After: test green, decider and experimenter green.

--- a/decider/config.go
+++ b/decider/config.go
@@ -30,7 +30,6 @@
 	shardsPerTick    = 8     // shards of the flow table that one tick scans
 	maxOldViews      = 16
 	oldViewsLifetime = 10 * time.Minute
-	flushInterval    = time.Second // between messages with what can wait
 	recentChange     = time.Second
 	digestInterval   = 4  // heartbeats between those that carry the digest
 	regularInterval  = 16 // heartbeats after which the sender's addresses are repeated
--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -168,3 +168,19 @@
 		assert.Assert(t, member.introduced, member.Name)
 	}
 }
+
+func TestWhatCanWaitGoesWithAHeartbeat(t *testing.T) {
+	fleet := started(t)
+	decider := fleet.deciders["a1"]
+	member := decider.roster[0]
+	member.unpins = AppendPin(nil, Pin{Flow: 7})
+	decider.TakeOutbox()
+	decider.Tick(decider.now.Add(HeartbeatInterval))
+	for _, outgoing := range decider.TakeOutbox() {
+		if outgoing.To.Name == member.Name && len(outgoing.Message.Pins) > 0 {
+			assert.Assert(t, outgoing.Message.Heartbeat != nil, "a message of its own")
+			return
+		}
+	}
+	t.Fatal("the end of a pin was not told")
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -21,7 +21,6 @@
 	lastTick   time.Time
 	lastBeat   time.Time
 	lastLoad   time.Time
-	lastFlush  time.Time
 	lastExpire time.Time
 	beats      int
 
@@ -155,7 +154,6 @@
 	decider.runOwned()
 	decider.leaveFlows()
 	decider.flushPins()
-	decider.flushLater()
 	if now.Sub(decider.lastLoad) >= ReportInterval {
 		decider.lastLoad = now
 		decider.sendLoads()
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -18,7 +18,12 @@
 			copied.Self = &decider.config.Self
 		}
 		member.lastSent = decider.now
-		decider.send(member, Message{Heartbeat: &copied})
+		message := Message{Heartbeat: &copied}
+		if member.alive {
+			message.Pins, message.Flows = member.unpins, member.flows // which can wait
+			member.unpins, member.flows = nil, nil
+		}
+		decider.send(member, message)
 	}
 }
 
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -45,7 +45,7 @@
 	decider.broadcastPin(Pin{Flow: key, Server: flow.server})
 }
 
-// unpinEverywhere lets the instances forget the pin of a flow that has ended; it can wait.
+// unpinEverywhere lets the instances forget the pin of a flow that has ended; it can wait for a heartbeat.
 func (decider *Decider) unpinEverywhere(key uint64) {
 	decider.counters.add(CountUnpins, 1)
 	for _, member := range decider.roster {
@@ -55,22 +55,6 @@
 	}
 }
 
-// flushLater sends what is queued once enough time has passed to fill messages.
-func (decider *Decider) flushLater() {
-	if decider.now.Sub(decider.lastFlush) < flushInterval {
-		return
-	}
-	decider.lastFlush = decider.now
-	decider.flushPins()
-	for _, member := range decider.roster {
-		decider.flushFlows(member)
-		if len(member.unpins) > 0 {
-			decider.send(member, Message{Pins: member.unpins})
-			member.unpins = nil
-		}
-	}
-}
-
 // flushPins sends the queued pins, which others wait for.
 func (decider *Decider) flushPins() {
 	if !decider.pinsQueued {
