--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -89,9 +89,9 @@
 // heartbeat describes the present view; the mutex is held.
 func (relayer *Relayer) heartbeat(now time.Time, answer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{
-		Sender: relayer.self, Instances: 1 + len(relayer.members),
-		Leaving: relayer.leaving, Answer: answer, Age: relayer.turn.Age(now),
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, Answer: answer, Age: relayer.turn.Age(now)}
+	if relayer.turn.lead && relayer.listed {
+		heartbeat.Instances = 1 + len(relayer.members)
 	}
 	if view.Configuration != nil {
 		heartbeat.Configuration = view.Configuration.Version
@@ -138,7 +138,7 @@
 		relayer.members[heartbeat.Sender.Name] = known
 	}
 	changed := isNew || known.leaving != heartbeat.Leaving
-	if !heartbeat.Answer {
+	if heartbeat.Instances > 0 {
 		relayer.counted = heartbeat.Instances
 	}
 	known.Member, known.heardAt, known.leaving = heartbeat.Sender, now, heartbeat.Leaving
@@ -250,89 +250,3 @@
 	relayer.mutex.Unlock()
 	relayer.network.Tell(to.Peer, content)
 }
-
-// fetch takes the view of another instance, as far as it is newer.
-func (relayer *Relayer) fetch(ctx context.Context, from Member) {
-	var version, revision uint64
-	view := relayer.viewer.Current()
-	if view.Configuration != nil {
-		version = view.Configuration.Version
-	}
-	if view.Servers != nil {
-		revision = view.Servers.Revision
-	}
-	startedAt := time.Now()
-	content, err := relayer.network.Fetch(ctx, from.Control, version, revision)
-	var snapshot Snapshot
-	var age time.Duration
-	if err == nil {
-		snapshot, age, err = unpack(content)
-	}
-	if err != nil {
-		relayer.observer.FetchFailed(from.Name, err)
-		return
-	}
-	if snapshot.Delta != nil && view.Servers != nil {
-		snapshot.Servers = view.Servers.Apply(snapshot.Delta)
-	}
-	if snapshot.RouteDelta != nil && view.Configuration != nil {
-		snapshot.Configuration = view.Configuration.Apply(snapshot.RouteDelta)
-	}
-	relayer.takeSnapshot(snapshot, age, from, startedAt)
-}
-
-func (relayer *Relayer) takeSnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
-	if snapshot.Configuration != nil {
-		relayer.takeConfiguration(snapshot.Configuration, from.Name)
-	}
-	if snapshot.Servers != nil {
-		relayer.takeServers(snapshot.Servers, from.Name)
-		relayer.learned(Heartbeat{Sender: from, Age: age, Answer: true}, at)
-	}
-	relayer.merge(snapshot.Members, at)
-}
-
-// Snapshot returns the view for another instance that has a version of the
-// configuration and a revision of the servers.
-func (relayer *Relayer) Snapshot(configuration, revision uint64) []byte {
-	now := time.Now()
-	relayer.mutex.Lock()
-	view, last := relayer.viewer.Current(), relayer.packing
-	request := snapshotRequest{configuration: configuration, revision: revision}
-	if view.Configuration != nil {
-		request.ownConfiguration = view.Configuration.Version
-	}
-	if view.Servers != nil {
-		request.ownRevision = view.Servers.Revision
-	}
-	snapshot := Snapshot{Delta: relayer.history.since(revision)}
-	if revision == 0 {
-		snapshot.Members = relayer.list() // the asker has just started
-	}
-	request.members = len(snapshot.Members)
-	if delta := relayer.routeDelta; delta != nil && delta.Base == configuration {
-		snapshot.RouteDelta = delta
-	}
-	age := relayer.turn.Age(now)
-	relayer.mutex.Unlock()
-	if last == nil || last.request != request {
-		last = pack(request, snapshot.of(view, configuration))
-		relayer.mutex.Lock()
-		relayer.packing = last
-		relayer.mutex.Unlock()
-	}
-	return encode(packet{Age: age, Packed: last.isPacked, Content: last.content})
-}
-
-// of completes a snapshot with what its delta does not say of the view.
-func (snapshot Snapshot) of(view *viewer.View, configuration uint64) Snapshot {
-	if view.Servers != nil && (snapshot.Delta == nil || snapshot.Delta.Revision != view.Servers.Revision) {
-		snapshot.Delta, snapshot.Servers = nil, view.Servers
-	}
-	known := view.Configuration == nil || view.Configuration.Version <= configuration
-	if known || (snapshot.RouteDelta != nil && snapshot.RouteDelta.Version == view.Configuration.Version) {
-		return snapshot
-	}
-	snapshot.RouteDelta, snapshot.Configuration = nil, view.Configuration
-	return snapshot
-}
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -1,12 +1,22 @@
 package relayer
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
 
 // Each response that looks like a failure is told to those that lead the failure
 // domain. They add up what its instances saw, each of which sees a small part, and
 // tell the domain which servers to hold off. Two that lead may both do so; the
 // later end counts.
 
+// suspicionRate bounds the suspicions that one instance sends a second, and in a
+// burst, so that a service that fails as a whole does not load those that lead.
+const suspicionRate = 5
+
+func newSuspicionLimit() *rate.Limiter { return rate.NewLimiter(suspicionRate, suspicionRate) }
+
 // tally adds up suspicions and returns for how long a server is held off from now
 // on, 0 if it is not.
 type tally interface {
@@ -20,6 +30,9 @@
 		relayer.addUp([]uint32{token}, now)
 		return
 	}
+	if !relayer.suspicions.AllowN(now, 1) {
+		return
+	}
 	relayer.send(func(heartbeat *Heartbeat) { heartbeat.Suspects = []uint32{token} }, now, func(member Member, position int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain && position < leadsPerDomain
 	})
