--- a/director/explain_test.go
+++ b/director/explain_test.go
@@ -23,12 +23,15 @@
 
 // Offsets in a packet's head, and flags, as published.
 const (
-	headLength  = 34
-	tokenOffset = 24
-	flagsOffset = 30
-	flagACK     = 4
-	flagSYN     = 8
-	flagRST     = 32
+	headLength   = 34
+	ackOffset    = 20
+	tokenOffset  = 24
+	lengthOffset = 28
+	flagsOffset  = 30
+	flagFIN      = 1
+	flagACK      = 4
+	flagSYN      = 8
+	flagRST      = 32
 )
 
 // site is one instance with a store, a caller and two backend servers, on loopback.
@@ -89,15 +92,23 @@
 
 // send sends a caller's packet from port to the service at address.
 func (site *site) send(port uint16, address string, token uint32, flags byte) {
+	site.t.Helper()
+	site.sendData(port, address, token, flags, 0, 0)
+}
+
+// sendData is send with an acknowledgement number and so many bytes of data.
+func (site *site) sendData(port uint16, address string, token uint32, flags byte, acknowledge uint32, length int) {
 	site.t.Helper()
 	service := netip.MustParseAddrPort(address)
-	head := make([]byte, headLength)
+	head := make([]byte, headLength+length)
 	binary.BigEndian.PutUint16(head[0:], port)
 	serviceAddress := service.Addr().As4()
 	copy(head[2:], serviceAddress[:])
 	copy(head[6:], []byte{127, 0, 0, 2})
 	binary.BigEndian.PutUint16(head[10:], service.Port())
+	binary.BigEndian.PutUint32(head[ackOffset:], acknowledge)
 	binary.BigEndian.PutUint32(head[tokenOffset:], token)
+	binary.BigEndian.PutUint16(head[lengthOffset:], uint16(length))
 	head[flagsOffset] = flags
 	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), site.packetPort)
 	_, err := site.caller.WriteToUDPAddrPort(head, to)
@@ -212,6 +223,35 @@
 	assert.Equal(t, line["accepted"], true)
 }
 
+// request plays a flow of one request whose response has so many bytes.
+func (site *site) request(port uint16, bytes uint32) {
+	site.t.Helper()
+	const service, request = "198.18.0.1:443", 10
+	site.send(port, service, 0, flagSYN)
+	token := binary.BigEndian.Uint32(receive(site.t, site.live)[8+tokenOffset:])
+	site.sendData(port, service, token, flagACK, 1, 0)
+	site.sendData(port, service, token, flagACK, 1, request)
+	site.sendData(port, service, token, flagACK|flagFIN, 1+bytes, 0)
+	for range 3 {
+		receive(site.t, site.live)
+	}
+}
+
+func TestTheLogSaysThatAServerFailsItsRequests(t *testing.T) {
+	site := newSite(t)
+	site.addServer("i-0a", site.live)
+	for port := range uint16(25) {
+		site.request(2000+port, 1000)
+	}
+	for port := range uint16(2) {
+		site.request(3000+port, 150)
+	}
+	line := site.awaitLine(3001, "end", "finished")
+	assert.Equal(t, line["backend_server"], "i-0a")
+	assert.Equal(t, line["bytes"], 150.0)
+	poll.WaitOn(t, site.log.contains("backend server fails its requests"))
+}
+
 func TestMalformedDatagramsAreCounted(t *testing.T) {
 	site := newSite(t)
 	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), site.packetPort)
