--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -17,6 +17,9 @@
 	// learned, slowly.
 	lengthGain = 0.05
 	shortGain  = 0.01
+	// maxRoutes bounds the routes that are remembered; routes come and go for as
+	// long as the process lives.
+	maxRoutes = 20_000
 )
 
 // Examiner judges responses by the length that is usual on their route; it is
@@ -40,6 +43,9 @@
 func (examiner *Examiner) Answered(route netip.AddrPort, server *viewer.BackendServer, bytes uint32) {
 	usual := examiner.routes[route]
 	if usual == nil {
+		if len(examiner.routes) >= maxRoutes {
+			clear(examiner.routes)
+		}
 		usual = &length{average: float64(bytes)}
 		examiner.routes[route] = usual
 	}
--- a/examiner/examiner_test.go
+++ b/examiner/examiner_test.go
@@ -120,3 +120,12 @@
 	assert.Assert(t, holds.Hold(all[3], all, until.Add(time.Minute), until.Add(2*time.Second)), "the others' time is over")
 	assert.Assert(t, !holds.Hold(servers(2)[0], servers(2), until, start), "a service of two keeps both")
 }
+
+func TestTheRoutesThatAreRememberedAreBounded(t *testing.T) {
+	examiner := NewExaminer(func(*viewer.BackendServer) {})
+	for number := range uint32(maxRoutes + 10) {
+		address := netip.AddrFrom4([4]byte{198, byte(number >> 16), byte(number >> 8), byte(number)})
+		examiner.Answered(netip.AddrPortFrom(address, 443), nil, 1000)
+	}
+	assert.Assert(t, len(examiner.routes) <= maxRoutes)
+}
