Check that the soak finds an instance that goes back a version

The other faults of a system that the soak looks for had such a test, this one not: a stand-in says version 5 and then 4.

--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
 	"net/netip"
 	"path/filepath"
 	"strings"
@@ -154,3 +157,24 @@
 	assert.Equal(t, len(report.Violations), 0, "%v", report)
 	assert.Assert(t, report.Served > 0)
 }
+
+func TestTheCheckerFindsAnInstanceThatGoesBackAVersion(t *testing.T) {
+	stage := newStage(t)
+	instance := &instance{name: "lb-0", address: address(9, 0)}
+	listener, err := net.Listen("tcp4", instance.at(controlPort))
+	assert.NilError(t, err)
+	versions := []int{3, 5, 4, 5}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(writer, `{"configuration_version": %d}`, versions[0])
+		versions = append(versions[1:], versions[0])
+	})}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	stage.instances = append(stage.instances, instance)
+	ctx, cancel := context.WithCancel(t.Context())
+	go stage.watchVersions(ctx)
+	for !strings.Contains(stage.violations(), "lb-0 went back from version 5 to 4") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+}
