Let the tests of fleets read only what has come to rest

go test -race ./relayer reported 7 to 8 races, each of a test that read what a goroutine of its world had written (frames in fleet_test.go and world_test.go, none in the package). pass waits for every goroutine after the sleep; three runs under the race detector since report none. Checks and bounds are as they were.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -18,7 +18,7 @@
 // assertKnown lets the bound pass and checks that every instance has the version.
 func assertKnown(t *testing.T, version uint64, nodes []*node) {
 	t.Helper()
-	time.Sleep(applyLimit)
+	pass(applyLimit)
 	for _, node := range nodes {
 		assert.Assert(t, node.knows(version), "%s lacks version %d", node.member.Name, version)
 	}
@@ -32,7 +32,7 @@
 	for _, count := range []int{1, 3, 30} {
 		play(t, count, func(world *world, _ []*node) {
 			world.takeCalls()
-			time.Sleep(time.Minute)
+			pass(time.Minute)
 			calls := world.takeCalls()
 			// One probe an interval, and the list of members every ten seconds.
 			limit := int(time.Minute/ReadInterval) + int(time.Minute/directoryInterval) + 2
@@ -46,7 +46,7 @@
 		for version := uint64(2); version < 20; version++ {
 			world.publish(version)
 			assertKnown(t, version, nodes)
-			time.Sleep(37 * time.Millisecond)
+			pass(37 * time.Millisecond)
 		}
 	})
 }
@@ -61,7 +61,7 @@
 func TestALeavingServerIsKnownEverywhereInTime(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		world.change(func() { world.servers[0] = backendServer("a", parser.Leaving) })
-		time.Sleep(applyLimit)
+		pass(applyLimit)
 		for _, node := range nodes {
 			active := node.viewer.Current().Active("desk-sync")
 			assert.Equal(t, len(active), 1, "%s", node.member.Name)
@@ -78,9 +78,9 @@
 				world.servers[2*i+7].State = parser.Leaving
 				world.servers = slices.Delete(slices.Clone(world.servers), 300, 301)
 			})
-			time.Sleep(time.Second)
+			pass(time.Second)
 		}
-		time.Sleep(applyLimit)
+		pass(applyLimit)
 		want := (&viewer.Servers{List: world.servers}).Digest()
 		for _, node := range nodes {
 			assert.Equal(t, node.viewer.Current().Servers.Digest(), want, "%s", node.member.Name)
@@ -98,7 +98,7 @@
 			node.kill()
 			nodes[i+1] = world.start(t, node.member.Name, (i+1)/30, byte((i+1)%30))
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		for _, node := range nodes {
 			assert.Assert(t, node.knows(1), "%s has no view", node.member.Name)
 		}
@@ -127,7 +127,7 @@
 		}
 		for version := range uint64(4) {
 			world.change(func() { world.configuration = &viewer.Configuration{Version: version + 2} })
-			time.Sleep(applyLimit)
+			pass(applyLimit)
 			for _, node := range nodes {
 				assert.Assert(t, node.knows(version+2), "%s has not taken the change", node.member.Name)
 			}
@@ -138,7 +138,7 @@
 func TestAChangeOfFewRoutesTravelsInHeartbeats(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
 		world.change(func() { world.configuration = longConfiguration(2, 500) })
-		time.Sleep(2 * applyLimit)
+		pass(2 * applyLimit)
 		world.change(func() { world.fetched = 0 })
 		for i := range uint64(10) {
 			world.change(func() {
@@ -146,9 +146,9 @@
 				next.Routes = slices.Delete(next.Routes, int(i), int(i)+1)
 				world.configuration = next
 			})
-			time.Sleep(time.Second)
+			pass(time.Second)
 		}
-		time.Sleep(applyLimit)
+		pass(applyLimit)
 		for _, node := range nodes {
 			view := node.viewer.Current()
 			assert.Assert(t, node.knows(12), "%s", node.member.Name)
@@ -167,7 +167,7 @@
 		for _, node := range nodes[4:7] {
 			node.Relayer.Suspect(7)
 		}
-		time.Sleep(100 * time.Millisecond)
+		pass(100 * time.Millisecond)
 		for _, node := range nodes {
 			want := node.member.FailureDomain == "dakar-0"
 			assert.Equal(t, slices.Contains(node.failing, 7), want, "%s", node.member.Name)
@@ -182,7 +182,7 @@
 			for _, node := range nodes[4:7] {
 				node.Relayer.Suspect(9)
 			}
-			time.Sleep(10 * time.Millisecond)
+			pass(10 * time.Millisecond)
 		}
 		// Three seconds and the burst of three instances.
 		heard := nodes[0].suspects - before
@@ -194,7 +194,7 @@
 func TestALongConfigurationFitsTheBoundOnControl(t *testing.T) {
 	play(t, 10, func(world *world, nodes []*node) {
 		world.change(func() { world.configuration, world.fetched = longConfiguration(2, 2000), 0 })
-		time.Sleep(applyLimit)
+		pass(applyLimit)
 		for _, node := range nodes {
 			configuration := node.viewer.Current().Configuration
 			assert.Assert(t, node.knows(2) && len(configuration.Routes) == 2000, "%s", node.member.Name)
@@ -210,13 +210,13 @@
 		world.change(func() { world.cut["dakar-0"] = true })
 		for i := range 10 {
 			world.change(func() { world.servers[i+7].State = parser.Leaving })
-			time.Sleep(time.Second)
+			pass(time.Second)
 		}
 		world.change(func() {
 			world.fetched = 0
 			delete(world.cut, "dakar-0")
 		})
-		time.Sleep(2 * applyLimit)
+		pass(2 * applyLimit)
 		for _, node := range nodes {
 			assert.Equal(t, len(node.viewer.Current().Active("desk-sync")), 392, "%s", node.member.Name)
 		}
@@ -262,7 +262,7 @@
 			assert.Assert(t, node.knows(1))
 			assert.Equal(t, len(node.viewer.Current().Active("desk-sync")), 2)
 		}
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		world.change(func() { delete(world.cut, "dakar-0") })
 		assertKnown(t, 2, nodes)
 	})
@@ -274,7 +274,7 @@
 		for i, first := range []int{0, 1, 2} {
 			nodes[first].kill()
 			again := world.start(t, nodes[first].member.Name, 0, byte(i))
-			time.Sleep(2 * time.Second)
+			pass(2 * time.Second)
 			assert.Assert(t, again.knows(1), "%s has no view", again.member.Name)
 			nodes[first] = again
 		}
@@ -284,17 +284,17 @@
 func TestAStoreOutageChangesNothingAndLapsedServersComeBack(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		world.change(func() { world.down = true })
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		world.change(func() {
 			world.down = false
 			world.servers = nil
 		})
-		time.Sleep(time.Second)
+		pass(time.Second)
 		for _, node := range nodes {
 			assert.Equal(t, len(node.viewer.Current().Active("desk-sync")), 2, "%s", node.member.Name)
 		}
 		world.change(func() { world.servers = []viewer.BackendServer{backendServer("b", parser.Active)} })
-		time.Sleep(returnTime + 2*time.Second)
+		pass(returnTime + 2*time.Second)
 		synctest.Wait()
 		for _, node := range nodes {
 			active := node.viewer.Current().Active("desk-sync")
@@ -307,7 +307,7 @@
 func TestAPlannedStopHandsTheReadingOn(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		nodes[0].Leave()
-		time.Sleep(100 * time.Millisecond)
+		pass(100 * time.Millisecond)
 		nodes[0].kill()
 		world.publish(2)
 		assertKnown(t, 2, nodes[1:])
@@ -317,7 +317,7 @@
 func TestInstancesThatAreGoneAreTakenOffTheList(t *testing.T) {
 	play(t, 3, func(world *world, nodes []*node) {
 		nodes[2].kill()
-		time.Sleep(memberLifetime + 3*directoryInterval)
+		pass(memberLifetime + 3*directoryInterval)
 		synctest.Wait()
 		assert.Equal(t, len(world.members), 8)
 		for i, node := range nodes {
@@ -333,7 +333,7 @@
 	play(t, 3, func(world *world, nodes []*node) {
 		nodes[5].kill()
 		world.change(func() { delete(world.members, nodes[5].member.Name) })
-		time.Sleep(3 * directoryInterval)
+		pass(3 * directoryInterval)
 		synctest.Wait()
 		assert.Equal(t, nodes[0].Instances(), 8)
 	})
@@ -342,9 +342,9 @@
 func TestAStoreThatIsAwayIsTriedByFew(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
 		world.change(func() { world.down = true })
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		world.takeCalls()
-		time.Sleep(32 * time.Second)
+		pass(32 * time.Second)
 		calls := world.takeCalls()
 		// The two that lead each failure domain try every interval, the others every 3.2 s.
 		limit := 6*40 + len(nodes)*10 + len(nodes)
@@ -358,10 +358,10 @@
 func TestAStoreThatReturnsIsNotStormed(t *testing.T) {
 	play(t, 30, func(world *world, nodes []*node) {
 		world.change(func() { world.down = true })
-		time.Sleep(10 * time.Second)
+		pass(10 * time.Second)
 		world.change(func() { world.down = false })
 		world.takeCalls()
-		time.Sleep(time.Second)
+		pass(time.Second)
 		calls := world.takeCalls()
 		assert.Assert(t, calls < 2*len(nodes), "%d calls in the first second", calls)
 	})
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -289,7 +289,14 @@
 			world.servers = append(world.servers, backendServer(fmt.Sprintf("i-%08x", i), parser.Active))
 		}
 	})
-	time.Sleep(2 * applyLimit)
+	pass(2 * applyLimit)
+}
+
+// pass lets time pass until every goroutine waits, so that a test may read what
+// they have written.
+func pass(duration time.Duration) {
+	time.Sleep(duration)
+	synctest.Wait()
 }
 
 // play runs test with a fleet that has settled.
@@ -299,7 +306,7 @@
 		world := newWorld()
 		world.servers = []viewer.BackendServer{backendServer("a", parser.Active), backendServer("b", parser.Active)}
 		nodes := world.fleet(t, count)
-		time.Sleep(5 * time.Second)
+		pass(5 * time.Second)
 		for _, node := range nodes {
 			assert.Assert(t, node.knows(1), "%s has no view", node.member.Name)
 		}
