--- a/director/director_test.go
+++ b/director/director_test.go
@@ -91,9 +91,10 @@
 	process := startProcess(t, sampleSettings(t))
 	hangup := func() { assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP)) }
 	process.settings["peer_ports"] = []uint16{1}
+	process.settings["processor_share"] = 0.5
 	writeSettings(t, process.file, process.settings)
 	hangup()
-	poll.WaitOn(t, process.log.contains(`"at_next_start":["peer_ports"]`))
+	poll.WaitOn(t, process.log.contains(`"at_next_start":["peer_ports","processor_share"]`))
 
 	process.settings["instance"] = ""
 	writeSettings(t, process.file, process.settings)
--- a/director/reloader.go
+++ b/director/reloader.go
@@ -93,8 +93,7 @@
 }
 
 // restartKeys returns the keys of changed settings that take effect only at the
-// next start of the process. It does not report processor_share, which is also read
-// only at the start.
+// next start of the process.
 func restartKeys(before, after *configurer.PlatformSettings) []string {
 	keys := []string{}
 	compare := func(key string, before, after any) {
@@ -110,6 +109,7 @@
 	compare("ready_address", before.ReadyAddress, after.ReadyAddress)
 	compare("control_address", before.ControlAddress, after.ControlAddress)
 	compare("peer_ports", before.PeerPorts, after.PeerPorts)
+	compare("processor_share", before.ProcessorShare, after.ProcessorShare)
 	compare("metrics_port", before.MetricsPort, after.MetricsPort)
 	compare("log.format", before.Log.Format, after.Log.Format)
 	return keys
--- a/examiner/examiner_test.go
+++ b/examiner/examiner_test.go
@@ -129,3 +129,10 @@
 	}
 	assert.Assert(t, len(examiner.averages) <= maxRoutes)
 }
+
+func TestEjectionIsNotShortened(t *testing.T) {
+	ejections, all := NewEjections(), servers(10)
+	ejections.Eject(all[0], all, start.Add(8*time.Second), start)
+	assert.Assert(t, ejections.Eject(all[0], all, start.Add(2*time.Second), start))
+	assert.Assert(t, ejections.IsEjected(all[0].Token, start.Add(5*time.Second)), "the other leader ejected it for longer")
+}
--- a/examiner/outlier_ejections.go
+++ b/examiner/outlier_ejections.go
@@ -22,7 +22,8 @@
 // NewEjections returns an empty Ejections.
 func NewEjections() *Ejections { return &Ejections{until: map[uint32]time.Time{}} }
 
-// Eject keeps a server out of selection until a time. It returns false and does
+// Eject keeps a server out of selection until a time, or longer if it is ejected for
+// longer already. It returns false and does
 // nothing if that would eject more than maxEjectedShare of peers, the servers of the
 // service.
 func (ejections *Ejections) Eject(server *viewer.BackendServer, peers []*viewer.BackendServer, until, now time.Time) bool {
@@ -42,7 +43,9 @@
 	if float64(ejected) > maxEjectedShare*float64(len(peers)) {
 		return false
 	}
-	ejections.until[server.Token] = until
+	if until.After(ejections.until[server.Token]) {
+		ejections.until[server.Token] = until
+	}
 	return true
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -35,7 +35,7 @@
 	random               *rand.Rand
 	servers              map[serverKey]*serverState
 	domainEjections      map[domainKey]*ejection
-	serviceResponseTimes map[string]*movingAverage
+	serviceResponseTimes map[string]*serviceAverage
 }
 
 // serverKey identifies one incarnation of a backend server.
@@ -58,6 +58,12 @@
 	lastUsed     time.Time // when the state was last read or updated
 }
 
+// serviceAverage is the average response time of a service in seconds.
+type serviceAverage struct {
+	movingAverage
+	lastUsed time.Time // when it was last updated
+}
+
 // movingAverage is an exponential moving average that starts at its first sample.
 type movingAverage struct{ value float64 }
 
@@ -80,7 +86,7 @@
 		random:               random,
 		servers:              map[serverKey]*serverState{},
 		domainEjections:      map[domainKey]*ejection{},
-		serviceResponseTimes: map[string]*movingAverage{},
+		serviceResponseTimes: map[string]*serviceAverage{},
 	}
 }
 
@@ -196,11 +202,11 @@
 // responseTimeRatio returns the server's average response time divided by its
 // service's, or 1 if either is unknown or the ratio is below minResponseTimeRatio.
 func (placer *Placer) responseTimeRatio(candidate *viewer.BackendServer, state *serverState) float64 {
-	serviceAverage := placer.serviceResponseTimes[candidate.Service]
-	if serviceAverage == nil || serviceAverage.value == 0 || state.responseTime.value == 0 {
+	average := placer.serviceResponseTimes[candidate.Service]
+	if average == nil || average.value == 0 || state.responseTime.value == 0 {
 		return 1
 	}
-	ratio := state.responseTime.value / serviceAverage.value
+	ratio := state.responseTime.value / average.value
 	if ratio < minResponseTimeRatio {
 		return 1
 	}
@@ -237,23 +243,30 @@
 // service is left out of the service's average.
 func (placer *Placer) RecordResponseTime(backendServer *viewer.BackendServer, duration time.Duration, now time.Time) {
 	placer.stateOf(backendServer, now).responseTime.add(duration.Seconds())
-	serviceAverage := placer.serviceResponseTimes[backendServer.Service]
-	if serviceAverage == nil {
-		serviceAverage = &movingAverage{}
-		placer.serviceResponseTimes[backendServer.Service] = serviceAverage
+	average := placer.serviceResponseTimes[backendServer.Service]
+	if average == nil {
+		average = &serviceAverage{}
+		placer.serviceResponseTimes[backendServer.Service] = average
 	}
-	if duration.Seconds() >= minResponseTimeRatio*serviceAverage.value {
-		serviceAverage.add(duration.Seconds())
+	average.lastUsed = now
+	if duration.Seconds() >= minResponseTimeRatio*average.value {
+		average.add(duration.Seconds())
 	}
 }
 
-// ExpireServers deletes the state of servers that was last used before a time.
+// ExpireServers deletes the state of servers, and the averages of services, that were last
+// used before a time.
 func (placer *Placer) ExpireServers(before time.Time) {
 	for key, state := range placer.servers {
 		if state.lastUsed.Before(before) {
 			delete(placer.servers, key)
 		}
 	}
+	for service, average := range placer.serviceResponseTimes {
+		if average.lastUsed.Before(before) {
+			delete(placer.serviceResponseTimes, service)
+		}
+	}
 }
 
 // stateOf returns the state of a server, created if necessary, and marks it as used.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -210,3 +210,14 @@
 	}
 	assert.Assert(t, !placer.isEjected(servers[2], start))
 }
+
+func TestAverageOfUnusedServiceExpires(t *testing.T) {
+	placer := newPlacer(1)
+	for i := range 1000 {
+		server := &viewer.BackendServer{Name: "a", Service: fmt.Sprintf("service-%d", i)}
+		placer.RecordResponseTime(server, time.Second, start)
+	}
+	placer.RecordResponseTime(candidates("b")[0], time.Second, start.Add(time.Minute))
+	placer.ExpireServers(start.Add(time.Second))
+	assert.Equal(t, len(placer.serviceResponseTimes), 1)
+}
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -10,7 +10,7 @@
 // instance sees only a small part of a server's responses, so it reports its
 // suspicions to the leaders of its failure domain, which count those of all
 // instances and send the domain the servers to eject. If both leaders eject the same
-// server, each ejection replaces the one before.
+// server, the longer ejection holds.
 
 // suspicionRate limits the suspicions that one instance sends per second, and the burst,
 // so that a service that fails as a whole does not overload the leaders.
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -38,11 +38,15 @@
 	requestReceivedAt     time.Time // when the last request began; zero until the first data
 	firstAcknowledgment   uint32    // of the packet that established the flow
 	lastAcknowledgment    uint32    // of the last packet
+	acknowledgedAt        time.Time // when lastAcknowledgment last changed
 	requestAcknowledgment uint32    // of the last request's first packet
 }
 
-// track returns the state of a new flow and stores it unless maxFlows are tracked already.
+// track returns the state of a new flow, or nil if maxFlows are tracked already.
 func (steerer *Steerer) track(packet *Packet, now time.Time) *flow {
+	if len(steerer.flows) >= maxFlows {
+		return nil
+	}
 	flow := &flow{
 		key:             packet.Flow,
 		openingPacket:   append([]byte(nil), packet.Raw...),
@@ -50,9 +54,7 @@
 		openedAt:        now,
 		lastPacketAt:    now,
 	}
-	if len(steerer.flows) < maxFlows {
-		steerer.flows[packet.Flow] = flow
-	}
+	steerer.flows[packet.Flow] = flow
 	return flow
 }
 
@@ -79,8 +81,8 @@
 }
 
 // observe updates the flow from a caller's packet that follows the opening. The first
-// data begins a request, and so does data whose acknowledgment number differs from the
-// last packet's, because the caller has received a response in between.
+// data begins a request, and so does data whose acknowledgment number differs from that at
+// the start of the last request, because the caller has received a response in between.
 func (steerer *Steerer) observe(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	flow.lastPacketAt = now
 	if !flow.established {
@@ -89,11 +91,12 @@
 	if packet.PayloadLength > 0 && !flow.countedAsLoad {
 		steerer.assignLoad(flow, server, now)
 	}
-	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.lastAcknowledgment) {
-		flow.requestReceivedAt, flow.requestAcknowledgment = now, packet.Acknowledgment
-	}
 	if packet.Acknowledgment != flow.lastAcknowledgment {
-		flow.lastAcknowledgment = packet.Acknowledgment
+		flow.lastAcknowledgment, flow.acknowledgedAt = packet.Acknowledgment, now
+	}
+	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
+		steerer.recordResponse(flow, now)
+		flow.requestReceivedAt, flow.requestAcknowledgment = now, packet.Acknowledgment
 	}
 	switch {
 	case packet.Flags.RST:
@@ -123,18 +126,19 @@
 // recordResponse reports the time and the length of the flow's last response to the
 // placer and the examiner.
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
-	if responseTime := flow.responseTime(now); responseTime > 0 {
+	if responseTime := flow.responseTime(); responseTime > 0 {
 		steerer.placer.RecordResponseTime(flow.server, responseTime, now)
 		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment)
 	}
 }
 
-// responseTime returns the time since the last request, or 0 before any response.
-func (flow *flow) responseTime(now time.Time) time.Duration {
-	if flow.requestReceivedAt.IsZero() || flow.lastAcknowledgment == flow.firstAcknowledgment {
+// responseTime returns the time from the last request until the caller acknowledged the end
+// of its response, or 0 before any response to it.
+func (flow *flow) responseTime() time.Duration {
+	if flow.requestReceivedAt.IsZero() || flow.lastAcknowledgment == flow.requestAcknowledgment {
 		return 0
 	}
-	return now.Sub(flow.requestReceivedAt)
+	return flow.acknowledgedAt.Sub(flow.requestReceivedAt)
 }
 
 // endFlow stops tracking the flow and reports its summary to the observer.
@@ -150,7 +154,7 @@
 		summary.HandshakeTime = flow.establishedAt.Sub(flow.openedAt)
 	}
 	if reason == EndClosedByCaller {
-		summary.ResponseTime = flow.responseTime(now)
+		summary.ResponseTime = flow.responseTime()
 	}
 	steerer.observer.FlowEnded(&summary)
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -136,7 +136,9 @@
 	} else {
 		steerer.recordUnanswered(flow.server, now)
 	}
-	steerer.recordAttempt(flow, server, now)
+	if flow != nil {
+		steerer.recordAttempt(flow, server, now)
+	}
 }
 
 // selectServer returns the server for an opening, or nil after setting the refusal
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -303,3 +303,42 @@
 	assert.Assert(t, drawn["y"] > 60 && drawn["y"] < 140, "%v", drawn)
 	assert.Equal(t, drawn["x"]+drawn["y"], 1000)
 }
+
+func TestRequestAfterEmptyAcknowledgmentIsMeasuredAlone(t *testing.T) {
+	harness := newHarness("a")
+	token := tokenOf("a")
+	harness.Decide(opening(1), start)
+	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start)
+	harness.Decide(laterPacket(1, token, 1100, 0, Flags{}), start.Add(40*time.Millisecond))
+	second := start.Add(time.Second)
+	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), second)
+	harness.Decide(laterPacket(1, token, 1500, 0, Flags{FIN: true}), second.Add(30*time.Millisecond))
+	assert.DeepEqual(t, harness.responseLengths, []uint32{1000, 400})
+	assert.Equal(t, harness.ended[0].ResponseTime, 30*time.Millisecond)
+}
+
+func TestUploadIsOneRequest(t *testing.T) {
+	harness := newHarness("a")
+	token := tokenOf("a")
+	harness.Decide(opening(1), start)
+	for i := range 60 {
+		harness.Decide(laterPacket(1, token, 100, 1200, Flags{}), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	harness.Decide(laterPacket(1, token, 400, 0, Flags{FIN: true}), start.Add(80*time.Millisecond))
+	assert.DeepEqual(t, harness.responseLengths, []uint32{300})
+	assert.Equal(t, harness.ended[0].ResponseTime, 80*time.Millisecond)
+}
+
+func TestFlowsBeyondTheLimitAreNotCountedAsLoad(t *testing.T) {
+	harness := newHarness("a")
+	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}}
+	harness.placer = loadCounter
+	for port := range uint16(maxFlows + 10) {
+		assert.Equal(t, harness.Decide(opening(port), start).Action, Send)
+	}
+	now := start.Add(time.Minute)
+	for _, ok := harness.NextRetry(now, start); ok; _, ok = harness.NextRetry(now, start) {
+	}
+	assert.Equal(t, len(harness.flows), 0)
+	assert.Equal(t, loadCounter.openFlows["a"], 0)
+}
--- a/storer/client.go
+++ b/storer/client.go
@@ -21,7 +21,7 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	idleTimeout       = time.Minute
-	maxResponseSize   = 8 << 20 // bytes; the rest of a longer body is not read
+	maxResponseSize   = 8 << 20 // bytes; a longer body is an error
 )
 
 // Errors that Do wraps, for use with errors.Is.
@@ -107,6 +107,9 @@
 	if err != nil {
 		return Response{}, &UnavailableError{Request: request.description(), Cause: err}
 	}
+	if len(body) > maxResponseSize {
+		return Response{}, &UnavailableError{Request: request.description(), Cause: errors.Errorf("response is longer than %d bytes", maxResponseSize)}
+	}
 	return Response{Header: httpResponse.Header, Body: body}, request.checkStatus(httpResponse)
 }
 
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -108,3 +109,14 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string((<-watched).Value), "b")
 }
+
+func TestTooLongResponseIsAnError(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Write(make([]byte, maxResponseSize+1))
+	}))
+	defer server.Close()
+	client, cleanup := NewClient()
+	defer cleanup()
+	_, err := client.Do(t.Context(), Request{Method: http.MethodGet, URL: server.URL, Timeout: 10 * time.Second})
+	assert.ErrorContains(t, err, "longer than")
+}
