Spread the reads of instances that take over from the reader

A read then takes longer than the 1.8 s after which every instance but the leaders reads the store itself: the delay grew with the rank only up to one second, so of 295 instances some 280 read at the same moment, each a list of 600 servers, and each announced its view to its whole failure domain. Change: instances that are no leaders wait the longer the lower they stand in their failure domain, up to what the bounds in the settings leave for a read of their own (drain_timeout and apply_timeout, which had no effect before); with 3 s as before.

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -20,8 +20,8 @@
 	StoreAddress      netip.AddrPort   `json:"store_address"`
 	MetricsPort       uint16           `json:"metrics_port"`  // TCP on Address, for metrics and state; 0 for no such listener
 	StopTimeout       Duration         `json:"stop_timeout"`  // time from the stop signal until the process is killed
-	DrainTimeout      Duration         `json:"drain_timeout"` // time after which a draining backend server may get no new flows; not used by an instance
-	ApplyTimeout      Duration         `json:"apply_timeout"` // time within which a configuration has to be in force; not used by an instance
+	DrainTimeout      Duration         `json:"drain_timeout"` // time after which a draining backend server may get no new flows; 0 if unlimited
+	ApplyTimeout      Duration         `json:"apply_timeout"` // time within which a configuration has to be in force; 0 if unlimited
 	Log               Log              `json:"log"`
 }
 
@@ -38,6 +38,16 @@
 	return netip.AddrPortFrom(platformSettings.AdvertisedAddress, local.Port())
 }
 
+// ChangeDeadline returns the shorter one of the drain timeout and the apply timeout that are
+// set, or 0 if neither is.
+func (platformSettings *PlatformSettings) ChangeDeadline() time.Duration {
+	drain, apply := time.Duration(platformSettings.DrainTimeout), time.Duration(platformSettings.ApplyTimeout)
+	if drain <= 0 || apply <= 0 {
+		return max(drain, apply, 0)
+	}
+	return min(drain, apply)
+}
+
 const defaultStopTimeout = Duration(6 * time.Second)
 
 // ReadPlatformSettings reads and validates a settings file. It returns Findings as
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -64,3 +65,16 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, len(findings), 8)
 }
+
+func TestChangeDeadlineIsTheShorterTimeoutThatIsSet(t *testing.T) {
+	cases := []struct{ drain, apply, want Duration }{
+		{0, 0, 0},
+		{Duration(3 * time.Second), 0, Duration(3 * time.Second)},
+		{0, Duration(5 * time.Second), Duration(5 * time.Second)},
+		{Duration(6 * time.Second), Duration(5 * time.Second), Duration(5 * time.Second)},
+	}
+	for _, c := range cases {
+		settings := &PlatformSettings{DrainTimeout: c.drain, ApplyTimeout: c.apply}
+		assert.Equal(t, settings.ChangeDeadline(), time.Duration(c.want))
+	}
+}
--- a/director/director.go
+++ b/director/director.go
@@ -134,7 +134,9 @@
 		ProcessorShare: settings.ProcessorShare,
 	}
 	observer := &ejectingRecorder{Recorder: recorder, viewer: current, ejections: ejections}
-	return relayer.NewRelayer(self, settings.Seeds, current, source, network, examiner.NewOutlierDetector(), observer)
+	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, examiner.NewOutlierDetector(), observer)
+	created.SetChangeDeadline(settings.ChangeDeadline())
+	return created
 }
 
 func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
@@ -174,6 +176,7 @@
 func (instance *instance) run(ctx, work context.Context, hangups <-chan os.Signal) error {
 	instance.Reloader.Subscribe(func(settings *configurer.PlatformSettings) {
 		instance.Relayer.SetSeeds(settings.Seeds)
+		instance.Relayer.SetChangeDeadline(settings.ChangeDeadline())
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -370,3 +370,26 @@
 		assert.Assert(t, calls < 2*len(nodes), "%d calls in the first second", calls)
 	})
 }
+
+func TestSlowStoreIsReadByFewInstances(t *testing.T) {
+	runWithFleet(t, 60, func(simulation *fleetSimulation, nodes []*node) {
+		for _, node := range nodes {
+			node.SetChangeDeadline(6 * time.Second)
+		}
+		simulation.addServers(200)
+		simulation.update(func() {
+			simulation.callDelay, simulation.serversReadTime = 300*time.Millisecond, 600*time.Millisecond
+			simulation.heartbeatBytes = 0
+		})
+		simulation.resetStoreCalls()
+		const seconds = 6
+		for i := range 2 * seconds {
+			simulation.update(func() { simulation.servers[i].State = parser.Leaving })
+			advance(500 * time.Millisecond)
+		}
+		calls := simulation.resetStoreCalls()
+		assert.Assert(t, calls <= len(nodes), "%d calls in %d s by %d instances", calls, seconds, len(nodes))
+		rate := simulation.heartbeatBytes / len(nodes) / seconds
+		assert.Assert(t, rate <= controlBytesPerSecondLimit, "%d bytes per second and instance", rate)
+	})
+}
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -16,7 +16,7 @@
 	err := relayer.readChanges(ctx)
 	relayer.reportSourceCall(ctx, "read", err)
 	relayer.mutex.Lock()
-	isLeader, membersDue := relayer.schedule.isLeader, startedAt.Sub(relayer.membersReadAt) >= membersReadInterval
+	isLeader, membersDue := relayer.schedule.isLeader(), startedAt.Sub(relayer.membersReadAt) >= membersReadInterval
 	if err == nil {
 		relayer.schedule.RecordSuccess()
 	} else {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -194,13 +194,21 @@
 	relayer.seeds = seeds
 }
 
+// SetChangeDeadline sets the time within which this instance must apply a change in the
+// store; 0 stands for the default of 3 s.
+func (relayer *Relayer) SetChangeDeadline(deadline time.Duration) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.schedule.changeDeadline = deadline
+}
+
 // Instances returns the number of instances in the fleet, this one included. A leader
 // counts its members; other instances may not know all and use the number that a
 // leader sent.
 func (relayer *Relayer) Instances() int {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	if relayer.schedule.isLeader || relayer.reportedInstances == 0 {
+	if relayer.schedule.isLeader() || relayer.reportedInstances == 0 {
 		return 1 + len(relayer.members)
 	}
 	return relayer.reportedInstances
@@ -210,7 +218,7 @@
 func (relayer *Relayer) isLeader() bool {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	return relayer.schedule.isLeader
+	return relayer.schedule.isLeader()
 }
 
 // Rank returns the position of the instance in the order in which instances read the store;
@@ -232,7 +240,7 @@
 func (relayer *Relayer) updateRank() {
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
-	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.schedule.SetRank(rank, positions[relayer.self.Name])
 }
 
 // activeMembers returns all members that are not leaving, this instance included. The mutex must be held.
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -3,17 +3,24 @@
 import "time"
 
 const (
-	// ReadInterval is the time between two reads of the store by the reader. Together with
-	// the longest takeover delay it stays under the 3 s within which a leaving server
-	// must stop receiving new flows.
+	// ReadInterval is the time between two reads of the store by the reader.
 	ReadInterval = 800 * time.Millisecond
-	// baseTakeoverDelay is how long an announcement may be overdue before another instance
+	// baseTakeoverDelay is how long an announcement may be overdue before another leader
 	// reads the store.
 	baseTakeoverDelay = 200 * time.Millisecond
-	// takeoverDelayPerRank spreads the reads of instances that take over, up to
-	// maxTakeoverDelay.
-	takeoverDelayPerRank = 60 * time.Millisecond
-	maxTakeoverDelay     = time.Second
+	// takeoverDelayPerRank spreads the reads of leaders that take over, up to
+	// maxLeaderTakeoverDelay.
+	takeoverDelayPerRank   = 60 * time.Millisecond
+	maxLeaderTakeoverDelay = time.Second
+	// takeoverDelayPerPosition spreads the reads of the other instances of a failure domain.
+	// It leaves time for the announcement of the one that reads first, so that a slow store
+	// is not read by the whole fleet at once.
+	takeoverDelayPerPosition = 150 * time.Millisecond
+	// defaultChangeDeadline is the change deadline unless the settings name one.
+	defaultChangeDeadline = 3 * time.Second
+	// readAllowance is the part of the change deadline that is left for reading the store and
+	// telling the failure domain.
+	readAllowance = 1200 * time.Millisecond
 	// maxBackoffDoublings limits the exponential back-off of an instance that is not a
 	// leader to 3.2 s while the store does not answer.
 	maxBackoffDoublings = 2
@@ -22,11 +29,12 @@
 // ReadSchedule decides when an instance reads the store, by its rank, the age of its view and
 // the outcome of earlier reads.
 type ReadSchedule struct {
-	rank        int       // position in the order in which instances read; 0 is the reader
-	isLeader    bool      // of its failure domain
-	failures    int       // consecutive failed reads
-	freshAt     time.Time // when the store last confirmed the view, to this instance or another
-	attemptedAt time.Time // when this instance last started a read
+	rank           int           // position in the order in which instances read; 0 is the reader
+	position       int           // the same within the failure domain
+	changeDeadline time.Duration // within which a change in the store must be applied; 0 for the default
+	failures       int           // consecutive failed reads
+	freshAt        time.Time     // when the store last confirmed the view, to this instance or another
+	attemptedAt    time.Time     // when this instance last started a read
 }
 
 // MarkFresh records that the view matched the store at that time.
@@ -45,12 +53,15 @@
 // RecordFailure records that the store did not answer.
 func (schedule *ReadSchedule) RecordFailure() { schedule.failures++ }
 
-// SetRank sets the rank of the instance, 0 for the reader, and whether it is a leader
-// of its failure domain.
-func (schedule *ReadSchedule) SetRank(rank int, isLeader bool) {
-	schedule.rank, schedule.isLeader = rank, isLeader
+// SetRank sets the rank of the instance, 0 for the reader, and its position within its
+// failure domain.
+func (schedule *ReadSchedule) SetRank(rank, position int) {
+	schedule.rank, schedule.position = rank, position
 }
 
+// isLeader reports whether the instance is a leader of its failure domain.
+func (schedule *ReadSchedule) isLeader() bool { return schedule.position < leadersPerDomain }
+
 // Due reports whether the instance should read now.
 func (schedule *ReadSchedule) Due(now time.Time) bool {
 	if now.Sub(schedule.attemptedAt) < schedule.attemptInterval() {
@@ -66,17 +77,32 @@
 // that the end of an outage is detected; the other instances receive their
 // announcements.
 func (schedule *ReadSchedule) attemptInterval() time.Duration {
-	if schedule.isLeader {
+	if schedule.isLeader() {
 		return ReadInterval
 	}
 	return ReadInterval << min(schedule.failures, maxBackoffDoublings)
 }
 
 // takeoverDelay returns how much older than ReadInterval the view must be before this
-// instance reads the store.
+// instance reads the store. Also the last instance of a failure domain reads early enough
+// to apply a change by the deadline, as it may be cut off from all others.
 func (schedule *ReadSchedule) takeoverDelay() time.Duration {
 	if schedule.rank == 0 {
 		return 0
 	}
-	return min(baseTakeoverDelay+time.Duration(schedule.rank)*takeoverDelayPerRank, maxTakeoverDelay)
+	if schedule.isLeader() {
+		return min(baseTakeoverDelay+time.Duration(schedule.rank)*takeoverDelayPerRank, maxLeaderTakeoverDelay)
+	}
+	delay := maxLeaderTakeoverDelay + time.Duration(schedule.position-leadersPerDomain)*takeoverDelayPerPosition
+	return min(delay, schedule.maxTakeoverDelay())
+}
+
+// maxTakeoverDelay returns the longest delay that lets an instance apply a change by the
+// deadline with a read of its own.
+func (schedule *ReadSchedule) maxTakeoverDelay() time.Duration {
+	deadline := schedule.changeDeadline
+	if deadline <= 0 {
+		deadline = defaultChangeDeadline
+	}
+	return max(deadline-readAllowance-ReadInterval, maxLeaderTakeoverDelay)
 }
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -46,6 +46,7 @@
 	longestHeartbeat int           // size of the longest heartbeat in bytes
 	heartbeatBytes   int           // total size of the heartbeats
 	serversReadTime  time.Duration // additional duration of a read of the server list
+	callDelay        time.Duration // duration of a call of the store
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
 }
 
@@ -67,7 +68,7 @@
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{},
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
 		rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
@@ -129,12 +130,15 @@
 	return calls
 }
 
-// callStore simulates a call of the store: it waits for storeDelay, and runs work if the node
+// callStore simulates a call of the store: it waits for callDelay, and runs work if the node
 // can reach the store.
 func (node *node) callStore(ctx context.Context, work func(simulation *fleetSimulation)) error {
-	ticker.Sleep(ctx, storeDelay)
 	simulation := node.simulation
 	simulation.mutex.Lock()
+	delay := simulation.callDelay
+	simulation.mutex.Unlock()
+	ticker.Sleep(ctx, delay)
+	simulation.mutex.Lock()
 	defer simulation.mutex.Unlock()
 	simulation.storeCalls++
 	if simulation.storeDown || simulation.rejectedByStore[node.member.Name] || simulation.partitioned[node.member.FailureDomain] {
