Try: reset flows whose server is down or cut off

Change: data on a flow is answered by a reset when the server (or its failure domain) answers no openings, and callers have stopped to acknowledge data of it though they did so often at this instance; ten average intervals and a second at least. Also data that has waited 1.4 s for a server that was removed from the list two seconds before.

--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -342,3 +342,100 @@
 	assert.Equal(t, len(harness.flows), 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
 }
+
+// silence makes the placer find out that a server answers no openings any more, while others
+// do, and returns the time at which it has.
+func (harness *harness) silence(name string, at time.Time) time.Time {
+	for i := range uint16(200) {
+		port := 1000 + i
+		verdict := harness.Decide(opening(port), at)
+		if verdict.Server.Name != name {
+			harness.Decide(laterPacket(port, verdict.Server.Token, 100, 0, Flags{}), at)
+		}
+		at = at.Add(10 * time.Millisecond)
+		for retry, ok := harness.NextRetry(at, at); ok; retry, ok = harness.NextRetry(at, at) {
+			if retry.Server.Name != name {
+				harness.Decide(laterPacket(retry.Flow.CallerAddress.Port(), retry.Server.Token, 100, 0, Flags{}), at)
+			}
+		}
+		if len(harness.ejected) > 0 {
+			return at
+		}
+	}
+	return at
+}
+
+func data(port uint16, token uint32, sequence uint32) *Packet {
+	packet := laterPacket(port, token, 100, 50, Flags{})
+	packet.Sequence = sequence
+	return packet
+}
+
+// hear lets callers acknowledge data of a server, every 20 ms until a time.
+func (harness *harness) hear(name string, until time.Time) {
+	for i := range 50 {
+		at := until.Add(time.Duration(i-50) * 20 * time.Millisecond)
+		harness.Decide(laterPacket(1, tokenOf(name), 100, 0, Flags{}), at)
+	}
+}
+
+func TestRequestOnFlowOfUnresponsiveServerIsReset(t *testing.T) {
+	harness := newHarness("a", "b", "c", "d")
+	token := tokenOf("a")
+	harness.hear("a", start)
+	now := harness.silence("a", start.Add(2*time.Second))
+	verdict := harness.Decide(data(1, token, 500), now)
+	assert.Equal(t, verdict.Action, Reset)
+	assert.Equal(t, verdict.Reason, ReasonServerUnresponsive)
+	assert.Equal(t, verdict.ResetSequence, uint32(100))
+	assert.Equal(t, harness.Decide(data(2, tokenOf("b"), 500), now).Action, Send, "the other servers answer")
+}
+
+func TestFlowOfServerThatMayWorkIsNotReset(t *testing.T) {
+	cases := map[string]func(harness *harness, now time.Time){
+		"heard a moment ago": func(harness *harness, now time.Time) { harness.hear("a", now) },
+		"never heard here":   func(*harness, time.Time) {},
+		"rarely heard here":  func(harness *harness, now time.Time) { harness.hearRarely("a", now) },
+		"process just paused": func(harness *harness, now time.Time) {
+			harness.hear("a", now.Add(-2*time.Second))
+			harness.justResumed = true
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness("a", "b", "c", "d")
+			now := harness.silence("a", start)
+			prepare(harness, now)
+			assert.Equal(t, harness.Decide(data(2, tokenOf("a"), 500), now).Action, Send)
+		})
+	}
+}
+
+// hearRarely lets a caller acknowledge data of a server every two seconds, the last time
+// three seconds before a time.
+func (harness *harness) hearRarely(name string, before time.Time) {
+	for i := range 20 {
+		at := before.Add(time.Duration(i-20)*2*time.Second - time.Second)
+		harness.Decide(laterPacket(1, tokenOf(name), 100, 0, Flags{}), at)
+	}
+}
+
+func TestRetransmissionsToRemovedServerAreReset(t *testing.T) {
+	harness := newHarness("a", "b")
+	token := tokenOf("a")
+	harness.applyServers(2, "b")
+	at := start.Add(removedServerDelay + time.Millisecond)
+	for _, sent := range []struct {
+		after time.Duration
+		want  Action
+	}{{0, Send}, {200 * time.Millisecond, Send}, {600 * time.Millisecond, Send}, {1400 * time.Millisecond, Reset}} {
+		verdict := harness.Decide(data(1, token, 500), at.Add(sent.after))
+		assert.Equal(t, verdict.Action, sent.want, "after %s", sent.after)
+	}
+	late := at.Add(5 * time.Second)
+	assert.Equal(t, harness.Decide(data(2, token, 500), late).Action, Send)
+	assert.Equal(t, harness.Decide(laterPacket(2, token, 900, 0, Flags{}), late.Add(time.Second)).Action, Send, "the server answers")
+	assert.Equal(t, harness.Decide(data(2, token, 550), late.Add(2*time.Second)).Action, Send)
+	harness.applyServers(3, "a", "b")
+	assert.Equal(t, harness.Decide(data(2, token, 550), late.Add(6*time.Second)).Action, Send, "it is listed again")
+}
