Revert "Try: reset flows whose server is down or cut off"

What it would take: signs of a server shared in its failure domain, as with suspicions. The false ejections themselves are a finding: working servers lose new flows for half a second after each change of the routers' set.

--- a/placer/ejection.go
+++ b/placer/ejection.go
@@ -13,18 +13,15 @@
 	// openings; it doubles up to maxEjectionTime.
 	baseEjectionTime = 500 * time.Millisecond
 	maxEjectionTime  = 4 * time.Second
-	// unansweredWindow is the longest time between two unanswered openings of one series.
-	unansweredWindow = 10 * time.Second
 )
 
 // ejection keeps a server, or all servers of a service in a failure domain, out of
 // selection while they do not answer openings, with exponential back-off. After
 // an ejection a single unanswered opening starts the next, longer one.
 type ejection struct {
-	unanswered       int           // consecutive openings without an answer
-	lastUnansweredAt time.Time     // when the last of them was counted
-	duration         time.Duration // of the last ejection; 0 before the first and after reset
-	until            time.Time     // end of the last ejection
+	unanswered int           // consecutive openings without an answer
+	duration   time.Duration // of the last ejection; 0 before the first and after reset
+	until      time.Time     // end of the last ejection
 }
 
 func (ejection *ejection) active(now time.Time) bool { return now.Before(ejection.until) }
@@ -39,11 +36,7 @@
 	if ejection.active(now) {
 		return false
 	}
-	if now.Sub(ejection.lastUnansweredAt) > unansweredWindow {
-		ejection.reset()
-	}
 	ejection.unanswered++
-	ejection.lastUnansweredAt = now
 	if ejection.unanswered < limit {
 		return false
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -55,7 +55,6 @@
 	openFlows    int
 	responseTime movingAverage // seconds from a request to the end of its response
 	ejection     ejection
-	presence     presence
 	lastUsed     time.Time // when the state was last read or updated
 }
 
@@ -239,22 +238,6 @@
 	return placer.stateOf(backendServer, now).ejection.openingUnanswered(serverUnansweredLimit, now)
 }
 
-// Heard records that a caller acknowledged data of a server.
-func (placer *Placer) Heard(backendServer *viewer.BackendServer, now time.Time) {
-	placer.stateOf(backendServer, now).presence.heard(now)
-}
-
-// Unresponsive reports whether a server, or its failure domain, does not answer openings and
-// the callers have stopped to acknowledge data of the server. It is probably down or cut off
-// from this instance.
-func (placer *Placer) Unresponsive(backendServer *viewer.BackendServer, now time.Time) bool {
-	state := placer.stateOf(backendServer, now)
-	if !state.presence.silent(now) {
-		return false
-	}
-	return state.ejection.active(now) || placer.domainEjection(backendServer).active(now)
-}
-
 // RecordResponseTime adds the time from a request to the end of its response to the
 // averages of the server and its service. A time that is implausibly short for the
 // service is left out of the service's average.
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -168,7 +168,6 @@
 	}
 	steerer.lastSweepAt = now
 	steerer.placer.ExpireServers(now.Add(-serverStateLifetime))
-	steerer.expireTransmissions(now)
 	for _, flow := range steerer.flows {
 		timeout := flowIdleTimeout
 		if !flow.established {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -28,8 +28,6 @@
 	FlowClosed(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
-	Heard(server *viewer.BackendServer, now time.Time)
-	Unresponsive(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	ExpireServers(before time.Time)
 }
@@ -70,7 +68,6 @@
 	EndResetByCaller  EndReason = "aborted"    // the caller sent RST
 	EndIdle           EndReason = "fell_quiet" // no packets reached this instance for a time
 	EndPortReused     EndReason = "replaced"   // the caller opened another flow from the same port
-	EndUnresponsive   EndReason = "reset"      // the instance reset it because the server is down or cut off
 )
 
 // Steerer decides about the packets of one instance; it is not safe for concurrent use.
@@ -85,13 +82,12 @@
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
 	lastSweepAt          time.Time
-	transmissions        map[FlowKey]*transmission // the last data of flows, of at most maxFlows
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, transmissions: map[FlowKey]*transmission{}}
+	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -204,16 +200,8 @@
 		verdict.Reason = ReasonUnknownToken
 		return
 	}
-	flow := steerer.flows[packet.Flow]
-	if steerer.isStalled(packet, server, view, now) && !steerer.justResumed(now) {
-		verdict.Action, verdict.Reason = Reset, ReasonServerUnresponsive
-		if flow != nil {
-			steerer.endFlow(flow, EndUnresponsive, now)
-		}
-		return
-	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
-	if flow != nil {
+	if flow := steerer.flows[packet.Flow]; flow != nil {
 		steerer.observe(flow, packet, server, now)
 	}
 }
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -85,14 +85,6 @@
 	routes    map[netip.AddrPort]*Route
 	byService map[string][]*BackendServer // only servers that accept new flows
 	byToken   map[uint32]*BackendServer
-	removedAt map[uint32]time.Time // of servers that are found by their tokens only
-}
-
-// RemovedBefore reports whether the server with a token was removed from the list before a
-// time.
-func (view *View) RemovedBefore(token uint32, at time.Time) bool {
-	removedAt, removed := view.removedAt[token]
-	return removed && removedAt.Before(at)
 }
 
 // Complete reports whether the view has both a configuration and a list of servers.
@@ -111,14 +103,13 @@
 // newView returns a View of a configuration and a list of servers, each of which may be
 // nil. Retained servers are treated as if they were listed; removed ones are only found
 // by their tokens.
-func newView(configuration *Configuration, servers *Servers, retained []*BackendServer, removed []removedServer) *View {
+func newView(configuration *Configuration, servers *Servers, retained, removed []*BackendServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
 		routes:        map[netip.AddrPort]*Route{},
 		byService:     map[string][]*BackendServer{},
 		byToken:       map[uint32]*BackendServer{},
-		removedAt:     map[uint32]time.Time{},
 	}
 	if configuration != nil {
 		for i := range configuration.Routes {
@@ -128,10 +119,9 @@
 	if servers != nil {
 		view.indexServers(servers, retained)
 	}
-	for _, removed := range removed {
-		token := removed.server.Token
-		if view.byToken[token] == nil {
-			view.byToken[token], view.removedAt[token] = removed.server, removed.removedAt
+	for _, server := range removed {
+		if view.byToken[server.Token] == nil {
+			view.byToken[server.Token] = server
 		}
 	}
 	return view
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -94,7 +94,11 @@
 
 // publish replaces the current view. The mutex must be held.
 func (viewer *Viewer) publish(configuration *Configuration, servers *Servers) {
-	viewer.current.Store(newView(configuration, servers, viewer.retained, viewer.removed))
+	removed := make([]*BackendServer, len(viewer.removed))
+	for i := range viewer.removed {
+		removed[i] = viewer.removed[i].server
+	}
+	viewer.current.Store(newView(configuration, servers, viewer.retained, removed))
 }
 
 // retainedServers returns the active servers that the new list lacks, if now is
