--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -7,14 +7,12 @@
 	"github.com/pimentowind/pimentowind/ticker"
 )
 
-// register writes this instance into the list of members, and then reads the
-// list, so that of instances that start together the last one finds all others.
+// register writes this instance into the list of members, where the reader finds it.
 func (relayer *Relayer) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := relayer.source.Register(ctx, relayer.self)
 		relayer.reportSourceCall(ctx, "register", err)
 		if err == nil {
-			relayer.startUnlessRunning("members", func() { relayer.readMembers(ctx) })
 			return
 		}
 		ticker.Sleep(ctx, 2*retryInterval)
@@ -22,13 +20,17 @@
 }
 
 // fetchFromSeeds fetches a first view from the seeds until the view is complete, which the
-// store usually achieves first.
+// store usually achieves first. It does not ask them while the first read of the store is
+// pending, as they start together with a new fleet.
 func (relayer *Relayer) fetchFromSeeds(ctx context.Context) {
 	for {
 		ticker.Sleep(ctx, retryInterval)
 		if ctx.Err() != nil || relayer.viewer.Current().Complete() {
 			return
 		}
+		if relayer.firstReadPending(time.Now()) {
+			continue
+		}
 		relayer.mutex.Lock()
 		seeds := relayer.seeds
 		relayer.mutex.Unlock()
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -41,7 +41,15 @@
 //
 // # Members
 //
-// Each instance registers itself in the store when it starts, and then reads the list
-// of members there. Later the reader reads the list every ten seconds and removes
-// instances of its failure domain that left announcements unanswered for 90 seconds.
+// Each instance registers itself in the store when it starts. An instance that reads the
+// store also reads the list of members, at first and every ten seconds, and removes
+// instances of its failure domain that left announcements unanswered for 90 seconds. The
+// others know the leaders only.
+//
+// # Starts
+//
+// Leaders save a snapshot of their view, with the list of leaders, in the store. An instance
+// that starts loads it, serves by it, and announces itself to the leaders, whose answers
+// confirm the view or lead it to a newer one. So a start costs two calls of the store,
+// whatever the size of the fleet, and no peer carries it.
 package relayer
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -97,7 +97,7 @@
 func (relayer *Relayer) newHeartbeat(now time.Time, isAnswer bool) Heartbeat {
 	view := relayer.viewer.Current()
 	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now)}
-	if relayer.schedule.isLeader() && relayer.hasReadMembers {
+	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
 	}
 	if view.Configuration != nil {
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -7,6 +7,19 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
+// readOrStart loads the saved snapshot if this instance has just started, and reads the
+// store otherwise.
+func (relayer *Relayer) readOrStart(ctx context.Context) {
+	relayer.mutex.Lock()
+	starting := !relayer.triedSnapshot
+	relayer.mutex.Unlock()
+	if starting && !relayer.viewer.Current().Complete() {
+		relayer.readFirst(ctx)
+		return
+	}
+	relayer.read(ctx)
+}
+
 // read brings the view up to date with the store and announces it to the other
 // instances. A leader announces its view also when the read failed, since an instance
 // that has just started may have none.
@@ -16,7 +29,8 @@
 	err := relayer.readChanges(ctx)
 	relayer.reportSourceCall(ctx, "read", err)
 	relayer.mutex.Lock()
-	isLeader, membersDue := relayer.schedule.isLeader(), startedAt.Sub(relayer.membersReadAt) >= membersReadInterval
+	isLeader := relayer.schedule.isLeader
+	membersDue := !relayer.hasReadMembers || startedAt.Sub(relayer.membersReadAt) >= membersReadInterval
 	if err == nil {
 		relayer.schedule.RecordSuccess()
 	} else {
@@ -32,9 +46,13 @@
 	case err == nil:
 		relayer.announceToLeaders()
 	}
-	if err == nil && membersDue {
+	if err != nil {
+		return
+	}
+	if membersDue {
 		relayer.startUnlessRunning("members", func() { relayer.readMembers(ctx) })
 	}
+	relayer.saveSnapshot(ctx)
 }
 
 // readChanges reads the servers and the configuration from the store and applies them. With a
@@ -44,7 +62,7 @@
 	since := uint64(0)
 	if view := relayer.viewer.Current(); view.Complete() {
 		revision, err := relayer.source.Revision(ctx)
-		if err != nil || view.Servers.Revision >= revision {
+		if err != nil || relayer.knownRevision() >= revision {
 			return err
 		}
 		base, since = view.Servers, view.Servers.Revision
@@ -67,6 +85,13 @@
 	return nil
 }
 
+// knownRevision returns the revision of the store up to which there is nothing to read.
+func (relayer *Relayer) knownRevision() uint64 {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return max(relayer.skippedRevision, relayer.viewer.Current().Servers.Revision)
+}
+
 // applyServers applies a list of servers from the store or an instance unless a newer one has
 // been applied.
 func (relayer *Relayer) applyServers(servers *viewer.Servers, from string) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -53,6 +55,13 @@
 	Configuration(ctx context.Context, since uint64) (*viewer.Configuration, error)
 	// Members returns all registered instances.
 	Members(ctx context.Context) ([]Member, error)
+	// SavedSnapshot returns the snapshot that is saved for starting instances; its
+	// ObjectRevision is 0 if there is none.
+	SavedSnapshot(ctx context.Context) (SavedSnapshot, error)
+	// SaveSnapshot replaces the saved snapshot that has snapshot's ObjectRevision, or creates
+	// the first one if that is 0. It returns the one that is saved then, which is another
+	// instance's if that was saved in between; its Content may be empty.
+	SaveSnapshot(ctx context.Context, snapshot SavedSnapshot) (SavedSnapshot, error)
 	// Register writes member into the list of members.
 	Register(ctx context.Context, member Member) error
 	// Remove deletes the member with this name from the list of members.
@@ -113,6 +122,9 @@
 	suspicionLimiter  *rate.Limiter   // limits the suspicions that are sent
 	cachedSnapshot    *cachedSnapshot // last snapshot that was served; nil before the first
 	announcedRevision uint64          // servers revision in the last announcement
+	saved             savedState
+	triedSnapshot     bool   // whether the saved snapshot was loaded, or found missing, at the start
+	skippedRevision   uint64 // revision of the store up to which only this instance has written since the view's
 
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
@@ -130,8 +142,10 @@
 // NewRelayer returns a Relayer for the instance self. Run and Tick must be called for it to
 // read the store. Seeds are control addresses of instances that can give a first view.
 func NewRelayer(self Member, seeds []netip.AddrPort, viewer *viewer.Viewer, source Source, network Network, suspicionCounter suspicionCounter, observer Observer) *Relayer {
+	spread := float64(xxhash.Sum64String(self.Name)) / math.MaxUint64
 	return &Relayer{
-		self: self, viewer: viewer, source: source, network: network, suspicionCounter: suspicionCounter, observer: observer, seeds: seeds,
+		schedule: ReadSchedule{spread: spread},
+		self:     self, viewer: viewer, source: source, network: network, suspicionCounter: suspicionCounter, observer: observer, seeds: seeds,
 		suspicionLimiter: newSuspicionLimiter(),
 		members:          map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
@@ -159,7 +173,7 @@
 		relayer.observer.ServerExpired(server)
 	}
 	if due {
-		relayer.startUnlessRunning("read", func() { relayer.read(ctx) })
+		relayer.startUnlessRunning("read", func() { relayer.readOrStart(ctx) })
 	}
 }
 
@@ -208,7 +222,7 @@
 func (relayer *Relayer) Instances() int {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	if relayer.schedule.isLeader() || relayer.reportedInstances == 0 {
+	if relayer.schedule.isLeader || relayer.reportedInstances == 0 {
 		return 1 + len(relayer.members)
 	}
 	return relayer.reportedInstances
@@ -218,7 +232,7 @@
 func (relayer *Relayer) isLeader() bool {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	return relayer.schedule.isLeader()
+	return relayer.schedule.isLeader
 }
 
 // Rank returns the position of the instance in the order in which instances read the store;
@@ -240,7 +254,7 @@
 func (relayer *Relayer) updateRank() {
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
-	relayer.schedule.SetRank(rank, positions[relayer.self.Name])
+	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
 }
 
 // activeMembers returns all members that are not leaving, this instance included. The mutex must be held.
--- /dev/null
+++ b/relayer/saved_snapshot.go
@@ -0,0 +1,215 @@
+package relayer
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/ticker"
+)
+
+// The store holds one snapshot of the view, with the leaders of the failure domains, which
+// starting instances load in place of all objects. Leaders save it after they have read a
+// change. A starting instance serves by it at once, and announces itself to the leaders,
+// whose answers confirm the view or lead to a newer one.
+
+const (
+	// saveInterval is the shortest time between two writes of the saved snapshot by one
+	// instance.
+	saveInterval = time.Second
+	// registrationTime is how long the seeds of a new fleet wait for the other instances to
+	// register before they read the members and save the first snapshot.
+	registrationTime = 700 * time.Millisecond
+	// firstSnapshotWait is how long the other instances of a new fleet wait for the first
+	// snapshot before they read all objects themselves.
+	firstSnapshotWait = 1200 * time.Millisecond
+	// savedMembersPerDomain is how many members of each failure domain the saved snapshot
+	// names: the leaders, and one more that replaces either.
+	savedMembersPerDomain = leadersPerDomain + 1
+	// maxSavedSize limits the content of the saved snapshot; encoded as text it must fit an
+	// object of the store, which has 1 MiB at most.
+	maxSavedSize = 750 << 10 // bytes
+)
+
+// SavedSnapshot is the snapshot that the store holds for starting instances.
+type SavedSnapshot struct {
+	ConfigurationVersion uint64
+	ServersRevision      uint64
+	Content              []byte // as Relayer.Snapshot returns it
+	ObjectRevision       uint64 // revision of the object that holds it; 0 if there is none yet
+}
+
+// savedState is what a relayer knows of the saved snapshot.
+type savedState struct {
+	objectRevision uint64 // of the last object that was read or written; 0 if there was none
+	version        uint64 // of the configuration in it
+	digest         uint64 // of the servers and the members in it
+	savedAt        time.Time
+	missing        bool // there was none when this instance started
+}
+
+// readFirst gives a starting instance its first view: the saved snapshot if there is one,
+// and otherwise what it reads of the store itself.
+func (relayer *Relayer) readFirst(ctx context.Context) {
+	found, err := relayer.loadSnapshot(ctx)
+	isSeed := relayer.isSeed()
+	if err == nil && !found && !isSeed {
+		ticker.Sleep(ctx, firstSnapshotWait)
+		found, err = relayer.loadSnapshot(ctx)
+	}
+	relayer.reportSourceCall(ctx, "snapshot", err)
+	relayer.mutex.Lock()
+	relayer.triedSnapshot = err == nil
+	relayer.saved.missing = err == nil && !found
+	if err != nil {
+		relayer.schedule.RecordFailure()
+	}
+	isLeader := relayer.schedule.isLeader
+	relayer.mutex.Unlock()
+	switch {
+	case err != nil:
+	case found && !isLeader:
+		relayer.announceToLeaders()
+	case !found && isSeed:
+		relayer.read(ctx)
+		ticker.Sleep(ctx, registrationTime)
+		relayer.readMembers(ctx)
+		relayer.saveSnapshot(ctx)
+	default:
+		relayer.read(ctx)
+	}
+}
+
+// isSeed reports whether this instance is one of the seeds.
+func (relayer *Relayer) isSeed() bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	for _, seed := range relayer.seeds {
+		if seed == relayer.self.ControlAddress {
+			return true
+		}
+	}
+	return false
+}
+
+// loadSnapshot applies the saved snapshot and reports whether there is a valid one. The view
+// does not count as fresh, since the time of the snapshot is unknown.
+func (relayer *Relayer) loadSnapshot(ctx context.Context) (bool, error) {
+	saved, err := relayer.source.SavedSnapshot(ctx)
+	if err != nil || saved.ObjectRevision == 0 {
+		return false, err
+	}
+	relayer.mutex.Lock()
+	relayer.saved.objectRevision = saved.ObjectRevision
+	relayer.mutex.Unlock()
+	snapshot, err := saved.decode()
+	if err != nil {
+		relayer.observer.FetchFailed("saved snapshot", err)
+		return false, nil
+	}
+	relayer.addMembers(snapshot.Members, time.Now())
+	relayer.applyConfiguration(snapshot.Configuration, "saved snapshot")
+	relayer.applyServers(snapshot.Servers, "saved snapshot")
+	relayer.recordSaved(saved.ObjectRevision, snapshot.Configuration.Version, savedDigest(snapshot.Servers.Digest(), snapshot.Members))
+	return true, nil
+}
+
+// decode returns the snapshot, or an error if it is not complete or its revision is not one
+// that the store had when it was saved.
+func (savedSnapshot *SavedSnapshot) decode() (Snapshot, error) {
+	snapshot, _, err := decodeSnapshot(savedSnapshot.Content)
+	switch {
+	case err != nil:
+		return Snapshot{}, err
+	case snapshot.Configuration == nil || snapshot.Servers == nil:
+		return Snapshot{}, errors.New("saved snapshot has no configuration or no servers")
+	case snapshot.Servers.Revision >= savedSnapshot.ObjectRevision:
+		return Snapshot{}, errors.Errorf("saved snapshot of revision %d was written at revision %d", snapshot.Servers.Revision, savedSnapshot.ObjectRevision)
+	}
+	return snapshot, nil
+}
+
+// recordSaved notes what the saved snapshot holds.
+func (relayer *Relayer) recordSaved(objectRevision, version, digest uint64) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.saved.objectRevision, relayer.saved.version, relayer.saved.digest = objectRevision, version, digest
+}
+
+// saveSnapshot writes the view into the store if the saved snapshot is older and this
+// instance is to keep it up to date. The write fails if another instance has written since.
+func (relayer *Relayer) saveSnapshot(ctx context.Context) {
+	now, view := time.Now(), relayer.viewer.Current()
+	relayer.mutex.Lock()
+	before := relayer.saved
+	due := relayer.hasReadMembers && (relayer.schedule.isLeader || before.missing) && now.Sub(before.savedAt) >= saveInterval
+	if !due || !view.Complete() {
+		relayer.mutex.Unlock()
+		return
+	}
+	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers()}
+	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot.Members)
+	if before.objectRevision != 0 && before.version == view.Configuration.Version && before.digest == digest {
+		relayer.mutex.Unlock()
+		return
+	}
+	relayer.saved.savedAt = now
+	relayer.mutex.Unlock()
+	encoded := encodeSnapshot(snapshotRequest{}, snapshot)
+	if len(encoded.content) > maxSavedSize {
+		relayer.observer.SourceCallFailed("save", errors.Errorf("snapshot of %d bytes is too long, instances that start read all objects", len(encoded.content)))
+		return
+	}
+	saved, err := relayer.source.SaveSnapshot(ctx, SavedSnapshot{
+		ConfigurationVersion: view.Configuration.Version,
+		ServersRevision:      view.Servers.Revision,
+		Content:              encode(snapshotEnvelope{IsCompressed: encoded.isCompressed, Content: encoded.content}),
+		ObjectRevision:       before.objectRevision,
+	})
+	relayer.reportSourceCall(ctx, "save", err)
+	if err != nil {
+		return
+	}
+	relayer.skipRevision(saved.ObjectRevision)
+	if saved.ConfigurationVersion < view.Configuration.Version || saved.ServersRevision < view.Servers.Revision {
+		relayer.recordSaved(saved.ObjectRevision, 0, 0) // another instance's older view, to be replaced next time
+		return
+	}
+	relayer.recordSaved(saved.ObjectRevision, view.Configuration.Version, digest)
+}
+
+// savedDigest returns a hash of the digest of the servers and the names of the members.
+func savedDigest(serversDigest uint64, members []Member) uint64 {
+	digest := xxhash.New()
+	digest.Write(binary.LittleEndian.AppendUint64(nil, serversDigest))
+	for _, member := range members {
+		digest.WriteString(member.Name + "\n")
+	}
+	return digest.Sum64()
+}
+
+// skipRevision notes that a revision of the store is a write of this instance. If it directly
+// follows the newest one that was read, there is nothing else to read up to it.
+func (relayer *Relayer) skipRevision(revision uint64) {
+	view := relayer.viewer.Current()
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	if revision == max(relayer.skippedRevision, view.Servers.Revision)+1 {
+		relayer.skippedRevision = revision
+	}
+}
+
+// savedMembers returns the members that the saved snapshot names. The mutex must be held.
+func (relayer *Relayer) savedMembers() []Member {
+	sorted, positions := rankMembers(relayer.allMembers())
+	var members []Member
+	for _, member := range sorted {
+		if positions[member.Name] < savedMembersPerDomain {
+			members = append(members, member)
+		}
+	}
+	return members
+}
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -1,6 +1,9 @@
 package relayer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// ReadInterval is the time between two reads of the store by the reader.
@@ -12,10 +15,6 @@
 	// maxLeaderTakeoverDelay.
 	takeoverDelayPerRank   = 60 * time.Millisecond
 	maxLeaderTakeoverDelay = time.Second
-	// takeoverDelayPerPosition spreads the reads of the other instances of a failure domain.
-	// It leaves time for the announcement of the one that reads first, so that a slow store
-	// is not read by the whole fleet at once.
-	takeoverDelayPerPosition = 150 * time.Millisecond
 	// defaultChangeDeadline is the change deadline unless the settings name one.
 	defaultChangeDeadline = 3 * time.Second
 	// readAllowance is the part of the change deadline that is left for reading the store and
@@ -30,7 +29,8 @@
 // the outcome of earlier reads.
 type ReadSchedule struct {
 	rank           int           // position in the order in which instances read; 0 is the reader
-	position       int           // the same within the failure domain
+	isLeader       bool          // of its failure domain
+	spread         float64       // from 0 to 1, evenly distributed over the instances
 	changeDeadline time.Duration // within which a change in the store must be applied; 0 for the default
 	failures       int           // consecutive failed reads
 	freshAt        time.Time     // when the store last confirmed the view, to this instance or another
@@ -53,15 +53,12 @@
 // RecordFailure records that the store did not answer.
 func (schedule *ReadSchedule) RecordFailure() { schedule.failures++ }
 
-// SetRank sets the rank of the instance, 0 for the reader, and its position within its
-// failure domain.
-func (schedule *ReadSchedule) SetRank(rank, position int) {
-	schedule.rank, schedule.position = rank, position
+// SetRank sets the rank of the instance, 0 for the reader, and whether it is a leader
+// of its failure domain.
+func (schedule *ReadSchedule) SetRank(rank int, isLeader bool) {
+	schedule.rank, schedule.isLeader = rank, isLeader
 }
 
-// isLeader reports whether the instance is a leader of its failure domain.
-func (schedule *ReadSchedule) isLeader() bool { return schedule.position < leadersPerDomain }
-
 // Due reports whether the instance should read now.
 func (schedule *ReadSchedule) Due(now time.Time) bool {
 	if now.Sub(schedule.attemptedAt) < schedule.attemptInterval() {
@@ -77,28 +74,29 @@
 // that the end of an outage is detected; the other instances receive their
 // announcements.
 func (schedule *ReadSchedule) attemptInterval() time.Duration {
-	if schedule.isLeader() {
+	if schedule.isLeader {
 		return ReadInterval
 	}
 	return ReadInterval << min(schedule.failures, maxBackoffDoublings)
 }
 
 // takeoverDelay returns how much older than ReadInterval the view must be before this
-// instance reads the store. Also the last instance of a failure domain reads early enough
-// to apply a change by the deadline, as it may be cut off from all others.
+// instance reads the store. Instances that are no leaders are spread over the time up to
+// maxTakeoverDelay, the fewer the earlier, so that those that read first can announce their
+// view before the whole fleet reads a slow store.
 func (schedule *ReadSchedule) takeoverDelay() time.Duration {
 	if schedule.rank == 0 {
 		return 0
 	}
-	if schedule.isLeader() {
+	if schedule.isLeader {
 		return min(baseTakeoverDelay+time.Duration(schedule.rank)*takeoverDelayPerRank, maxLeaderTakeoverDelay)
 	}
-	delay := maxLeaderTakeoverDelay + time.Duration(schedule.position-leadersPerDomain)*takeoverDelayPerPosition
-	return min(delay, schedule.maxTakeoverDelay())
+	longest := schedule.maxTakeoverDelay() - maxLeaderTakeoverDelay
+	return maxLeaderTakeoverDelay + time.Duration(math.Sqrt(schedule.spread)*float64(longest))
 }
 
 // maxTakeoverDelay returns the longest delay that lets an instance apply a change by the
-// deadline with a read of its own.
+// deadline with a read of its own, as it may be cut off from all others.
 func (schedule *ReadSchedule) maxTakeoverDelay() time.Duration {
 	deadline := schedule.changeDeadline
 	if deadline <= 0 {
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -36,6 +36,7 @@
 	configuration    *viewer.Configuration
 	servers          []viewer.BackendServer
 	members          map[string]Member
+	saved            SavedSnapshot
 	storeCalls       int
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
@@ -90,7 +91,11 @@
 	member := Member{Name: name, FailureDomain: fmt.Sprintf("dakar-%d", domain), PeerAddress: address, ControlAddress: address}
 	node := &node{simulation: simulation, viewer: viewer.NewViewer(), member: member}
 	node.ctx, node.stop = context.WithCancel(context.Background())
-	node.Relayer = NewRelayer(member, nil, node.viewer, node, node, node, node)
+	var seeds []netip.AddrPort
+	for seedDomain := range byte(3) {
+		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, seedDomain, 0, 0}), 7720))
+	}
+	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, node, node)
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
@@ -180,6 +185,23 @@
 	return members, err
 }
 
+func (node *node) SavedSnapshot(ctx context.Context) (saved SavedSnapshot, err error) {
+	err = node.callStore(ctx, func(simulation *fleetSimulation) { saved = simulation.saved })
+	return saved, err
+}
+
+func (node *node) SaveSnapshot(ctx context.Context, snapshot SavedSnapshot) (saved SavedSnapshot, err error) {
+	err = node.callStore(ctx, func(simulation *fleetSimulation) {
+		if simulation.saved.ObjectRevision == snapshot.ObjectRevision {
+			simulation.revision++
+			simulation.saved = snapshot
+			simulation.saved.ObjectRevision = simulation.revision
+		}
+		saved = simulation.saved
+	})
+	return saved, err
+}
+
 func (node *node) Register(ctx context.Context, member Member) error {
 	return node.callStore(ctx, func(simulation *fleetSimulation) {
 		simulation.members[member.Name] = member
--- /dev/null
+++ b/relayer/start_test.go
@@ -0,0 +1,133 @@
+package relayer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// restart kills the nodes and starts them again under their names after a pause; change
+// alters the store in between.
+func (simulation *fleetSimulation) restart(t *testing.T, nodes []*node, pause time.Duration, change func()) {
+	t.Helper()
+	for _, node := range nodes {
+		node.kill()
+	}
+	advance(pause)
+	simulation.update(change)
+	for i, node := range nodes {
+		address := node.member.PeerAddress.Addr().As4()
+		nodes[i] = simulation.startNode(t, node.member.Name, int(address[1]), address[3])
+	}
+}
+
+func TestNewFleetStartsWithFewStoreCalls(t *testing.T) {
+	runWithFleet(t, 100, func(simulation *fleetSimulation, nodes []*node) {
+		calls := simulation.resetStoreCalls()
+		// Registration and two attempts to load the saved snapshot, and what the leaders read.
+		limit := 3*len(nodes) + 100
+		assert.Assert(t, calls <= limit, "%d calls, limit %d", calls, limit)
+	})
+}
+
+func TestStartCostsTwoStoreCalls(t *testing.T) {
+	runWithFleet(t, 60, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(600)
+		simulation.resetStoreCalls()
+		restarted := nodes[65:95]
+		simulation.restart(t, restarted, time.Second, func() {})
+		advance(200 * time.Millisecond)
+		for _, node := range restarted {
+			assert.Equal(t, len(node.viewer.Current().ActiveServers("desk-sync")), 602, "%s", node.member.Name)
+		}
+		advance(4 * time.Second)
+		calls := simulation.resetStoreCalls()
+		limit := 2*len(restarted) + 40
+		assert.Assert(t, calls <= limit, "%d calls for %d starts, limit %d", calls, len(restarted), limit)
+		for _, node := range restarted {
+			age := node.Age(time.Now())
+			assert.Assert(t, age <= 2*ReadInterval, "the view of %s was confirmed %s ago", node.member.Name, age)
+		}
+	})
+}
+
+func TestWholeFleetStartsFromSavedSnapshot(t *testing.T) {
+	runWithFleet(t, 60, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(600)
+		simulation.update(func() { simulation.fetchedBytes, simulation.heartbeatBytes = 0, 0 })
+		simulation.resetStoreCalls()
+		simulation.restart(t, nodes, 2*time.Second, func() {
+			simulation.configuration = &viewer.Configuration{Version: 2}
+			simulation.servers[0].State = parser.Leaving
+		})
+		advance(100 * time.Millisecond)
+		for _, node := range nodes {
+			assert.Assert(t, node.viewer.Current().Complete(), "%s has no view", node.member.Name)
+		}
+		advance(900 * time.Millisecond)
+		for _, node := range nodes {
+			assert.Assert(t, node.hasVersion(2), "%s", node.member.Name)
+			assert.Equal(t, len(node.viewer.Current().ActiveServers("desk-sync")), 601, "%s", node.member.Name)
+		}
+		advance(4 * time.Second)
+		calls := simulation.resetStoreCalls()
+		limit := 2*len(nodes) + 100
+		assert.Assert(t, calls <= limit, "%d calls, limit %d", calls, limit)
+		control := (simulation.fetchedBytes + simulation.heartbeatBytes) / len(nodes) / 5
+		assert.Assert(t, control <= controlBytesPerSecondLimit, "%d bytes per second and instance", control)
+	})
+}
+
+func TestSavedSnapshotFollowsTheStore(t *testing.T) {
+	runWithFleet(t, 3, func(simulation *fleetSimulation, nodes []*node) {
+		for version := range uint64(5) {
+			simulation.publish(version + 2)
+			advance(2 * saveInterval)
+			assert.Equal(t, simulation.saved.ConfigurationVersion, version+2)
+		}
+		nodes[0].kill()
+		simulation.publish(7)
+		advance(applyTimeLimit)
+		assert.Equal(t, simulation.saved.ConfigurationVersion, uint64(7))
+	})
+}
+
+func TestPausedInstanceDoesNotSaveAnOlderSnapshot(t *testing.T) {
+	runWithFleet(t, 3, func(simulation *fleetSimulation, nodes []*node) {
+		old := nodes[3]
+		view := old.viewer.Current()
+		simulation.publish(2)
+		advance(applyTimeLimit)
+		resumed := simulation.startNode(t, "lb-1-0", 1, 0)
+		resumed.viewer.ApplyConfiguration(view.Configuration)
+		resumed.viewer.ApplyServers(view.Servers, time.Now())
+		resumed.schedule.SetRank(1, true)
+		resumed.saveSnapshot(resumed.ctx)
+		assert.Equal(t, simulation.saved.ConfigurationVersion, uint64(2))
+	})
+}
+
+func TestInvalidSavedSnapshotIsIgnoredAndReplaced(t *testing.T) {
+	foreign := encode(snapshotEnvelope{Content: encode(Snapshot{
+		Configuration: &viewer.Configuration{Version: 1 << 60},
+		Servers:       &viewer.Servers{Revision: 1 << 60},
+	})})
+	incomplete := encode(snapshotEnvelope{Content: encode(Snapshot{})})
+	cases := map[string][]byte{"empty": nil, "malformed": []byte("text"), "incomplete": incomplete, "of another store": foreign}
+	for name, content := range cases {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 3, func(simulation *fleetSimulation, nodes []*node) {
+				simulation.restart(t, nodes, time.Second, func() { simulation.saved.Content = content })
+				simulation.publish(2)
+				assertVersionReachesAll(t, 2, nodes)
+				advance(2 * saveInterval)
+				_, err := simulation.saved.decode()
+				assert.NilError(t, err)
+			})
+		})
+	}
+}
