Compose deltas in one pass, and count instances without a lock

Meanwhile it held the relayer's mutex, for which each new flow waited, as it asks for the number of instances. Ruled out: packets that wait in the socket (heap 47 of 58 MB, 14 goroutines), connections that pile up, the size of the view. It is the failure of a process by an unexpected size of a message's content that operators of similar systems have seen.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -55,7 +55,7 @@
 	if delta := relayer.routeDelta; delta != nil && delta.Base == relayer.announcedVersion && delta.Len() <= maxHeartbeatChanges {
 		content, heartbeat = extendIfFits(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.RouteDelta = delta })
 	}
-	if delta := relayer.history.since(relayer.announcedRevision); delta != nil && delta.Len() <= maxHeartbeatChanges {
+	if delta := viewer.ComposeDeltas(relayer.history.after(relayer.announcedRevision), maxHeartbeatChanges); delta != nil {
 		content, heartbeat = extendIfFits(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.ServersDelta = delta })
 	}
 	relayer.announcedRevision, relayer.announcedVersion = heartbeat.ServersRevision, heartbeat.ConfigurationVersion
@@ -154,6 +154,7 @@
 	if changed {
 		relayer.updateRank()
 	}
+	relayer.updateInstanceCount()
 	relayer.mutex.Unlock()
 	if isNew {
 		relayer.observer.MemberJoined(heartbeat.Sender)
--- a/relayer/history.go
+++ b/relayer/history.go
@@ -41,18 +41,13 @@
 	deltaHistory.deltas = append(deltaHistory.deltas, delta)
 }
 
-// since returns the delta from a revision to the newest one, or nil when there is no
-// delta from that revision in the history.
-func (deltaHistory *deltaHistory) since(revision uint64) *viewer.ServerDelta {
+// after returns the deltas from a revision to the newest one, none when there is no delta
+// from that revision in the history. The result does not change with the history.
+func (deltaHistory *deltaHistory) after(revision uint64) []*viewer.ServerDelta {
 	for i, first := range deltaHistory.deltas {
-		if first.Base != revision {
-			continue
+		if first.Base == revision {
+			return deltaHistory.deltas[i:]
 		}
-		composed := first
-		for _, next := range deltaHistory.deltas[i+1:] {
-			composed = composed.Compose(next)
-		}
-		return composed
 	}
 	return nil
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -110,7 +111,8 @@
 	seeds             []netip.AddrPort
 	schedule          ReadSchedule
 	members           map[string]*peer
-	reportedInstances int // size of the fleet that a leader last sent; 0 before the first
+	reportedInstances int          // size of the fleet that a leader last sent; 0 before the first
+	instanceCount     atomic.Int64 // what Instances returns
 	leaving           bool
 	running           map[string]bool // names of the background calls in progress
 	membersReadAt     time.Time       // when the members were last read from the store; at first the start time
@@ -143,12 +145,14 @@
 // read the store. Seeds are control addresses of instances that can give a first view.
 func NewRelayer(self Member, seeds []netip.AddrPort, viewer *viewer.Viewer, source Source, network Network, suspicionCounter suspicionCounter, observer Observer) *Relayer {
 	spread := float64(xxhash.Sum64String(self.Name)) / math.MaxUint64
-	return &Relayer{
+	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, suspicionCounter: suspicionCounter, observer: observer, seeds: seeds,
 		suspicionLimiter: newSuspicionLimiter(),
 		members:          map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
+	relayer.instanceCount.Store(1)
+	return relayer
 }
 
 // Run registers the instance in the store and fetches a first view from the seeds if the
@@ -218,14 +222,16 @@
 
 // Instances returns the number of instances in the fleet, this one included. A leader
 // counts its members; other instances may not know all and use the number that a
-// leader sent.
-func (relayer *Relayer) Instances() int {
-	relayer.mutex.Lock()
-	defer relayer.mutex.Unlock()
-	if relayer.schedule.isLeader || relayer.reportedInstances == 0 {
-		return 1 + len(relayer.members)
+// leader sent. It never waits, since every new flow needs it.
+func (relayer *Relayer) Instances() int { return int(relayer.instanceCount.Load()) }
+
+// updateInstanceCount sets what Instances returns. The mutex must be held.
+func (relayer *Relayer) updateInstanceCount() {
+	count := relayer.reportedInstances
+	if relayer.schedule.isLeader || count == 0 {
+		count = 1 + len(relayer.members)
 	}
-	return relayer.reportedInstances
+	relayer.instanceCount.Store(int64(count))
 }
 
 // isLeader reports whether this instance is a leader of its failure domain.
@@ -255,6 +261,7 @@
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
 	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.updateInstanceCount()
 }
 
 // activeMembers returns all members that are not leaving, this instance included. The mutex must be held.
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -129,7 +129,8 @@
 	if view.Servers != nil {
 		request.ownRevision = view.Servers.Revision
 	}
-	snapshot := Snapshot{ServersDelta: relayer.history.since(revision)}
+	var snapshot Snapshot
+	deltas := relayer.history.after(revision)
 	if revision == 0 {
 		snapshot.Members = relayer.activeMembers() // the requester has just started
 	}
@@ -140,6 +141,9 @@
 	age := relayer.schedule.Age(now)
 	relayer.mutex.Unlock()
 	if cached == nil || cached.request != request {
+		if view.Servers != nil {
+			snapshot.ServersDelta = viewer.ComposeDeltas(deltas, len(view.Servers.List))
+		}
 		cached = encodeSnapshot(request, snapshot.complete(view, version))
 		relayer.mutex.Lock()
 		relayer.cachedSnapshot = cached
--- a/viewer/delta.go
+++ b/viewer/delta.go
@@ -59,24 +59,29 @@
 	return &Servers{Revision: delta.Revision, List: list}
 }
 
-// Compose returns the delta that has the effect of this one followed by next.
-func (serverDelta *ServerDelta) Compose(next *ServerDelta) *ServerDelta {
-	composed := &ServerDelta{Base: serverDelta.Base, Revision: next.Revision, Changed: next.Changed, Removed: next.Removed}
-	overridden := map[string]bool{}
-	for i := range next.Changed {
-		overridden[next.Changed[i].Name] = true
-	}
-	for _, name := range next.Removed {
-		overridden[name] = true
+// ComposeDeltas returns the delta that has the effect of consecutive deltas, or nil if there
+// are none or the result would have more than limit servers.
+func ComposeDeltas(deltas []*ServerDelta, limit int) *ServerDelta {
+	if len(deltas) == 0 {
+		return nil
 	}
-	for i := range serverDelta.Changed {
-		if !overridden[serverDelta.Changed[i].Name] {
-			composed.Changed = append(composed.Changed[:len(composed.Changed):len(composed.Changed)], serverDelta.Changed[i])
+	composed := &ServerDelta{Base: deltas[0].Base, Revision: deltas[len(deltas)-1].Revision}
+	decided := map[string]bool{} // names of servers of which a later delta holds the state
+	for _, delta := range slices.Backward(deltas) {
+		for i := range delta.Changed {
+			if name := delta.Changed[i].Name; !decided[name] {
+				decided[name] = true
+				composed.Changed = append(composed.Changed, delta.Changed[i])
+			}
 		}
-	}
-	for _, name := range serverDelta.Removed {
-		if !overridden[name] {
-			composed.Removed = append(composed.Removed[:len(composed.Removed):len(composed.Removed)], name)
+		for _, name := range delta.Removed {
+			if !decided[name] {
+				decided[name] = true
+				composed.Removed = append(composed.Removed, name)
+			}
+		}
+		if composed.Len() > limit {
+			return nil
 		}
 	}
 	return composed
--- a/viewer/delta_test.go
+++ b/viewer/delta_test.go
@@ -33,19 +33,17 @@
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		lists := []*Servers{list(1, server("a", 1, 1), server("b", 2, 1), server("c", 3, 1))}
-		var composed *ServerDelta
+		var deltas []*ServerDelta
 		for range 8 {
 			last := lists[len(lists)-1]
 			next := randomRevision(random, last)
 			delta := DiffServers(last, next)
 			assert.Equal(t, last.Apply(delta).Digest(), next.Digest(), "seed %d", seed)
-			if composed == nil {
-				composed = delta
-			} else {
-				composed = composed.Compose(delta)
-			}
+			deltas = append(deltas, delta)
 			lists = append(lists, next)
+			composed := ComposeDeltas(deltas, len(next.List)+100)
 			assert.Equal(t, lists[0].Apply(composed).Digest(), next.Digest(), "seed %d", seed)
+			assert.Assert(t, composed.Len() == 0 || ComposeDeltas(deltas, composed.Len()-1) == nil, "seed %d", seed)
 		}
 	}
 }
