Answer a repeated closing in the stand-in of a backend server

The stand-in forgot a flow at its FIN, so a FIN that the caller repeats after a second (its answer was late or lost) met an unknown flow: it was counted as a packet at the wrong server, and was reset. Ruled out: flows that moved to sync-1: their requests would have been counted as broken. Change: a closed flow is remembered for 30 s, and a repeated FIN is answered again.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -55,7 +55,12 @@
 	delayedStats BackendStats // reported by the load endpoint
 }
 
+// closedFlowLifetime is how long a server remembers a flow that its caller has closed, to
+// answer retransmissions.
+const closedFlowLifetime = 30 * time.Second
+
 type backendFlow struct {
+	closed           bool
 	nextSequence     uint32 // of the next data to send
 	expectedSequence uint32 // of the next data to receive
 	lastAnswer       []byte // last datagram with an answer, sent again for a retransmitted request
@@ -107,7 +112,11 @@
 	backend.mutex.Lock()
 	defer backend.mutex.Unlock()
 	stats := backend.stats
-	stats.OpenFlows = len(backend.flows)
+	for _, flow := range backend.flows {
+		if !flow.closed {
+			stats.OpenFlows++
+		}
+	}
 	stats.Requests = map[string]int{}
 	for request, runs := range backend.stats.Requests {
 		stats.Requests[request] = runs
@@ -170,7 +179,7 @@
 // acceptOpening accepts or sheds a new flow, and answers a retransmitted SYN of a known
 // one.
 func (backend *Backend) acceptOpening(packet *framer.Packet, flow *backendFlow) {
-	if flow == nil {
+	if flow == nil || flow.closed {
 		if backend.draining || backend.queued >= backend.options.MaxQueue {
 			backend.stats.Shed++
 			backend.reply(packet, framer.Segment{Flags: framer.FlagRST | framer.FlagACK, Acknowledgment: packet.Sequence + 1})
@@ -186,7 +195,7 @@
 // handleEstablished handles a packet of an established flow.
 func (backend *Backend) handleEstablished(packet *framer.Packet, flow *backendFlow) {
 	if packet.PayloadLength > 0 {
-		if packet.Sequence != flow.expectedSequence {
+		if flow.closed || packet.Sequence != flow.expectedSequence {
 			backend.resendAnswer(flow)
 			return
 		}
@@ -197,10 +206,26 @@
 		backend.reply(packet, framer.Segment{
 			Flags: framer.FlagFIN | framer.FlagACK, Sequence: flow.nextSequence, Acknowledgment: packet.Sequence + 1,
 		})
-		delete(backend.flows, packet.Tuple)
+		backend.closeFlow(packet.Tuple, flow)
 	}
 }
 
+// closeFlow marks a flow as closed, and forgets it after closedFlowLifetime unless its caller
+// has opened another one from the same port. The mutex must be held.
+func (backend *Backend) closeFlow(tuple framer.Tuple, flow *backendFlow) {
+	if flow.closed {
+		return
+	}
+	flow.closed = true
+	time.AfterFunc(closedFlowLifetime, func() {
+		backend.mutex.Lock()
+		defer backend.mutex.Unlock()
+		if backend.flows[tuple] == flow {
+			delete(backend.flows, tuple)
+		}
+	})
+}
+
 // resendAnswer sends the last answer again without executing the request a second time.
 func (backend *Backend) resendAnswer(flow *backendFlow) {
 	if flow.lastAnswer != nil {
