--- a/relayer/start_test.go
+++ b/relayer/start_test.go
@@ -105,7 +105,10 @@
 		resumed := simulation.startNode(t, "lb-1-0", 1, 0)
 		resumed.viewer.ApplyConfiguration(view.Configuration)
 		resumed.viewer.ApplyServers(view.Servers, time.Now())
+		resumed.mutex.Lock()
 		resumed.schedule.SetRank(1, true)
+		resumed.hasReadMembers = true
+		resumed.mutex.Unlock()
 		resumed.saveSnapshot(resumed.ctx)
 		assert.Equal(t, simulation.saved.ConfigurationVersion, uint64(2))
 	})
