Mend smaller faults that were found by reading

- parser: the finding on a sheet's size ended in "(<nil>)"; the test fails without the change.
- soak: the fault "entries lapse" took one entry where every second one was meant.
- configurer: negative drain_timeout and apply_timeout, which have an effect now, are findings.
Measured: unit tests.

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -78,6 +78,8 @@
 	require(len(platformSettings.PeerPorts) > 0, "peer_ports", "must name at least one port")
 	require(platformSettings.ProcessorShare >= 0, "processor_share", "must not be negative")
 	require(platformSettings.StopTimeout > 0, "stop_timeout", "must be above 0")
+	require(platformSettings.DrainTimeout >= 0, "drain_timeout", "must not be negative")
+	require(platformSettings.ApplyTimeout >= 0, "apply_timeout", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
 	return findings
 }
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -48,6 +48,8 @@
 		{"IPv6 advertised", `"packet_address"`, `"advertised_address": "::1", "packet_address"`, "advertised_address: must be an IPv4 address"},
 		{"no ports", `[7720, 7735]`, `[]`, "peer_ports: must name at least one port"},
 		{"port too large", `7735`, `77350`, "settings.json: line"},
+		{"negative drain timeout", `"packet_address"`, `"drain_timeout": "-1s", "packet_address"`, "drain_timeout: must not be negative"},
+		{"negative apply timeout", `"packet_address"`, `"apply_timeout": "-1s", "packet_address"`, "apply_timeout: must not be negative"},
 		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
 		{"truncated", `}`, ``, "unexpected EOF"},
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -162,16 +164,16 @@
 }
 
 // expireEntries makes the store unavailable until entries of backend servers have
-// expired: all entries, or a single one for a third of the choices. The store comes
+// expired: all entries, or every second one for a third of the choices. The store comes
 // back without them, and the servers write them again later.
 func expireEntries(soak *soak, parameters faultParameters) {
 	soak.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
 	time.Sleep(entryExpiryTime)
 	expired := map[string]*server{}
 	soak.mutex.Lock()
-	for name, server := range soak.servers {
-		if parameters.choice%3 != 0 || len(expired)%2 == 0 {
-			expired[name] = server
+	for i, name := range slices.Sorted(maps.Keys(soak.servers)) {
+		if parameters.choice%3 != 0 || i%2 == 0 {
+			expired[name] = soak.servers[name]
 		}
 	}
 	soak.mutex.Unlock()
--- a/parser/parse_sheet.go
+++ b/parser/parse_sheet.go
@@ -177,7 +177,10 @@
 		}
 	}
 	encoded, err := json.Marshal(sheetReader.sheet)
-	if err != nil || len(encoded) > MaxObjectSize {
-		sheetReader.addFinding(wholeFile, "", "encoded sheet has %d bytes, the platform stores at most %d (%v)", len(encoded), MaxObjectSize, err)
+	if err != nil {
+		sheetReader.addFinding(wholeFile, "", "sheet cannot be encoded: %v", err)
+	}
+	if len(encoded) > MaxObjectSize {
+		sheetReader.addFinding(wholeFile, "", "encoded sheet has %d bytes, the platform stores at most %d", len(encoded), MaxObjectSize)
 	}
 }
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -74,6 +74,7 @@
 	}
 	_, err := ParseSheet("sheet.csv", strings.NewReader(builder.String()))
 	assert.ErrorContains(t, err, "the platform stores at most 1048576")
+	assert.Assert(t, !strings.Contains(err.Error(), "nil"), "%v", err)
 }
 
 func TestParseCalendar(t *testing.T) {
