Find slow servers together

An instance sees one server about once a minute there, so its average shows nothing in time. Ruled out: servers that fail (none), instances that are slow (0.0076 of a core at most). Change: a response of four times its route's average time is a suspicion; two within 3 s at a leader eject the server for 2 s, longer each time. Leaders tell their failure domain every 0.3 s, and the leaders of the others those of their own domain, where the network between domains cannot be the cause. Nothing is ejected while three tenths of all servers are suspected. In the play of a test fewer than half as many callers wait over 300 ms as without sharing.

--- a/director/director.go
+++ b/director/director.go
@@ -134,7 +134,8 @@
 		ProcessorShare: settings.ProcessorShare,
 	}
 	observer := &ejectingRecorder{Recorder: recorder, viewer: current, ejections: ejections}
-	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, examiner.NewOutlierDetector(), observer)
+	detectors := relayer.Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
+	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, detectors, observer)
 	created.SetChangeDeadline(settings.ChangeDeadline())
 	return created
 }
@@ -142,7 +143,9 @@
 func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
-	examiner := examiner.NewExaminer(func(server *viewer.BackendServer) { relayer.ReportSuspicion(server.Token) })
+	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
+		relayer.ReportSuspicion(server.Token, suspicion)
+	})
 	return steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
 }
 
--- a/director/failures.go
+++ b/director/failures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/examiner"
+	"github.com/pimentowind/pimentowind/relayer"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -15,18 +16,18 @@
 	ejections *examiner.Ejections
 }
 
-// EjectServer ejects the server with the given token for duration, unless too
-// many servers of its service are ejected already.
-func (ejectingRecorder *ejectingRecorder) EjectServer(token uint32, duration time.Duration) {
+// EjectServer ejects a server, unless too many servers of its service are ejected
+// already.
+func (ejectingRecorder *ejectingRecorder) EjectServer(ejection relayer.Ejection) {
 	view := ejectingRecorder.viewer.Current()
-	server := view.ServerByToken(token)
+	server := view.ServerByToken(ejection.Token)
 	if server == nil {
 		return
 	}
 	now := time.Now()
-	alreadyEjected := ejectingRecorder.ejections.IsEjected(token, now)
-	ejected := ejectingRecorder.ejections.Eject(server, view.ActiveServers(server.Service), now.Add(duration), now)
+	alreadyEjected := ejectingRecorder.ejections.IsEjected(ejection.Token, now)
+	ejected := ejectingRecorder.ejections.Eject(server, view.ActiveServers(server.Service), now.Add(ejection.Duration), now)
 	if !alreadyEjected { // each leader of the failure domain requests the same ejection
-		ejectingRecorder.LogFailingServer(server, duration, ejected)
+		ejectingRecorder.LogEjection(server, ejection, ejected)
 	}
 }
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -208,12 +208,16 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
-// LogFailingServer counts and logs that a server fails its requests; ejected is
-// whether it gets no new flows for duration because of it.
-func (recorder *Recorder) LogFailingServer(server *viewer.BackendServer, duration time.Duration, ejected bool) {
-	recorder.counters.Add("failing", 1)
-	recorder.Event(logger.EventServerFailing, "backend_server", server.Name, "service", server.Service,
-		"for", duration.String(), "held_off", ejected)
+// LogEjection counts and logs that a server fails its requests or is slow; ejected is
+// whether it gets no new flows for a time because of it.
+func (recorder *Recorder) LogEjection(server *viewer.BackendServer, ejection relayer.Ejection, ejected bool) {
+	event, counter := logger.EventServerFailing, "failing"
+	if ejection.IsSlow {
+		event, counter = logger.EventServerSlow, "slow"
+	}
+	recorder.counters.Add(counter, 1)
+	recorder.Event(event, "backend_server", server.Name, "service", server.Service,
+		"for", ejection.Duration.String(), "held_off", ejected)
 }
 
 // ReadinessReported logs the readiness reported to the fabric when it has changed.
--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
 )
@@ -18,45 +19,74 @@
 	// shortLengthSmoothing is the weight of a suspicious response, so that the average
 	// slowly follows a route whose responses have become short.
 	shortLengthSmoothing = 0.01
+	// slowResponseRatio is how many times the route's average response time a response must
+	// take to be suspicious; few regular responses in a thousand do.
+	slowResponseRatio = 4
+	// timeSmoothing is the weight of a response in the moving average of a route's response
+	// times.
+	timeSmoothing = 0.05
 	// maxRoutes bounds the routes with an average; a further route discards all averages.
 	// Without it the number would grow as long as the process lives, because routes are
 	// added and removed.
 	maxRoutes = 20_000
 )
 
-// Examiner finds responses that are much shorter than usual on their route; it is
-// not safe for concurrent use.
+// Suspicion is what a response lets suspect of its server.
+type Suspicion int
+
+// Suspicions of a server.
+const (
+	Failing Suspicion = iota // the response is short, as an error page is
+	Slow                     // the response took long
+)
+
+// String returns the suspicion's name for logs.
+func (suspicion Suspicion) String() string {
+	if suspicion == Slow {
+		return "slow"
+	}
+	return "failing"
+}
+
+// Examiner finds responses that are much shorter or take much longer than usual on their
+// route; it is not safe for concurrent use.
 type Examiner struct {
-	averages     map[netip.AddrPort]*lengthAverage // by route address
-	onSuspicious func(server *viewer.BackendServer)
+	averages     map[netip.AddrPort]*responseAverage // by route address
+	onSuspicious func(server *viewer.BackendServer, suspicion Suspicion)
 }
 
-// lengthAverage is the moving average of the response lengths of a route.
-type lengthAverage struct {
+// responseAverage holds the moving averages of the responses of a route.
+type responseAverage struct {
 	bytes   float64
+	seconds float64 // from the request to the end of the response
 	samples int
 }
 
 // NewExaminer returns an Examiner that calls onSuspicious for each suspicious response.
-func NewExaminer(onSuspicious func(server *viewer.BackendServer)) *Examiner {
-	return &Examiner{averages: map[netip.AddrPort]*lengthAverage{}, onSuspicious: onSuspicious}
+func NewExaminer(onSuspicious func(server *viewer.BackendServer, suspicion Suspicion)) *Examiner {
+	return &Examiner{averages: map[netip.AddrPort]*responseAverage{}, onSuspicious: onSuspicious}
 }
 
-// RecordResponse compares the length in bytes of a complete response with the route's
-// average, reports the server if the response is suspicious, and updates the average.
-func (examiner *Examiner) RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32) {
+// RecordResponse compares the length in bytes of a complete response, and the time that it
+// took, with the route's averages, reports the server if the response is suspicious, and
+// updates the averages.
+func (examiner *Examiner) RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration) {
 	average := examiner.averages[route]
 	if average == nil {
 		if len(examiner.averages) >= maxRoutes {
 			clear(examiner.averages)
 		}
-		average = &lengthAverage{bytes: float64(bytes)}
+		average = &responseAverage{bytes: float64(bytes), seconds: duration.Seconds()}
 		examiner.averages[route] = average
 	}
 	average.samples++
+	if average.samples > minRouteSamples && duration.Seconds() > slowResponseRatio*average.seconds {
+		examiner.onSuspicious(server, Slow)
+	}
+	average.seconds += timeSmoothing * (duration.Seconds() - average.seconds)
 	if average.samples > minRouteSamples && float64(bytes) < shortResponseRatio*average.bytes {
 		average.bytes += shortLengthSmoothing * (float64(bytes) - average.bytes)
-		examiner.onSuspicious(server)
+		examiner.onSuspicious(server, Failing)
 		return
 	}
 	average.bytes += lengthSmoothing * (float64(bytes) - average.bytes)
--- a/examiner/examiner_test.go
+++ b/examiner/examiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -38,13 +39,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			suspected := 0
-			examiner := NewExaminer(func(*viewer.BackendServer) { suspected++ })
+			examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) { suspected++ })
 			server := servers(1)[0]
 			for range minRouteSamples {
-				examiner.RecordResponse(route, server, 1000)
+				examiner.RecordResponse(route, server, 1000, 50*time.Millisecond)
 			}
 			for _, bytes := range c.bytes {
-				examiner.RecordResponse(route, server, bytes)
+				examiner.RecordResponse(route, server, bytes, 50*time.Millisecond)
 			}
 			assert.Equal(t, suspected, c.want)
 		})
@@ -53,38 +54,38 @@
 
 func TestAverageFollowsRouteWhoseResponsesBecomeShort(t *testing.T) {
 	suspected := 0
-	examiner := NewExaminer(func(*viewer.BackendServer) { suspected++ })
+	examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) { suspected++ })
 	for range 100 {
-		examiner.RecordResponse(route, servers(1)[0], 1000)
+		examiner.RecordResponse(route, servers(1)[0], 1000, 50*time.Millisecond)
 	}
 	for range 1000 {
-		examiner.RecordResponse(route, servers(1)[0], 200)
+		examiner.RecordResponse(route, servers(1)[0], 200, 50*time.Millisecond)
 	}
 	before := suspected
-	examiner.RecordResponse(route, servers(1)[0], 200)
+	examiner.RecordResponse(route, servers(1)[0], 200, 50*time.Millisecond)
 	assert.Equal(t, suspected, before)
 }
 
 func TestServerWithSeveralSuspiciousResponsesIsEjected(t *testing.T) {
-	outlierDetector := NewOutlierDetector()
-	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(-suspicionWindow-time.Millisecond)), time.Duration(0), "outside the window of the later ones")
+	outlierDetector := NewFailureDetector()
+	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(-failureWindow-time.Millisecond)), time.Duration(0), "outside the window of the later ones")
 	assert.Equal(t, outlierDetector.AddSuspicion(7, start), time.Duration(0))
 	assert.Equal(t, outlierDetector.AddSuspicion(8, start.Add(150*time.Millisecond)), time.Duration(0))
-	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(suspicionWindow)), baseEjectionTime)
-	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(suspicionWindow+time.Millisecond)), time.Duration(0), "it is already ejected")
+	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(failureWindow)), baseEjectionTime)
+	assert.Equal(t, outlierDetector.AddSuspicion(7, start.Add(failureWindow+time.Millisecond)), time.Duration(0), "it is already ejected")
 }
 
 func TestEjectionTimeBacksOff(t *testing.T) {
-	outlierDetector, now := NewOutlierDetector(), start
+	outlierDetector, now := NewFailureDetector(), start
 	for _, want := range []time.Duration{baseEjectionTime, 2 * baseEjectionTime, maxEjectionTime, maxEjectionTime} {
-		for range suspicionLimit - 1 {
+		for range failureLimit - 1 {
 			assert.Equal(t, outlierDetector.AddSuspicion(7, now), time.Duration(0))
 		}
 		assert.Equal(t, outlierDetector.AddSuspicion(7, now), want)
 		now = now.Add(want + time.Second)
 	}
 	now = now.Add(backoffResetDelay)
-	for range suspicionLimit - 1 {
+	for range failureLimit - 1 {
 		outlierDetector.AddSuspicion(7, now)
 	}
 	assert.Equal(t, outlierDetector.AddSuspicion(7, now), baseEjectionTime, "the back-off was reset")
@@ -94,7 +95,7 @@
 // domains that share 1,600 flows a second. One flow in a thousand has a short but
 // regular response.
 func TestWorkingServersAreRarelyEjected(t *testing.T) {
-	outlierDetector, random, ejected := NewOutlierDetector(), rand.New(rand.NewPCG(1, 1)), 0
+	outlierDetector, random, ejected := NewFailureDetector(), rand.New(rand.NewPCG(1, 1)), 0
 	const rate = 400
 	const flows = 600 * rate
 	for flow := range flows {
@@ -122,10 +123,10 @@
 }
 
 func TestNumberOfRoutesIsBounded(t *testing.T) {
-	examiner := NewExaminer(func(*viewer.BackendServer) {})
+	examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) {})
 	for number := range uint32(maxRoutes + 10) {
 		address := netip.AddrFrom4([4]byte{198, byte(number >> 16), byte(number >> 8), byte(number)})
-		examiner.RecordResponse(netip.AddrPortFrom(address, 443), nil, 1000)
+		examiner.RecordResponse(netip.AddrPortFrom(address, 443), nil, 1000, 50*time.Millisecond)
 	}
 	assert.Assert(t, len(examiner.averages) <= maxRoutes)
 }
@@ -136,3 +137,68 @@
 	assert.Assert(t, ejections.Eject(all[0], all, start.Add(2*time.Second), start))
 	assert.Assert(t, ejections.IsEjected(all[0].Token, start.Add(5*time.Second)), "the other leader ejected it for longer")
 }
+
+func TestSlowResponsesAreSuspicious(t *testing.T) {
+	var suspicions []Suspicion
+	examiner := NewExaminer(func(_ *viewer.BackendServer, suspicion Suspicion) { suspicions = append(suspicions, suspicion) })
+	server := servers(1)[0]
+	for range minRouteSamples {
+		examiner.RecordResponse(route, server, 1000, 50*time.Millisecond)
+	}
+	for _, duration := range []time.Duration{20, 60, 150, 190} {
+		examiner.RecordResponse(route, server, 1000, duration*time.Millisecond)
+	}
+	assert.Equal(t, len(suspicions), 0)
+	examiner.RecordResponse(route, server, 1000, 350*time.Millisecond)
+	assert.DeepEqual(t, suspicions, []Suspicion{Slow})
+}
+
+// slowServersPlay plays ten seconds of a failure domain of 60 instances that share 870 flows
+// a second over 600 servers, of which every sixth becomes five times slower after two
+// seconds. It returns the share of callers that wait more than 300 ms in the last five
+// seconds, with the instances' suspicions told to a leader or not.
+func slowServersPlay(t *testing.T, shared bool) float64 {
+	t.Helper()
+	const instances, rate, count, seconds = 60, 870, 600, 10
+	random := rand.New(rand.NewPCG(7, 7))
+	all := servers(count)
+	ejections, detector, now := NewEjections(), NewSlownessDetector(), start
+	var examiners []*Examiner
+	for range instances {
+		examiners = append(examiners, NewExaminer(func(server *viewer.BackendServer, _ Suspicion) {
+			if !shared {
+				return
+			}
+			if duration := detector.AddSuspicion(server.Token, now); duration > 0 {
+				ejections.Eject(server, all, now.Add(duration), now)
+			}
+		}))
+	}
+	late, measured := 0, 0
+	for flow := range rate * seconds {
+		now = start.Add(time.Duration(flow) * time.Second / rate)
+		server := all[random.IntN(count)]
+		for ejections.IsEjected(server.Token, now) {
+			server = all[random.IntN(count)]
+		}
+		milliseconds := min(40*math.Exp(0.5*random.NormFloat64()), 240) / []float64{0.6, 1, 1.6}[server.Token%3]
+		if server.Token%6 == 0 && now.Sub(start) > 2*time.Second {
+			milliseconds = 5*milliseconds + 150 // and its queue
+		}
+		duration := time.Duration(milliseconds * float64(time.Millisecond))
+		examiners[random.IntN(instances)].RecordResponse(route, server, 1000, duration)
+		if now.Sub(start) > 5*time.Second {
+			measured++
+			if duration > 300*time.Millisecond {
+				late++
+			}
+		}
+	}
+	return float64(late) / float64(measured)
+}
+
+func TestFewCallersWaitForSlowServersWhenInstancesShareSuspicions(t *testing.T) {
+	alone, shared := slowServersPlay(t, false), slowServersPlay(t, true)
+	assert.Assert(t, alone > 0.05, "%.3f late without sharing", alone)
+	assert.Assert(t, shared < alone/2, "%.3f late, %.3f without sharing", shared, alone)
+}
--- a/examiner/outlier_detector.go
+++ b/examiner/outlier_detector.go
@@ -3,10 +3,13 @@
 import "time"
 
 const (
-	// suspicionLimit is how many suspicious responses within suspicionWindow eject a
-	// server. A working server has one in several minutes.
-	suspicionLimit  = 2
-	suspicionWindow = 1500 * time.Millisecond
+	// failureLimit is how many short responses within failureWindow eject a server. A
+	// working server has one in several minutes.
+	failureLimit  = 2
+	failureWindow = 1500 * time.Millisecond
+	// slownessLimit is how many slow responses within slownessWindow eject a server.
+	slownessLimit  = 2
+	slownessWindow = 3 * time.Second
 	// baseEjectionTime is the duration of the first ejection. It doubles up to
 	// maxEjectionTime with each further ejection, until the server has had no
 	// suspicious response for backoffResetDelay after an ejection.
@@ -19,18 +22,31 @@
 // domain report, and decides on ejections; it is not safe for concurrent use.
 type OutlierDetector struct {
 	suspects map[uint32]*suspect // by the server's token
+	limit    int                 // suspicious responses within window that eject a server
+	window   time.Duration
 }
 
 // suspect is a server with recent suspicious responses or a recent ejection.
 type suspect struct {
-	reportedAt   []time.Time   // suspicious responses within suspicionWindow, oldest first
+	reportedAt   []time.Time   // suspicious responses within the window, oldest first
 	ejectionTime time.Duration // of the last ejection; 0 before the first
 	ejectedUntil time.Time
 }
 
-// NewOutlierDetector returns an OutlierDetector without suspects.
-func NewOutlierDetector() *OutlierDetector {
-	return &OutlierDetector{suspects: map[uint32]*suspect{}}
+// NewFailureDetector returns an OutlierDetector for servers that fail their requests.
+func NewFailureDetector() *OutlierDetector {
+	return &OutlierDetector{suspects: map[uint32]*suspect{}, limit: failureLimit, window: failureWindow}
+}
+
+// NewSlownessDetector returns an OutlierDetector for slow servers.
+func NewSlownessDetector() *OutlierDetector {
+	return &OutlierDetector{suspects: map[uint32]*suspect{}, limit: slownessLimit, window: slownessWindow}
+}
+
+// SuspectCount returns how many servers had a suspicious response or an ejection recently.
+func (outlierDetector *OutlierDetector) SuspectCount(now time.Time) int {
+	outlierDetector.expire(now)
+	return len(outlierDetector.suspects)
 }
 
 // AddSuspicion counts a suspicious response of the server with a token. It returns for
@@ -47,10 +63,10 @@
 		return 0 // a response to a flow that was opened before the ejection
 	}
 	server.reportedAt = append(server.reportedAt, now)
-	for now.Sub(server.reportedAt[0]) > suspicionWindow {
+	for now.Sub(server.reportedAt[0]) > outlierDetector.window {
 		server.reportedAt = server.reportedAt[1:]
 	}
-	if len(server.reportedAt) < suspicionLimit {
+	if len(server.reportedAt) < outlierDetector.limit {
 		return 0
 	}
 	server.reportedAt = nil
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -38,6 +38,7 @@
 	EventServersChanged       decider.EventKind = 507
 	EventChangesUnavailable   decider.EventKind = 508
 	EventServerFailing        decider.EventKind = 509
+	EventServerSlow           decider.EventKind = 510
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -68,6 +69,7 @@
 	EventServersChanged:       "many backend servers changed",
 	EventChangesUnavailable:   "changes not available from the store, reading all entries",
 	EventServerFailing:        "backend server is failing requests",
+	EventServerSlow:           "backend server is slow",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/viewer"
 )
@@ -168,7 +169,7 @@
 func TestSuspectedServerIsEjectedInItsReportersFailureDomain(t *testing.T) {
 	runWithFleet(t, 10, func(simulation *fleetSimulation, nodes []*node) {
 		for _, node := range nodes[4:7] {
-			node.Relayer.ReportSuspicion(7)
+			node.Relayer.ReportSuspicion(7, examiner.Failing)
 		}
 		advance(100 * time.Millisecond)
 		for _, node := range nodes {
@@ -183,7 +184,7 @@
 		before := nodes[0].suspicionCount
 		for range 300 {
 			for _, node := range nodes[4:7] {
-				node.Relayer.ReportSuspicion(9)
+				node.Relayer.ReportSuspicion(9, examiner.Failing)
 			}
 			advance(10 * time.Millisecond)
 		}
@@ -393,3 +394,47 @@
 		assert.Assert(t, rate <= controlBytesPerSecondLimit, "%d bytes per second and instance", rate)
 	})
 }
+
+func TestSlowServerIsEjectedWhereItsSlownessIsCertain(t *testing.T) {
+	cases := map[string]struct {
+		serverDomain string
+		wantAll      bool
+	}{
+		"in the reporters' failure domain": {"dakar-0", true},
+		"in another failure domain":        {"dakar-1", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 10, func(simulation *fleetSimulation, nodes []*node) {
+				simulation.addServers(100)
+				simulation.update(func() { simulation.servers[7].FailureDomain = c.serverDomain })
+				advance(applyTimeLimit)
+				token := simulation.servers[7].Token
+				for _, node := range nodes[4:7] {
+					node.Relayer.ReportSuspicion(token, examiner.Slow)
+					advance(500 * time.Millisecond)
+				}
+				advance(2*(slowReportInterval+tickInterval) + 10*time.Millisecond)
+				for _, node := range nodes {
+					want := c.wantAll || node.member.FailureDomain == "dakar-0"
+					assert.Equal(t, slices.Contains(node.ejected, token), want, "%s", node.member.Name)
+				}
+			})
+		})
+	}
+}
+
+func TestNoServerIsEjectedWhenManyAreSlow(t *testing.T) {
+	runWithFleet(t, 10, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(100)
+		for round := range 3 {
+			for token := range uint32(60) {
+				nodes[4+(int(token)+round)%6].Relayer.ReportSuspicion(token+1, examiner.Slow)
+				advance(30 * time.Millisecond)
+			}
+		}
+		for _, node := range nodes {
+			assert.Assert(t, len(node.ejected) <= 10, "%s ejected %d servers", node.member.Name, len(node.ejected))
+		}
+	})
+}
--- a/relayer/history_test.go
+++ b/relayer/history_test.go
@@ -17,7 +17,7 @@
 func newRelayerWithHistory() *Relayer {
 	simulation := newFleetSimulation()
 	node := &node{simulation: simulation, viewer: viewer.NewViewer(), member: Member{Name: "lb-1"}}
-	node.Relayer = NewRelayer(node.member, nil, node.viewer, node, node, node, node)
+	node.Relayer = NewRelayer(node.member, nil, node.viewer, node, node, Detectors{Failures: node, Slowness: node}, node)
 	list := make([]viewer.BackendServer, 600)
 	for i := range list {
 		list[i] = backendServer(fmt.Sprintf("i-%08x", i), parser.Active)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -26,6 +26,8 @@
 	// Suspicions are the tokens of backend servers, one for each response that looked
 	// like a failure to the sender.
 	Suspicions []uint32 `cbor:"suspects,omitempty"`
+	// SlowSuspicions are the same for responses that took long.
+	SlowSuspicions []uint32 `cbor:"slow,omitempty"`
 	// Ejections are sent by a leader to the instances of its failure domain.
 	Ejections []Ejection `cbor:"failing,omitempty"`
 
@@ -38,6 +40,7 @@
 type Ejection struct {
 	Token    uint32        `cbor:"1,keyasint"`
 	Duration time.Duration `cbor:"2,keyasint"`
+	IsSlow   bool          `cbor:"3,keyasint,omitempty"` // because of slow responses, not of failures
 }
 
 // Snapshot is the view that one instance serves to another. What the requester has
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/time/rate"
-
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -93,9 +91,9 @@
 	// MemberLost reports an instance that was removed because it was unresponsive.
 	MemberLost(member Member, unresponsiveFor time.Duration)
 	FetchFailed(from string, err error)
-	// EjectServer requests that the server with this token get no new flows for duration;
-	// the observer may decline.
-	EjectServer(token uint32, duration time.Duration)
+	// EjectServer requests that a server get no new flows for a time; the observer may
+	// decline.
+	EjectServer(ejection Ejection)
 }
 
 // Relayer keeps one instance's view up to date with the store and the other instances.
@@ -120,14 +118,18 @@
 	digest            uint64          // of the servers at digestRevision
 	digestRevision    uint64
 	history           deltaHistory
-	suspicionCounter  suspicionCounter
-	suspicionLimiter  *rate.Limiter   // limits the suspicions that are sent
+	failureCounter    suspicionCounter
+	slownessCounter   suspicionCounter
+	suspicionSender   suspicionSender
 	cachedSnapshot    *cachedSnapshot // last snapshot that was served; nil before the first
 	announcedRevision uint64          // servers revision in the last announcement
 	saved             savedState
 	triedSnapshot     bool   // whether the saved snapshot was loaded, or found missing, at the start
 	skippedRevision   uint64 // revision of the store up to which only this instance has written since the view's
 
+	unreportedEjections []Ejection // of slow servers, since the last report
+	slowReportedAt      time.Time
+
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
 }
@@ -141,15 +143,20 @@
 	leaving         bool
 }
 
+// Detectors find the servers to eject from the suspicions that a leader receives.
+type Detectors struct {
+	Failures, Slowness suspicionCounter
+}
+
 // NewRelayer returns a Relayer for the instance self. Run and Tick must be called for it to
 // read the store. Seeds are control addresses of instances that can give a first view.
-func NewRelayer(self Member, seeds []netip.AddrPort, viewer *viewer.Viewer, source Source, network Network, suspicionCounter suspicionCounter, observer Observer) *Relayer {
+func NewRelayer(self Member, seeds []netip.AddrPort, viewer *viewer.Viewer, source Source, network Network, detectors Detectors, observer Observer) *Relayer {
 	spread := float64(xxhash.Sum64String(self.Name)) / math.MaxUint64
 	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
-		self:     self, viewer: viewer, source: source, network: network, suspicionCounter: suspicionCounter, observer: observer, seeds: seeds,
-		suspicionLimiter: newSuspicionLimiter(),
-		members:          map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
+		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
+		suspicionSender: newSuspicionSender(),
+		members:         map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.instanceCount.Store(1)
 	return relayer
@@ -173,6 +180,7 @@
 		relayer.schedule.RecordAttempt(now)
 	}
 	relayer.mutex.Unlock()
+	relayer.reportSlowServers(now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
 	"github.com/pimentowind/pimentowind/ticker"
@@ -95,7 +96,7 @@
 	for seedDomain := range byte(3) {
 		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, seedDomain, 0, 0}), 7720))
 	}
-	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, node, node)
+	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, Detectors{Failures: node, Slowness: examiner.NewSlownessDetector()}, node)
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
@@ -276,10 +277,12 @@
 	node.expired = append(node.expired, server.Name)
 }
 
-func (node *node) EjectServer(token uint32, _ time.Duration) {
+func (node *node) SuspectCount(time.Time) int { return 0 }
+
+func (node *node) EjectServer(ejection Ejection) {
 	node.simulation.mutex.Lock()
 	defer node.simulation.mutex.Unlock()
-	node.ejected = append(node.ejected, token)
+	node.ejected = append(node.ejected, ejection.Token)
 }
 
 // AddSuspicion ejects the server with token 7 at the node's third suspicion.
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -4,77 +4,195 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/pimentowind/pimentowind/examiner"
 )
 
-// A suspicion is a response of a backend server that looked like a failure. Each
-// instance sees only a small part of a server's responses, so it reports its
-// suspicions to the leaders of its failure domain, which count those of all
-// instances and send the domain the servers to eject. If both leaders eject the same
-// server, the longer ejection holds.
+// A suspicion is a response of a backend server that looked like a failure, or took long, to
+// one instance. Each instance sees only a small part of a server's responses, so it reports
+// its suspicions to the leaders of its failure domain, which count those of all instances
+// and send the domain the servers to eject. If both leaders eject the same server, the
+// longer ejection holds.
 
-// suspicionRate limits the suspicions that one instance sends per second, and the burst,
-// so that a service that fails as a whole does not overload the leaders.
-const suspicionRate = 5
+const (
+	// suspicionRate limits the suspicions of each kind that one instance sends per second,
+	// and the burst, so that a service that fails as a whole does not overload the leaders.
+	suspicionRate = 5
+	// slowReportInterval is the shortest time between two reports of slow servers to the
+	// failure domain; those found meanwhile share a report.
+	slowReportInterval = 300 * time.Millisecond
+	// maxReportedEjections limits a report of slow servers, so that it fits one datagram.
+	maxReportedEjections = 50
+	// maxSlowShare is the largest share of the servers that may be suspected of slowness. If
+	// more are, the load or the network is the cause, and the others could not take over.
+	maxSlowShare = 0.3
+)
 
-func newSuspicionLimiter() *rate.Limiter { return rate.NewLimiter(suspicionRate, suspicionRate) }
+// suspicionSender limits the suspicions that an instance sends.
+type suspicionSender struct {
+	failing, slow *rate.Limiter
+}
 
-// suspicionCounter counts the suspicions against each server. Relayer calls it with its mutex
-// held.
+func newSuspicionSender() suspicionSender {
+	return suspicionSender{failing: rate.NewLimiter(suspicionRate, suspicionRate), slow: rate.NewLimiter(suspicionRate, suspicionRate)}
+}
+
+// allows reports whether a suspicion of this kind may be sent now.
+func (suspicionSender suspicionSender) allows(suspicion examiner.Suspicion, now time.Time) bool {
+	if suspicion == examiner.Slow {
+		return suspicionSender.slow.AllowN(now, 1)
+	}
+	return suspicionSender.failing.AllowN(now, 1)
+}
+
+// suspicionCounter counts the suspicions of one kind against each server. Relayer calls it
+// with its mutex held.
 type suspicionCounter interface {
 	// AddSuspicion counts a suspicion and returns for how long the server is to be ejected
 	// from now on, 0 if it is not.
 	AddSuspicion(token uint32, now time.Time) time.Duration
+	// SuspectCount returns how many servers are suspected.
+	SuspectCount(now time.Time) int
 }
 
 // ReportSuspicion counts a suspicion against the server with this token if this instance is a
 // leader, and sends it to the leaders of the failure domain otherwise.
-func (relayer *Relayer) ReportSuspicion(token uint32) {
+func (relayer *Relayer) ReportSuspicion(token uint32, suspicion examiner.Suspicion) {
 	now := time.Now()
+	var report Heartbeat
+	if suspicion == examiner.Slow {
+		report.SlowSuspicions = []uint32{token}
+	} else {
+		report.Suspicions = []uint32{token}
+	}
 	if relayer.isLeader() {
-		relayer.countSuspicions([]uint32{token}, now)
+		relayer.handleSuspicions(report, now)
 		return
 	}
-	if !relayer.suspicionLimiter.AllowN(now, 1) {
+	if !relayer.suspicionSender.allows(suspicion, now) {
 		return
 	}
-	relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Suspicions = []uint32{token} }, now, func(member Member, position int) bool {
+	fill := func(heartbeat *Heartbeat) {
+		heartbeat.Suspicions, heartbeat.SlowSuspicions = report.Suspicions, report.SlowSuspicions
+	}
+	relayer.sendReport(fill, now, func(member Member, position int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain && position < leadersPerDomain
 	})
 }
 
-// countSuspicions counts suspicions, and ejects the servers that have too many on all
-// instances of the failure domain.
-func (relayer *Relayer) countSuspicions(tokens []uint32, now time.Time) {
+// handleSuspicions processes the suspicions and the ejections in a heartbeat. Only a leader
+// counts suspicions. It reports failing servers to its failure domain at once, slow ones
+// with the next report.
+func (relayer *Relayer) handleSuspicions(heartbeat Heartbeat, now time.Time) {
+	if relayer.isLeader() {
+		if failing := relayer.countSuspicions(relayer.failureCounter, heartbeat.Suspicions, now); len(failing) > 0 {
+			relayer.eject(failing)
+			relayer.reportEjections(failing, now)
+		}
+		relayer.addSlowServers(heartbeat.SlowSuspicions, now)
+	}
+	relayer.eject(heartbeat.Ejections)
+	relayer.relaySlowServers(heartbeat)
+}
+
+// countSuspicions counts suspicions, and returns the ejections of servers that have too many.
+func (relayer *Relayer) countSuspicions(counter suspicionCounter, tokens []uint32, now time.Time) []Ejection {
 	var ejections []Ejection
 	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
 	for _, token := range tokens {
-		if duration := relayer.suspicionCounter.AddSuspicion(token, now); duration > 0 {
+		if duration := counter.AddSuspicion(token, now); duration > 0 {
 			ejections = append(ejections, Ejection{Token: token, Duration: duration})
 		}
 	}
+	return ejections
+}
+
+// addSlowServers counts suspicions of slowness, ejects the servers that have too many, and
+// keeps them for the next report unless too many servers are suspected.
+func (relayer *Relayer) addSlowServers(tokens []uint32, now time.Time) {
+	slow := relayer.countSuspicions(relayer.slownessCounter, tokens, now)
+	view := relayer.viewer.Current()
+	if len(slow) == 0 || view.Servers == nil {
+		return
+	}
+	for i := range slow {
+		slow[i].IsSlow = true
+	}
+	relayer.mutex.Lock()
+	manySuspects := float64(relayer.slownessCounter.SuspectCount(now)) > maxSlowShare*float64(len(view.Servers.List))
 	relayer.mutex.Unlock()
-	if len(ejections) == 0 {
+	if !manySuspects {
+		relayer.addUnreported(slow)
+		relayer.eject(slow)
+	}
+}
+
+// addUnreported keeps ejections for the next report.
+func (relayer *Relayer) addUnreported(ejections []Ejection) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	free := maxReportedEjections - len(relayer.unreportedEjections)
+	relayer.unreportedEjections = append(relayer.unreportedEjections, ejections[:min(free, len(ejections))]...)
+}
+
+// relaySlowServers passes slow servers that a leader of another failure domain has found in
+// its own domain on to this domain. There the network between the domains cannot be what
+// made them look slow.
+func (relayer *Relayer) relaySlowServers(heartbeat Heartbeat) {
+	if heartbeat.Sender.FailureDomain == relayer.self.FailureDomain || !relayer.isLeader() {
 		return
 	}
-	relayer.eject(ejections)
-	relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = ejections }, now, func(member Member, _ int) bool {
-		return member.FailureDomain == relayer.self.FailureDomain
-	})
+	view := relayer.viewer.Current()
+	for _, ejection := range heartbeat.Ejections {
+		if server := view.ServerByToken(ejection.Token); ejection.IsSlow && server != nil && server.FailureDomain == heartbeat.Sender.FailureDomain {
+			relayer.addUnreported([]Ejection{ejection})
+		}
+	}
 }
 
-// handleSuspicions processes the suspicions and the ejections in a heartbeat. Only a leader
-// counts suspicions.
-func (relayer *Relayer) handleSuspicions(heartbeat Heartbeat, now time.Time) {
-	if len(heartbeat.Suspicions) > 0 && relayer.isLeader() {
-		relayer.countSuspicions(heartbeat.Suspicions, now)
+// inOwnDomain returns the ejections of servers in this instance's failure domain.
+func (relayer *Relayer) inOwnDomain(ejections []Ejection) []Ejection {
+	view := relayer.viewer.Current()
+	var own []Ejection
+	for _, ejection := range ejections {
+		if server := view.ServerByToken(ejection.Token); server != nil && server.FailureDomain == relayer.self.FailureDomain {
+			own = append(own, ejection)
+		}
 	}
-	relayer.eject(heartbeat.Ejections)
+	return own
+}
+
+// reportSlowServers sends the failure domain the slow servers that were found since the last
+// report, and the leaders of the other domains those of them in this domain.
+func (relayer *Relayer) reportSlowServers(now time.Time) {
+	relayer.mutex.Lock()
+	ejections := relayer.unreportedEjections
+	if len(ejections) == 0 || now.Sub(relayer.slowReportedAt) < slowReportInterval {
+		relayer.mutex.Unlock()
+		return
+	}
+	relayer.unreportedEjections, relayer.slowReportedAt = nil, now
+	relayer.mutex.Unlock()
+	relayer.reportEjections(ejections, now)
+	if own := relayer.inOwnDomain(ejections); len(own) > 0 {
+		relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = own }, now, func(member Member, position int) bool {
+			return member.FailureDomain != relayer.self.FailureDomain && position < leadersPerDomain
+		})
+	}
+}
+
+// reportEjections sends ejections to the instances of this failure domain.
+func (relayer *Relayer) reportEjections(ejections []Ejection, now time.Time) {
+	relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = ejections }, now, func(member Member, _ int) bool {
+		return member.FailureDomain == relayer.self.FailureDomain
+	})
 }
 
 // eject passes ejections to the observer, which decides whether to apply them.
 func (relayer *Relayer) eject(ejections []Ejection) {
 	for _, ejection := range ejections {
-		relayer.observer.EjectServer(ejection.Token, ejection.Duration)
+		relayer.observer.EjectServer(ejection)
 	}
 }
 
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -128,7 +128,7 @@
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
 	if responseTime := flow.responseTime(); responseTime > 0 {
 		steerer.placer.RecordResponseTime(flow.server, responseTime, now)
-		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment)
+		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment, responseTime)
 	}
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -32,10 +32,10 @@
 	ExpireServers(before time.Time)
 }
 
-// responseRecorder looks for failed requests by the length of their responses;
+// responseRecorder looks for failing and slow servers by their responses;
 // examiner.Examiner implements it.
 type responseRecorder interface {
-	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32)
+	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration)
 }
 
 // Observer receives the events of flows for logs and counters.
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -31,7 +31,7 @@
 	responseLengths []uint32
 }
 
-func (harness *harness) RecordResponse(_ netip.AddrPort, _ *viewer.BackendServer, bytes uint32) {
+func (harness *harness) RecordResponse(_ netip.AddrPort, _ *viewer.BackendServer, bytes uint32, _ time.Duration) {
 	harness.responseLengths = append(harness.responseLengths, bytes)
 }
 
