Check heartbeats, and do not act on what a pause made old

Cause: the six failures that operators of similar systems saw, looked for in what instances send each other. Each of these has a test that failed first: - a heartbeat without addresses, with an age in the future, a negative number of instances or an ejection of an hour was believed: with age -1 h an instance would not have read the store for an hour.

--- a/director/director.go
+++ b/director/director.go
@@ -183,6 +183,7 @@
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
+	instance.Relayer.SetPauseDetector(instance.Ticker.JustResumed)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.PlatformSettings.Instance,
 		"failure_domain", instance.PlatformSettings.FailureDomain, "packet_address", instance.PlatformSettings.PacketAddress.String())
 	go instance.Network.Run(func(content []byte) {
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -33,7 +33,7 @@
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
-	socketFailureAt map[string]time.Time // by socket: when its last error was logged
+	failureLoggedAt map[string]time.Time // by socket or kind of message: when its last error was logged
 	ready           bool                 // as last reported to the fabric
 	reportedDropped uint64               // dropped log lines, as last logged
 }
@@ -51,7 +51,7 @@
 		responseTimes:   &expvar.Map{},
 		queue:           queue,
 		failingCalls:    map[string]bool{},
-		socketFailureAt: map[string]time.Time{},
+		failureLoggedAt: map[string]time.Time{},
 	}
 	recorder.SetVerbosity(settings.Log.Verbosity)
 	return recorder
@@ -107,27 +107,40 @@
 	recorder.counters.Add("malformed_length", 1)
 }
 
-// socketFailureInterval is the shortest time between two log lines about errors of one socket.
+// socketFailureInterval is the shortest time between two log lines about errors of one socket, or
+// about malformed messages of one kind.
 const socketFailureInterval = 10 * time.Second
 
 // SocketFailed counts a datagram that could not be received or sent, and logs one
 // such error per socket and socketFailureInterval.
 func (recorder *Recorder) SocketFailed(socket string, err error) {
 	recorder.counters.Add("socket_errors_"+socket, 1)
+	if recorder.logDue(socket) {
+		recorder.Event(logger.EventSocketFailed, "socket", socket, "error", err.Error())
+	}
+}
+
+// logDue reports whether an error of this kind was last logged socketFailureInterval ago, and
+// if so counts it as logged now.
+func (recorder *Recorder) logDue(kind string) bool {
 	now := time.Now()
 	recorder.mutex.Lock()
-	due := now.Sub(recorder.socketFailureAt[socket]) >= socketFailureInterval
-	if due {
-		recorder.socketFailureAt[socket] = now
-	}
-	recorder.mutex.Unlock()
+	defer recorder.mutex.Unlock()
+	due := now.Sub(recorder.failureLoggedAt[kind]) >= socketFailureInterval
 	if due {
-		recorder.Event(logger.EventSocketFailed, "socket", socket, "error", err.Error())
+		recorder.failureLoggedAt[kind] = now
 	}
+	return due
 }
 
-// HeartbeatMalformed counts a heartbeat that cannot be decoded.
-func (recorder *Recorder) HeartbeatMalformed(error) { recorder.counters.Add("malformed_heartbeats", 1) }
+// HeartbeatMalformed counts a heartbeat that cannot be decoded or is invalid, and logs one
+// such error per socketFailureInterval.
+func (recorder *Recorder) HeartbeatMalformed(err error) {
+	recorder.counters.Add("malformed_heartbeats", 1)
+	if recorder.logDue("malformed heartbeat") {
+		recorder.Event(logger.EventHeartbeatInvalid, "error", err.Error())
+	}
+}
 
 // Decided logs a decision about a flow if lines about single flows are enabled.
 func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
--- a/director/responder.go
+++ b/director/responder.go
@@ -89,7 +89,7 @@
 func (responder *Responder) Close() { responder.notReady.Store(true) }
 
 func (responder *Responder) ready() bool {
-	return !responder.notReady.Load() && responder.viewer.Current().Complete()
+	return !responder.notReady.Load() && responder.viewer.Current().Complete() && responder.relayer.Confirmed(time.Now())
 }
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -39,6 +39,7 @@
 	EventChangesUnavailable   decider.EventKind = 508
 	EventServerFailing        decider.EventKind = 509
 	EventServerSlow           decider.EventKind = 510
+	EventHeartbeatInvalid     decider.EventKind = 511
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -70,6 +71,7 @@
 	EventChangesUnavailable:   "changes not available from the store, reading all entries",
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
+	EventHeartbeatInvalid:     "heartbeat cannot be used",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -111,7 +111,7 @@
 	var unresponsive []*peer
 	relayer.mutex.Lock()
 	for name, peer := range relayer.members {
-		if peer.FailureDomain == relayer.self.FailureDomain && peer.unresponsiveFor(now) > memberTimeout {
+		if peer.FailureDomain == relayer.self.FailureDomain && peer.unresponsiveFor(now) > memberTimeout && peer.unansweredCount >= minUnanswered {
 			unresponsive = append(unresponsive, peer)
 			delete(relayer.members, name)
 		}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -77,8 +77,9 @@
 // still unanswered.
 func (peer *peer) markSent(now time.Time) {
 	if !peer.unansweredSince.After(peer.receivedAt) {
-		peer.unansweredSince = now
+		peer.unansweredSince, peer.unansweredCount = now, 0
 	}
+	peer.unansweredCount++
 }
 
 // allMembers returns all members, this instance included. Members that are leaving
@@ -121,13 +122,16 @@
 }
 
 // Receive processes a heartbeat datagram of another instance, and returns an error if it
-// cannot be decoded. Heartbeats of this instance or without a sender are ignored.
+// cannot be decoded or is invalid. Heartbeats of this instance are ignored.
 func (relayer *Relayer) Receive(ctx context.Context, content []byte) error {
 	var heartbeat Heartbeat
 	if err := decode(content, &heartbeat); err != nil {
 		return err
 	}
-	if heartbeat.Sender.Name == relayer.self.Name || heartbeat.Sender.Name == "" {
+	if err := heartbeat.check(); err != nil {
+		return err
+	}
+	if heartbeat.Sender.Name == relayer.self.Name {
 		return nil
 	}
 	now := time.Now()
@@ -243,7 +247,9 @@
 // keepalive answer when one is due.
 func (relayer *Relayer) confirmFreshness(heartbeat Heartbeat, now time.Time) {
 	previousAge := relayer.Age(now)
-	relayer.markFresh(now.Add(-heartbeat.Age))
+	if !relayer.justResumed(now) { // otherwise the heartbeat may have waited in the socket
+		relayer.markFresh(now.Add(-heartbeat.Age))
+	}
 	isFresher := previousAge-relayer.Age(now) > ReadInterval/2
 	if isFresher && heartbeat.Sender.FailureDomain != relayer.self.FailureDomain && relayer.isLeader() {
 		relayer.announceToDomain()
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -1,12 +1,16 @@
 package relayer
 
 import (
+	"context"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/klauspost/compress/s2"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/examiner"
+	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -31,6 +35,104 @@
 	})
 }
 
+// mute is a network that sends nothing and returns the same content to each fetch.
+type mute struct{ fetched []byte }
+
+func (mute mute) Send(netip.AddrPort, []byte) {}
+
+func (mute mute) Fetch(context.Context, netip.AddrPort, uint64, uint64) ([]byte, error) {
+	return mute.fetched, nil
+}
+
+// newMuteRelayer returns a relayer with a view whose fetches return the content.
+func newMuteRelayer(fetched []byte) *Relayer {
+	node := &node{simulation: newFleetSimulation(), viewer: viewer.NewViewer()}
+	node.viewer.ApplyConfiguration(configurationWithRoutes(1, 2))
+	node.viewer.ApplyServers(&viewer.Servers{Revision: 1, List: []viewer.BackendServer{backendServer("a", parser.Active)}}, time.Now())
+	detectors := Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
+	return NewRelayer(Member{Name: "lb-0", FailureDomain: "dakar-0"}, nil, node.viewer, node, mute{fetched: fetched}, detectors, node)
+}
+
+func FuzzReceive(f *testing.F) {
+	sender := backendMember("lb-1")
+	server := backendServer("b", parser.Active)
+	snapshot := encode(snapshotEnvelope{Content: encode(Snapshot{Members: []Member{sender}, Servers: &viewer.Servers{Revision: 9}})})
+	f.Add(encode(Heartbeat{Sender: sender, ServersRevision: 7, ConfigurationVersion: 2}), snapshot)
+	f.Add(encode(Heartbeat{Sender: sender, Suspicions: []uint32{7, 7}, SlowSuspicions: []uint32{7, 7}, Ejections: []Ejection{{Token: 7, IsSlow: true}}}), snapshot)
+	f.Add(encode(Heartbeat{
+		Sender: sender, ServersRevision: 2, ConfigurationVersion: 2, Leaving: true,
+		ServersDelta: &viewer.ServerDelta{Base: 1, Revision: 2, Changed: []viewer.BackendServer{server}, Removed: []string{"a"}},
+		RouteDelta:   &viewer.RouteDelta{Base: 1, Version: 2, Removed: []netip.AddrPort{sender.PeerAddress}},
+	}), []byte{0xa0})
+	f.Fuzz(func(_ *testing.T, content, fetched []byte) {
+		relayer := newMuteRelayer(fetched)
+		if relayer.Receive(context.Background(), content) != nil {
+			return
+		}
+		relayer.fetch(context.Background(), sender)
+		relayer.announceToDomainAndLeaders()
+		relayer.Snapshot(0, 0)
+	})
+}
+
+func backendMember(name string) Member {
+	address := netip.MustParseAddrPort("10.0.0.9:7720")
+	return Member{Name: name, FailureDomain: "dakar-0", PeerAddress: address, ControlAddress: address}
+}
+
+func TestInvalidHeartbeatsChangeNothing(t *testing.T) {
+	valid := Heartbeat{Sender: backendMember("lb-1"), ServersRevision: 1, ConfigurationVersion: 1}
+	cases := map[string]func(heartbeat *Heartbeat){
+		"no name":                    func(heartbeat *Heartbeat) { heartbeat.Sender.Name = "" },
+		"no peer address":            func(heartbeat *Heartbeat) { heartbeat.Sender.PeerAddress = netip.AddrPort{} },
+		"no control address":         func(heartbeat *Heartbeat) { heartbeat.Sender.ControlAddress = netip.AddrPort{} },
+		"age in the future":          func(heartbeat *Heartbeat) { heartbeat.Age = -time.Hour },
+		"negative number of members": func(heartbeat *Heartbeat) { heartbeat.InstanceCount = -5 },
+		"ejection without an end":    func(heartbeat *Heartbeat) { heartbeat.Ejections = []Ejection{{Token: 7, Duration: time.Hour}} },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			relayer, heartbeat := newMuteRelayer(nil), valid
+			change(&heartbeat)
+			assert.Assert(t, relayer.Receive(t.Context(), encode(heartbeat)) != nil)
+			assert.Equal(t, len(relayer.members), 0)
+			assert.Equal(t, relayer.Instances(), 1)
+			assert.Assert(t, relayer.schedule.freshAt.IsZero())
+		})
+	}
+	relayer := newMuteRelayer(nil)
+	assert.NilError(t, relayer.Receive(t.Context(), encode(valid)))
+	assert.Equal(t, len(relayer.members), 1)
+}
+
+func TestHeartbeatsQueuedDuringAPauseDoNotConfirmTheView(t *testing.T) {
+	relayer := newMuteRelayer(nil)
+	paused := true
+	relayer.SetPauseDetector(func(time.Time) bool { return paused })
+	heartbeat := encode(Heartbeat{Sender: backendMember("lb-1"), ServersRevision: 1, ConfigurationVersion: 1})
+	assert.NilError(t, relayer.Receive(t.Context(), heartbeat))
+	assert.Assert(t, relayer.schedule.freshAt.IsZero(), "the heartbeat may have waited in the socket for the whole pause")
+	paused = false
+	assert.NilError(t, relayer.Receive(t.Context(), heartbeat))
+	assert.Assert(t, !relayer.schedule.freshAt.IsZero())
+}
+
+func TestPausedReaderRemovesNobody(t *testing.T) {
+	relayer := newMuteRelayer(nil)
+	member := backendMember("lb-1")
+	relayer.addMembers([]Member{member}, time.Now())
+	for range 5 {
+		relayer.announceToDomainAndLeaders()
+	}
+	relayer.removeUnresponsive(t.Context(), time.Now().Add(2*memberTimeout)) // the process was paused in between
+	assert.Equal(t, len(relayer.members), 1)
+	for range minUnanswered {
+		relayer.announceToDomainAndLeaders()
+	}
+	relayer.removeUnresponsive(t.Context(), time.Now().Add(2*memberTimeout))
+	assert.Equal(t, len(relayer.members), 0)
+}
+
 func TestTooLongSnapshotIsRejected(t *testing.T) {
 	content := encode(snapshotEnvelope{IsCompressed: true, Content: s2.Encode(nil, make([]byte, maxSnapshotSize+1))})
 	_, _, err := decodeSnapshot(content)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -36,6 +36,30 @@
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 }
 
+// maxEjectionDuration is the longest ejection that is accepted from another instance.
+const maxEjectionDuration = time.Minute
+
+// check returns an error if a field of the heartbeat has an impossible value.
+func (heartbeat *Heartbeat) check() error {
+	sender := &heartbeat.Sender
+	switch {
+	case sender.Name == "":
+		return errors.New("heartbeat has no sender")
+	case !sender.PeerAddress.IsValid() || !sender.ControlAddress.IsValid():
+		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
+	case heartbeat.Age < 0:
+		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
+	case heartbeat.InstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	}
+	for _, ejection := range heartbeat.Ejections {
+		if ejection.Duration > maxEjectionDuration {
+			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
+		}
+	}
+	return nil
+}
+
 // Ejection excludes the backend server with Token from selection for new flows for Duration.
 type Ejection struct {
 	Token    uint32        `cbor:"1,keyasint"`
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,6 +23,9 @@
 	// memberTimeout is how long a member may leave announcements unanswered before it
 	// is removed from the list.
 	memberTimeout = 90 * time.Second
+	// minUnanswered is how many announcements a member must have left unanswered, so that a
+	// pause of this process does not count against it.
+	minUnanswered = 50
 	// membersReadInterval is how often the reader reads the list of members from the
 	// store.
 	membersReadInterval = 10 * time.Second
@@ -38,6 +41,9 @@
 	// firstReadTimeout is how long a starting instance waits for the store before it
 	// fetches a long list from a peer.
 	firstReadTimeout = 1500 * time.Millisecond
+	// confirmationTimeout is how long a starting instance waits for a confirmation of its view
+	// before it accepts packets regardless.
+	confirmationTimeout = 2 * time.Second
 	// retryInterval is the pause between two attempts to get a first view from the
 	// seeds; registration in the store is retried after twice as long.
 	retryInterval = 400 * time.Millisecond
@@ -127,7 +133,8 @@
 	triedSnapshot     bool   // whether the saved snapshot was loaded, or found missing, at the start
 	skippedRevision   uint64 // revision of the store up to which only this instance has written since the view's
 
-	unreportedEjections []Ejection // of slow servers, since the last report
+	justResumed         func(now time.Time) bool // whether the process was paused until a moment ago
+	unreportedEjections []Ejection               // of slow servers, since the last report
 	slowReportedAt      time.Time
 
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
@@ -139,6 +146,7 @@
 	Member
 	receivedAt      time.Time // when its last heartbeat was received; at first when it was listed
 	unansweredSince time.Time // when the first announcement after receivedAt was sent to it
+	unansweredCount int       // announcements sent to it since then
 	answeredAt      time.Time // when the last answer was sent to it
 	leaving         bool
 }
@@ -158,6 +166,7 @@
 		suspicionSender: newSuspicionSender(),
 		members:         map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
+	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
 	return relayer
 }
@@ -228,6 +237,12 @@
 	relayer.schedule.changeDeadline = deadline
 }
 
+// SetPauseDetector sets the function that reports whether the process has just resumed from a
+// pause.
+func (relayer *Relayer) SetPauseDetector(justResumed func(now time.Time) bool) {
+	relayer.justResumed = justResumed
+}
+
 // Instances returns the number of instances in the fleet, this one included. A leader
 // counts its members; other instances may not know all and use the number that a
 // leader sent. It never waits, since every new flow needs it.
@@ -249,6 +264,15 @@
 	return relayer.schedule.isLeader
 }
 
+// Confirmed reports whether the store or another instance has confirmed the view, or
+// confirmationTimeout has passed since the start. Before that the view may be the saved
+// snapshot alone, which can name servers that have left.
+func (relayer *Relayer) Confirmed(now time.Time) bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return !relayer.schedule.freshAt.IsZero() || now.Sub(relayer.startedAt) > confirmationTimeout
+}
+
 // Rank returns the position of the instance in the order in which instances read the store;
 // 0 is the reader.
 func (relayer *Relayer) Rank() int {
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -70,6 +70,9 @@
 			return snapshot, 0, errors.Wrap(err, "decompress snapshot")
 		}
 	}
+	if envelope.Age < 0 {
+		return snapshot, 0, errors.Errorf("snapshot has age %s", envelope.Age)
+	}
 	err := decode(envelope.Content, &snapshot)
 	return snapshot, envelope.Age, err
 }
