Measure no pause between requests as response time

Change: the end of a response is the last packet without data that acknowledges more; a response that was never acknowledged alone has no time.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -38,7 +38,7 @@
 	requestReceivedAt     time.Time // when the last request began; zero until the first data
 	firstAcknowledgment   uint32    // of the packet that established the flow
 	lastAcknowledgment    uint32    // of the last packet
-	acknowledgedAt        time.Time // when lastAcknowledgment last changed
+	acknowledgedAt        time.Time // when a packet without data last acknowledged more; zero if none has since the last request
 	requestAcknowledgment uint32    // of the last request's first packet
 }
 
@@ -92,11 +92,14 @@
 		steerer.assignLoad(flow, server, now)
 	}
 	if packet.Acknowledgment != flow.lastAcknowledgment {
-		flow.lastAcknowledgment, flow.acknowledgedAt = packet.Acknowledgment, now
+		flow.lastAcknowledgment = packet.Acknowledgment
+		if packet.PayloadLength == 0 { // otherwise the caller may have paused before its next request
+			flow.acknowledgedAt = now
+		}
 	}
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
-		flow.requestReceivedAt, flow.requestAcknowledgment = now, packet.Acknowledgment
+		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
 	}
 	switch {
 	case packet.Flags.RST:
@@ -128,14 +131,14 @@
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
 	if responseTime := flow.responseTime(); responseTime > 0 {
 		steerer.placer.RecordResponseTime(flow.server, responseTime, now)
-		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment, responseTime)
+		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment, responseTime, now)
 	}
 }
 
 // responseTime returns the time from the last request until the caller acknowledged the end
-// of its response, or 0 before any response to it.
+// of its response, or 0 if it has not done so with a packet of its own.
 func (flow *flow) responseTime() time.Duration {
-	if flow.requestReceivedAt.IsZero() || flow.lastAcknowledgment == flow.requestAcknowledgment {
+	if flow.requestReceivedAt.IsZero() || flow.acknowledgedAt.IsZero() || flow.lastAcknowledgment == flow.requestAcknowledgment {
 		return 0
 	}
 	return flow.acknowledgedAt.Sub(flow.requestReceivedAt)
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -35,7 +35,7 @@
 // responseRecorder looks for failing and slow servers by their responses;
 // examiner.Examiner implements it.
 type responseRecorder interface {
-	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration)
+	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time)
 }
 
 // Observer receives the events of flows for logs and counters.
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -29,10 +29,12 @@
 	ended           []FlowSummary
 	ejected         []string
 	responseLengths []uint32
+	responseTimes   []time.Duration
 }
 
-func (harness *harness) RecordResponse(_ netip.AddrPort, _ *viewer.BackendServer, bytes uint32, _ time.Duration) {
+func (harness *harness) RecordResponse(_ netip.AddrPort, _ *viewer.BackendServer, bytes uint32, duration time.Duration, _ time.Time) {
 	harness.responseLengths = append(harness.responseLengths, bytes)
+	harness.responseTimes = append(harness.responseTimes, duration)
 }
 
 func (harness *harness) Decided(verdict *Verdict, _ *viewer.View) {
@@ -317,6 +319,19 @@
 	assert.Equal(t, harness.ended[0].ResponseTime, 30*time.Millisecond)
 }
 
+func TestPauseBeforeTheNextRequestIsNoResponseTime(t *testing.T) {
+	harness := newHarness("a")
+	token := tokenOf("a")
+	harness.Decide(opening(1), start)
+	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start)
+	harness.Decide(laterPacket(1, token, 2500, 0, Flags{}), start.Add(40*time.Millisecond))
+	second, third := start.Add(time.Second), start.Add(2*time.Second)
+	harness.Decide(laterPacket(1, token, 3000, 50, Flags{}), second) // acknowledges the rest of the first response
+	harness.Decide(laterPacket(1, token, 3500, 50, Flags{}), third)  // and this all of the second one
+	assert.DeepEqual(t, harness.responseLengths, []uint32{2900})
+	assert.DeepEqual(t, harness.responseTimes, []time.Duration{40 * time.Millisecond})
+}
+
 func TestUploadIsOneRequest(t *testing.T) {
 	harness := newHarness("a")
 	token := tokenOf("a")
