Judge a server that is seen often by its own average

Cause: in a fleet of seven an instance sees each server some 30 times in ten seconds; several responses of four times the average in 3 s are regular there and ejected working servers. Change: slow responses are a suspicion only of a server that the instance has seen at most four times lately (older responses count less, by a factor of e in ten seconds).

--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -1,6 +1,7 @@
 package examiner
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -22,12 +23,18 @@
 	// slowResponseRatio is how many times the route's average response time a response must
 	// take to be suspicious; few regular responses in a thousand do.
 	slowResponseRatio = 4
+	// sightingMemory is the time after which a response of a server counts e times less as a
+	// recent one, and maxSightings how many recent ones let an instance judge the server by
+	// its own average. Slow responses of such a server are no suspicion: where responses are
+	// many, several slow ones are regular.
+	sightingMemory = 10 * time.Second
+	maxSightings   = 4.0
 	// timeSmoothing is the weight of a response in the moving average of a route's response
 	// times.
 	timeSmoothing = 0.05
-	// maxRoutes bounds the routes with an average; a further route discards all averages.
-	// Without it the number would grow as long as the process lives, because routes are
-	// added and removed.
+	// maxRoutes bounds the routes with an average, and the servers with sightings; a further
+	// one discards all. Without it the number would grow as long as the process lives,
+	// because routes and servers are added and removed.
 	maxRoutes = 20_000
 )
 
@@ -52,6 +59,7 @@
 // route; it is not safe for concurrent use.
 type Examiner struct {
 	averages     map[netip.AddrPort]*responseAverage // by route address
+	sightings    map[uint32]*sightings               // by the server's token
 	onSuspicious func(server *viewer.BackendServer, suspicion Suspicion)
 }
 
@@ -62,15 +70,21 @@
 	samples int
 }
 
+// sightings counts the recent responses of a server at this instance.
+type sightings struct {
+	count  float64
+	lastAt time.Time
+}
+
 // NewExaminer returns an Examiner that calls onSuspicious for each suspicious response.
 func NewExaminer(onSuspicious func(server *viewer.BackendServer, suspicion Suspicion)) *Examiner {
-	return &Examiner{averages: map[netip.AddrPort]*responseAverage{}, onSuspicious: onSuspicious}
+	return &Examiner{averages: map[netip.AddrPort]*responseAverage{}, sightings: map[uint32]*sightings{}, onSuspicious: onSuspicious}
 }
 
 // RecordResponse compares the length in bytes of a complete response, and the time that it
 // took, with the route's averages, reports the server if the response is suspicious, and
 // updates the averages.
-func (examiner *Examiner) RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration) {
+func (examiner *Examiner) RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time) {
 	average := examiner.averages[route]
 	if average == nil {
 		if len(examiner.averages) >= maxRoutes {
@@ -80,7 +94,8 @@
 		examiner.averages[route] = average
 	}
 	average.samples++
-	if average.samples > minRouteSamples && duration.Seconds() > slowResponseRatio*average.seconds {
+	seenRarely := examiner.countSighting(server, now) <= maxSightings
+	if seenRarely && average.samples > minRouteSamples && duration.Seconds() > slowResponseRatio*average.seconds {
 		examiner.onSuspicious(server, Slow)
 	}
 	average.seconds += timeSmoothing * (duration.Seconds() - average.seconds)
@@ -91,3 +106,18 @@
 	}
 	average.bytes += lengthSmoothing * (float64(bytes) - average.bytes)
 }
+
+// countSighting counts a response of a server, and returns the number of recent ones.
+func (examiner *Examiner) countSighting(server *viewer.BackendServer, now time.Time) float64 {
+	seen := examiner.sightings[server.Token]
+	if seen == nil {
+		if len(examiner.sightings) >= maxRoutes {
+			clear(examiner.sightings)
+		}
+		seen = &sightings{lastAt: now}
+		examiner.sightings[server.Token] = seen
+	}
+	seen.count = 1 + seen.count*math.Exp(-now.Sub(seen.lastAt).Seconds()/sightingMemory.Seconds())
+	seen.lastAt = now
+	return seen.count
+}
