Pass a view on, and take one, while the store hangs

Figures: TestViewSurvivesRestartsOfAllInstancesInAnOutage, TestInstanceStartedWhileTheStoreHangsAsksTheSeeds and TestLeaderStartedWhileTheStoreIsSlowIsConfirmedByOthers fail without it.

--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -20,15 +20,15 @@
 }
 
 // fetchFromSeeds fetches a first view from the seeds until the view is complete, which the
-// store usually achieves first. It does not ask them while the first read of the store is
-// pending, as they start together with a new fleet.
+// store usually achieves first. It does not ask the seeds of a new fleet, which start at the
+// same time, before they have had time to save a first snapshot.
 func (relayer *Relayer) fetchFromSeeds(ctx context.Context) {
 	for {
 		ticker.Sleep(ctx, retryInterval)
 		if ctx.Err() != nil || relayer.viewer.Current().Complete() {
 			return
 		}
-		if relayer.firstReadPending(time.Now()) {
+		if relayer.awaitsFirstSnapshot(time.Now()) {
 			continue
 		}
 		relayer.mutex.Lock()
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -57,6 +57,9 @@
 	found, err := relayer.loadSnapshot(ctx)
 	isSeed := relayer.isSeed()
 	if err == nil && !found && !isSeed {
+		relayer.mutex.Lock()
+		relayer.saved.missing = true
+		relayer.mutex.Unlock()
 		ticker.Sleep(ctx, firstSnapshotWait)
 		found, err = relayer.loadSnapshot(ctx)
 	}
@@ -69,10 +72,13 @@
 	}
 	isLeader := relayer.schedule.isLeader
 	relayer.mutex.Unlock()
+	if found {
+		relayer.announceToLeaders() // their answers are faster than a slow store
+	}
 	switch {
-	case err != nil:
-	case found && !isLeader:
-		relayer.announceToLeaders()
+	case err != nil && isLeader:
+		relayer.announceToDomainAndLeaders() // others that start may have no view yet
+	case err != nil, found && !isLeader:
 	case !found && isSeed:
 		relayer.read(ctx)
 		ticker.Sleep(ctx, registrationTime)
@@ -83,6 +89,14 @@
 	}
 }
 
+// awaitsFirstSnapshot reports whether this instance belongs to a new fleet whose seeds are
+// still about to save the first snapshot.
+func (relayer *Relayer) awaitsFirstSnapshot(now time.Time) bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return relayer.saved.missing && now.Sub(relayer.startedAt) < 2*firstSnapshotWait
+}
+
 // isSeed reports whether this instance is one of the seeds.
 func (relayer *Relayer) isSeed() bool {
 	relayer.mutex.Lock()
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -109,6 +109,7 @@
 
 // applySnapshot applies a snapshot that was requested at a time; age is its age at that time.
 func (relayer *Relayer) applySnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
+	relayer.addMembers(snapshot.Members, at) // first, as a leader announces a fresher view to them
 	if snapshot.Configuration != nil {
 		relayer.applyConfiguration(snapshot.Configuration, from.Name)
 	}
@@ -116,7 +117,6 @@
 		relayer.applyServers(snapshot.Servers, from.Name)
 		relayer.confirmFreshness(Heartbeat{Sender: from, Age: age, IsAnswer: true}, at)
 	}
-	relayer.addMembers(snapshot.Members, at)
 }
 
 // Snapshot returns an encoded snapshot for another instance that has this version of the
--- a/relayer/start_test.go
+++ b/relayer/start_test.go
@@ -134,3 +134,42 @@
 		})
 	}
 }
+
+func TestInstanceStartedWhileTheStoreHangsAsksTheSeeds(t *testing.T) {
+	runWithFleet(t, 30, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.update(func() { simulation.callDelay = 5 * time.Second })
+		advance(time.Second)
+		restarted := nodes[50:55]
+		simulation.restart(t, restarted, 500*time.Millisecond, func() {})
+		advance(retryInterval + 20*time.Millisecond)
+		for _, node := range restarted {
+			assert.Assert(t, node.viewer.Current().Complete(), "%s has no view", node.member.Name)
+		}
+	})
+}
+
+func TestLeaderStartedWhileTheStoreIsSlowIsConfirmedByOthers(t *testing.T) {
+	runWithFleet(t, 3, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.update(func() { simulation.callDelay = 300 * time.Millisecond })
+		restarted := nodes[3:4]
+		simulation.restart(t, restarted, 500*time.Millisecond, func() {})
+		advance(350 * time.Millisecond)
+		assert.Assert(t, restarted[0].Confirmed(time.Now()))
+	})
+}
+
+// The last instance with a view, itself just started, passes it on although the store did not
+// answer its first call.
+func TestViewSurvivesRestartsOfAllInstancesInAnOutage(t *testing.T) {
+	runWithFleet(t, 3, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.update(func() { simulation.storeDown, simulation.callDelay = true, 1500*time.Millisecond })
+		simulation.restart(t, nodes[3:4], 100*time.Millisecond, func() {})
+		advance(time.Second)
+		others := append(append([]*node{}, nodes[:3]...), nodes[4:]...)
+		simulation.restart(t, others, 300*time.Millisecond, func() {})
+		advance(300 * time.Millisecond)
+		for _, node := range others {
+			assert.Assert(t, node.viewer.Current().Complete(), "%s has no view", node.member.Name)
+		}
+	})
+}
