Let the last instance read the store in 0.6 of the change deadline

Change: it reads after 0.6 of the deadline; the others are spread by the cube root of their hash, so that few read early.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -438,3 +438,23 @@
 		}
 	})
 }
+
+func TestInstanceCutOffFromAllOthersReadsTheStoreInTime(t *testing.T) {
+	for _, deadline := range []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		runWithFleet(t, 30, func(simulation *fleetSimulation, nodes []*node) {
+			for i, node := range nodes {
+				node.SetChangeDeadline(deadline)
+				if i%3 == 2 {
+					simulation.update(func() { simulation.cutOff[node.member.Name] = true })
+				}
+			}
+			for version := range uint64(3) {
+				simulation.publish(version + 2)
+				advance(deadline * 2 / 3)
+				for _, node := range nodes {
+					assert.Assert(t, node.hasVersion(version+2), "%s lacks version %d", node.member.Name, version+2)
+				}
+			}
+		})
+	}
+}
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -17,9 +17,9 @@
 	maxLeaderTakeoverDelay = time.Second
 	// defaultChangeDeadline is the change deadline unless the settings name one.
 	defaultChangeDeadline = 3 * time.Second
-	// readAllowance is the part of the change deadline that is left for reading the store and
-	// telling the failure domain.
-	readAllowance = 1200 * time.Millisecond
+	// takeoverShare is the part of the change deadline after which the last instance reads the
+	// store; the rest is left for a slow read and a slow instance.
+	takeoverShare = 0.6
 	// maxBackoffDoublings limits the exponential back-off of an instance that is not a
 	// leader to 3.2 s while the store does not answer.
 	maxBackoffDoublings = 2
@@ -92,7 +92,7 @@
 		return min(baseTakeoverDelay+time.Duration(schedule.rank)*takeoverDelayPerRank, maxLeaderTakeoverDelay)
 	}
 	longest := schedule.maxTakeoverDelay() - maxLeaderTakeoverDelay
-	return maxLeaderTakeoverDelay + time.Duration(math.Sqrt(schedule.spread)*float64(longest))
+	return maxLeaderTakeoverDelay + time.Duration(math.Cbrt(schedule.spread)*float64(longest))
 }
 
 // maxTakeoverDelay returns the longest delay that lets an instance apply a change by the
@@ -102,5 +102,5 @@
 	if deadline <= 0 {
 		deadline = defaultChangeDeadline
 	}
-	return max(deadline-readAllowance-ReadInterval, maxLeaderTakeoverDelay)
+	return max(time.Duration(takeoverShare*float64(deadline))-ReadInterval, maxLeaderTakeoverDelay)
 }
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -41,6 +41,7 @@
 	storeCalls       int
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
+	cutOff           map[string]bool // names of instances cut off from all others, but not from the store
 	partitioned      map[string]bool // failure domains cut off from the store and the other domains
 	nodes            map[netip.AddrPort]*node
 	started          []*node
@@ -71,7 +72,7 @@
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
 		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
-		rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
+		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
 
@@ -223,7 +224,7 @@
 	node.simulation.mutex.Lock()
 	defer node.simulation.mutex.Unlock()
 	other := node.simulation.nodes[address]
-	if other == nil {
+	if other == nil || node.simulation.cutOff[node.member.Name] || node.simulation.cutOff[other.member.Name] {
 		return nil
 	}
 	crossesDomains := other.member.FailureDomain != node.member.FailureDomain
