Report requests that a server lost

In its down phase a host resets openings and flows toward the callers, past the instances; an instance sees one host once in seconds to a minute, and nothing was shared. Ruled out: entries in the store (they don't change: no line 502 in those seconds), response lengths (there are none), health checks (they are to be false at times). Change: an opening without an answer, and a request whose caller sends nothing for 0.45 s (one that waits retransmits after 0.2 s), are suspicions like short responses; two within 1.5 s eject the server in the failure domain. Nothing is suspected for a second after a packet of a flow that another instance opened, since flows have moved then.

--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -43,7 +43,7 @@
 
 // Suspicions of a server.
 const (
-	Failing Suspicion = iota // the response is short, as an error page is
+	Failing Suspicion = iota // the response is short, as an error page is, or the request was lost
 	Slow                     // the response took long
 )
 
@@ -107,6 +107,11 @@
 	average.bytes += lengthSmoothing * (float64(bytes) - average.bytes)
 }
 
+// RecordLostRequest reports a server that did not take a request or an opening.
+func (examiner *Examiner) RecordLostRequest(server *viewer.BackendServer) {
+	examiner.onSuspicious(server, Failing)
+}
+
 // countSighting counts a response of a server, and returns the number of recent ones.
 func (examiner *Examiner) countSighting(server *viewer.BackendServer, now time.Time) float64 {
 	seen := examiner.sightings[server.Token]
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -33,6 +33,7 @@
 	established     bool // a packet other than an opening has arrived
 	ended           bool
 	countedAsLoad   bool // the placer counts the flow as open at server
+	isRetransmitted bool // the caller has retransmitted data of the last request
 
 	establishedAt         time.Time
 	requestReceivedAt     time.Time // when the last request began; zero until the first data
@@ -40,6 +41,7 @@
 	lastAcknowledgment    uint32    // of the last packet
 	acknowledgedAt        time.Time // when a packet without data last acknowledged more; zero if none has since the last request
 	requestAcknowledgment uint32    // of the last request's first packet
+	dataSequence          uint32    // of the last data
 }
 
 // track returns the state of a new flow, or nil if maxFlows are tracked already.
@@ -100,6 +102,12 @@
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
+		steerer.awaitResponse(flow)
+	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
+		flow.isRetransmitted = true
+	}
+	if packet.PayloadLength > 0 {
+		flow.dataSequence = packet.Sequence
 	}
 	switch {
 	case packet.Flags.RST:
@@ -152,6 +160,7 @@
 	flow.ended = true
 	steerer.assignLoad(flow, nil, now)
 	delete(steerer.flows, flow.key)
+	steerer.rememberClosed(flow.key, now)
 	summary := FlowSummary{Flow: flow.key, Server: flow.server, Established: flow.established, ResponseBytes: flow.lastAcknowledgment - flow.firstAcknowledgment, EndReason: reason}
 	if flow.established {
 		summary.HandshakeTime = flow.establishedAt.Sub(flow.openedAt)
@@ -170,6 +179,7 @@
 		return
 	}
 	steerer.lastSweepAt = now
+	steerer.expireClosed(now)
 	steerer.placer.ExpireServers(now.Add(-serverStateLifetime))
 	for _, flow := range steerer.flows {
 		timeout := flowIdleTimeout
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -35,6 +35,8 @@
 // responseRecorder looks for failing and slow servers by their responses;
 // examiner.Examiner implements it.
 type responseRecorder interface {
+	// RecordLostRequest is called for a request or an opening that its server did not take.
+	RecordLostRequest(server *viewer.BackendServer)
 	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time)
 }
 
@@ -82,12 +84,15 @@
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
 	lastSweepAt          time.Time
+	awaiting             []awaitedResponse     // in the order of the requests
+	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
+	foreignAt            time.Time             // when the last packet of another instance's flow arrived
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}}
+	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -201,9 +206,12 @@
 		return
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
-	if flow := steerer.flows[packet.Flow]; flow != nil {
-		steerer.observe(flow, packet, server, now)
+	flow := steerer.flows[packet.Flow]
+	if flow == nil {
+		steerer.noticeUntracked(packet.Flow, now)
+		return
 	}
+	steerer.observe(flow, packet, server, now)
 }
 
 // NextRetry returns the verdict that sends the next overdue opening to another
@@ -224,6 +232,7 @@
 			return verdict, true
 		}
 	}
+	steerer.reportLostRequests(now, drained)
 	steerer.expireFlows(now)
 	return Verdict{}, false
 }
@@ -231,6 +240,7 @@
 // recordUnanswered counts an unanswered opening against a server and reports the
 // server to the observer if it is ejected for it.
 func (steerer *Steerer) recordUnanswered(server *viewer.BackendServer, now time.Time) {
+	steerer.reportLost(server, now)
 	if steerer.placer.OpeningUnanswered(server, now) {
 		steerer.observer.ServerEjected(server)
 	}
