Tell other failure domains of a server's faults in its own

Cause: at the size of the large site a failure domain sees one server about once a second, so each of five found a flapping server by itself, after its down phase. Change: what a server's own failure domain finds, failing or slow, goes to the leaders of the others, every 0.3 s, and they tell their domains once. There the network between domains cannot be the cause.

--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -395,26 +395,30 @@
 	})
 }
 
-func TestSlowServerIsEjectedWhereItsSlownessIsCertain(t *testing.T) {
-	cases := map[string]struct {
+func TestServerIsEjectedWhereItsFaultIsCertain(t *testing.T) {
+	cases := []struct {
+		name         string
+		suspicion    examiner.Suspicion
 		serverDomain string
 		wantAll      bool
 	}{
-		"in the reporters' failure domain": {"dakar-0", true},
-		"in another failure domain":        {"dakar-1", false},
+		{"slow, in the reporters' failure domain", examiner.Slow, "dakar-0", true},
+		{"slow, in another failure domain", examiner.Slow, "dakar-1", false},
+		{"failing, in the reporters' failure domain", examiner.Failing, "dakar-0", true},
+		{"failing, in another failure domain", examiner.Failing, "dakar-1", false},
 	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
 			runWithFleet(t, 10, func(simulation *fleetSimulation, nodes []*node) {
 				simulation.addServers(100)
 				simulation.update(func() { simulation.servers[7].FailureDomain = c.serverDomain })
 				advance(applyTimeLimit)
 				token := simulation.servers[7].Token
 				for _, node := range nodes[4:7] {
-					node.Relayer.ReportSuspicion(token, examiner.Slow)
+					node.Relayer.ReportSuspicion(token, c.suspicion)
 					advance(500 * time.Millisecond)
 				}
-				advance(2*(slowReportInterval+tickInterval) + 10*time.Millisecond)
+				advance(2*(reportInterval+tickInterval) + 10*time.Millisecond)
 				for _, node := range nodes {
 					want := c.wantAll || node.member.FailureDomain == "dakar-0"
 					assert.Equal(t, slices.Contains(node.ejected, token), want, "%s", node.member.Name)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -133,9 +133,9 @@
 	triedSnapshot     bool   // whether the saved snapshot was loaded, or found missing, at the start
 	skippedRevision   uint64 // revision of the store up to which only this instance has written since the view's
 
-	justResumed         func(now time.Time) bool // whether the process was paused until a moment ago
-	unreportedEjections []Ejection               // of slow servers, since the last report
-	slowReportedAt      time.Time
+	justResumed  func(now time.Time) bool // whether the process was paused until a moment ago
+	unreported   unreportedEjections
+	relayedUntil map[uint32]time.Time // end of the ejections that were passed on from other failure domains, by token
 
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
@@ -164,7 +164,7 @@
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
 		suspicionSender: newSuspicionSender(),
-		members:         map[string]*peer{}, running: map[string]bool{}, startedAt: time.Now(), membersReadAt: time.Now(),
+		members:         map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
@@ -189,7 +189,7 @@
 		relayer.schedule.RecordAttempt(now)
 	}
 	relayer.mutex.Unlock()
-	relayer.reportSlowServers(now)
+	relayer.reportEjections(now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -286,10 +286,10 @@
 	node.ejected = append(node.ejected, ejection.Token)
 }
 
-// AddSuspicion ejects the server with token 7 at the node's third suspicion.
+// AddSuspicion ejects any server but that with token 9 at the node's third suspicion.
 func (node *node) AddSuspicion(token uint32, _ time.Time) time.Duration {
 	node.suspicionCount++
-	if token == 7 && node.suspicionCount == 3 {
+	if token != 9 && node.suspicionCount == 3 {
 		return time.Second
 	}
 	return 0
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -18,10 +18,10 @@
 	// suspicionRate limits the suspicions of each kind that one instance sends per second,
 	// and the burst, so that a service that fails as a whole does not overload the leaders.
 	suspicionRate = 5
-	// slowReportInterval is the shortest time between two reports of slow servers to the
-	// failure domain; those found meanwhile share a report.
-	slowReportInterval = 300 * time.Millisecond
-	// maxReportedEjections limits a report of slow servers, so that it fits one datagram.
+	// reportInterval is the shortest time between two reports of slow servers, and of any
+	// servers to other failure domains; those found meanwhile share a report.
+	reportInterval = 300 * time.Millisecond
+	// maxReportedEjections limits such a report, so that it fits one datagram.
 	maxReportedEjections = 50
 	// maxSlowShare is the largest share of the servers that may be suspected of slowness. If
 	// more are, the load or the network is the cause, and the others could not take over.
@@ -81,18 +81,19 @@
 }
 
 // handleSuspicions processes the suspicions and the ejections in a heartbeat. Only a leader
-// counts suspicions. It reports failing servers to its failure domain at once, slow ones
-// with the next report.
+// counts suspicions. It reports failing servers to its domain at once, all else with the
+// next report.
 func (relayer *Relayer) handleSuspicions(heartbeat Heartbeat, now time.Time) {
 	if relayer.isLeader() {
 		if failing := relayer.countSuspicions(relayer.failureCounter, heartbeat.Suspicions, now); len(failing) > 0 {
 			relayer.eject(failing)
-			relayer.reportEjections(failing, now)
+			relayer.sendEjections(failing, now)
+			relayer.queueForOthers(failing)
 		}
 		relayer.addSlowServers(heartbeat.SlowSuspicions, now)
 	}
 	relayer.eject(heartbeat.Ejections)
-	relayer.relaySlowServers(heartbeat)
+	relayer.relayEjections(heartbeat, now)
 }
 
 // countSuspicions counts suspicions, and returns the ejections of servers that have too many.
@@ -123,67 +124,102 @@
 	manySuspects := float64(relayer.slownessCounter.SuspectCount(now)) > maxSlowShare*float64(len(view.Servers.List))
 	relayer.mutex.Unlock()
 	if !manySuspects {
-		relayer.addUnreported(slow)
 		relayer.eject(slow)
+		relayer.queueForDomain(slow)
+		relayer.queueForOthers(slow)
 	}
 }
 
-// addUnreported keeps ejections for the next report.
-func (relayer *Relayer) addUnreported(ejections []Ejection) {
+// queueForDomain keeps ejections for the next report to this failure domain.
+func (relayer *Relayer) queueForDomain(ejections []Ejection) {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	free := maxReportedEjections - len(relayer.unreportedEjections)
-	relayer.unreportedEjections = append(relayer.unreportedEjections, ejections[:min(free, len(ejections))]...)
+	relayer.unreported.domain = appendLimited(relayer.unreported.domain, ejections)
 }
 
-// relaySlowServers passes slow servers that a leader of another failure domain has found in
-// its own domain on to this domain. There the network between the domains cannot be what
-// made them look slow.
-func (relayer *Relayer) relaySlowServers(heartbeat Heartbeat) {
+// queueForOthers keeps the ejections of servers in this failure domain for the next report to
+// the leaders of the others.
+func (relayer *Relayer) queueForOthers(ejections []Ejection) {
+	own := relayer.inDomain(ejections, relayer.self.FailureDomain)
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.unreported.others = appendLimited(relayer.unreported.others, own)
+}
+
+// appendLimited appends ejections up to maxReportedEjections.
+func appendLimited(queue, ejections []Ejection) []Ejection {
+	free := maxReportedEjections - len(queue)
+	return append(queue, ejections[:min(free, len(ejections))]...)
+}
+
+// relayEjections passes servers that a leader of another failure domain has found in its own
+// domain on to this domain. There the network between the domains cannot be the cause. The
+// second leader of a domain reports much the same, which is not passed on again.
+func (relayer *Relayer) relayEjections(heartbeat Heartbeat, now time.Time) {
 	if heartbeat.Sender.FailureDomain == relayer.self.FailureDomain || !relayer.isLeader() {
 		return
 	}
-	view := relayer.viewer.Current()
-	for _, ejection := range heartbeat.Ejections {
-		if server := view.ServerByToken(ejection.Token); ejection.IsSlow && server != nil && server.FailureDomain == heartbeat.Sender.FailureDomain {
-			relayer.addUnreported([]Ejection{ejection})
+	var unknown []Ejection
+	certain := relayer.inDomain(heartbeat.Ejections, heartbeat.Sender.FailureDomain)
+	relayer.mutex.Lock()
+	for _, ejection := range certain {
+		if until := now.Add(ejection.Duration); until.Sub(relayer.relayedUntil[ejection.Token]) > reportInterval {
+			relayer.relayedUntil[ejection.Token] = until
+			unknown = append(unknown, ejection)
 		}
 	}
+	for token, until := range relayer.relayedUntil {
+		if now.After(until) {
+			delete(relayer.relayedUntil, token)
+		}
+	}
+	relayer.mutex.Unlock()
+	if len(unknown) > 0 {
+		relayer.sendEjections(unknown, now)
+	}
 }
 
-// inOwnDomain returns the ejections of servers in this instance's failure domain.
-func (relayer *Relayer) inOwnDomain(ejections []Ejection) []Ejection {
+// inDomain returns the ejections of servers in a failure domain.
+func (relayer *Relayer) inDomain(ejections []Ejection, domain string) []Ejection {
 	view := relayer.viewer.Current()
-	var own []Ejection
+	var inside []Ejection
 	for _, ejection := range ejections {
-		if server := view.ServerByToken(ejection.Token); server != nil && server.FailureDomain == relayer.self.FailureDomain {
-			own = append(own, ejection)
+		if server := view.ServerByToken(ejection.Token); server != nil && server.FailureDomain == domain {
+			inside = append(inside, ejection)
 		}
 	}
-	return own
+	return inside
 }
 
-// reportSlowServers sends the failure domain the slow servers that were found since the last
-// report, and the leaders of the other domains those of them in this domain.
-func (relayer *Relayer) reportSlowServers(now time.Time) {
+// unreportedEjections are waiting for the next report.
+type unreportedEjections struct {
+	domain     []Ejection // for this failure domain
+	others     []Ejection // for the leaders of the others
+	reportedAt time.Time  // when the last report was sent
+}
+
+// reportEjections sends the ejections that are waiting.
+func (relayer *Relayer) reportEjections(now time.Time) {
 	relayer.mutex.Lock()
-	ejections := relayer.unreportedEjections
-	if len(ejections) == 0 || now.Sub(relayer.slowReportedAt) < slowReportInterval {
+	unreported := relayer.unreported
+	if len(unreported.domain)+len(unreported.others) == 0 || now.Sub(unreported.reportedAt) < reportInterval {
 		relayer.mutex.Unlock()
 		return
 	}
-	relayer.unreportedEjections, relayer.slowReportedAt = nil, now
+	relayer.unreported = unreportedEjections{reportedAt: now}
 	relayer.mutex.Unlock()
-	relayer.reportEjections(ejections, now)
-	if own := relayer.inOwnDomain(ejections); len(own) > 0 {
-		relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = own }, now, func(member Member, position int) bool {
+	if len(unreported.domain) > 0 {
+		relayer.sendEjections(unreported.domain, now)
+	}
+	if len(unreported.others) > 0 {
+		relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = unreported.others }, now, func(member Member, position int) bool {
 			return member.FailureDomain != relayer.self.FailureDomain && position < leadersPerDomain
 		})
 	}
 }
 
-// reportEjections sends ejections to the instances of this failure domain.
-func (relayer *Relayer) reportEjections(ejections []Ejection, now time.Time) {
+// sendEjections sends ejections to the instances of this failure domain.
+func (relayer *Relayer) sendEjections(ejections []Ejection, now time.Time) {
 	relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.Ejections = ejections }, now, func(member Member, _ int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain
 	})
