--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -52,7 +52,8 @@
 }
 
 // readFirst gives a starting instance its first view: the saved snapshot if there is one,
-// and otherwise what it reads of the store itself.
+// and otherwise what it reads of the store itself. A leader also reads the store, since the
+// others rely on it; a seed of a new fleet saves the first snapshot.
 func (relayer *Relayer) readFirst(ctx context.Context) {
 	found, err := relayer.loadSnapshot(ctx)
 	isSeed := relayer.isSeed()
@@ -78,7 +79,7 @@
 	switch {
 	case err != nil && isLeader:
 		relayer.announceToDomainAndLeaders() // others that start may have no view yet
-	case err != nil, found && !isLeader:
+	case err != nil, found && !isLeader: // peers complete the view
 	case !found && isSeed:
 		relayer.read(ctx)
 		ticker.Sleep(ctx, registrationTime)
