Eject no server while most are suspected

Since lost requests are suspicions, a cut makes nearly all servers suspect; the leaders reported each to 60 instances, again after every ejection, and instances that declined logged each report. Ruled out: lost requests of working servers (the domain reaches none of those named).

--- a/director/recorder.go
+++ b/director/recorder.go
@@ -222,13 +222,17 @@
 }
 
 // LogEjection counts and logs that a server fails its requests or is slow; ejected is
-// whether it gets no new flows for a time because of it.
+// whether it gets no new flows for a time because of it. Of servers that are not ejected, as
+// too many are already, it logs one in socketFailureInterval.
 func (recorder *Recorder) LogEjection(server *viewer.BackendServer, ejection relayer.Ejection, ejected bool) {
 	event, counter := logger.EventServerFailing, "failing"
 	if ejection.IsSlow {
 		event, counter = logger.EventServerSlow, "slow"
 	}
 	recorder.counters.Add(counter, 1)
+	if !ejected && !recorder.logDue("declined ejection") {
+		return
+	}
 	recorder.Event(event, "backend_server", server.Name, "service", server.Service,
 		"for", ejection.Duration.String(), "held_off", ejected)
 }
--- a/relayer/ejection.go
+++ b/relayer/ejection.go
@@ -2,17 +2,27 @@
 
 import "time"
 
-// Ejections of failing servers are sent to the failure domain at once. Those of slow servers,
-// and those for other failure domains, wait for a common report.
+// Ejections are reported to the failure domain, and those of servers in it to the leaders of the
+// other domains. Those that are found soon after a report wait for a common one.
 
 const (
-	// reportInterval is the shortest time between two reports of slow servers, and of any
-	// servers to other failure domains; those found meanwhile share a report.
+	// reportInterval is the shortest time between two reports.
 	reportInterval = 300 * time.Millisecond
 	// maxReportedEjections limits such a report, so that it fits one datagram.
 	maxReportedEjections = 50
 )
 
+// ejectAndReport ejects servers here and reports them.
+func (relayer *Relayer) ejectAndReport(ejections []Ejection, now time.Time) {
+	if len(ejections) == 0 {
+		return
+	}
+	relayer.eject(ejections)
+	relayer.queueForDomain(ejections)
+	relayer.queueForOthers(ejections)
+	relayer.reportEjections(now)
+}
+
 // queueForDomain keeps ejections for the next report to this failure domain.
 func (relayer *Relayer) queueForDomain(ejections []Ejection) {
 	relayer.mutex.Lock()
@@ -57,9 +67,8 @@
 		}
 	}
 	relayer.mutex.Unlock()
-	if len(unknown) > 0 {
-		relayer.sendEjections(unknown, now)
-	}
+	relayer.queueForDomain(unknown)
+	relayer.reportEjections(now)
 }
 
 // inDomain returns the ejections of servers in a failure domain.
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -18,9 +18,11 @@
 	// suspicionRate limits the suspicions of each kind that one instance sends per second,
 	// and the burst, so that a service that fails as a whole does not overload the leaders.
 	suspicionRate = 5
-	// maxSlowShare is the largest share of the servers that may be suspected of slowness. If
-	// more are, the load or the network is the cause, and the others could not take over.
-	maxSlowShare = 0.3
+	// maxSlowShare and maxFailingShare are the largest shares of the servers that may be
+	// suspected. If more are, the load or the network is the cause, and the others could not
+	// take over.
+	maxSlowShare    = 0.3
+	maxFailingShare = 0.5
 )
 
 // suspicionSender limits the suspicions that an instance sends.
@@ -76,24 +78,28 @@
 }
 
 // handleSuspicions processes the suspicions and the ejections in a heartbeat. Only a leader
-// counts suspicions. It reports failing servers to its domain at once, all else with the
-// next report.
+// counts suspicions.
 func (relayer *Relayer) handleSuspicions(heartbeat Heartbeat, now time.Time) {
 	if relayer.isLeader() {
-		if failing := relayer.countSuspicions(relayer.failureCounter, heartbeat.Suspicions, now); len(failing) > 0 {
-			relayer.eject(failing)
-			relayer.sendEjections(failing, now)
-			relayer.queueForOthers(failing)
+		failing := relayer.countSuspicions(relayer.failureCounter, heartbeat.Suspicions, maxFailingShare, now)
+		slow := relayer.countSuspicions(relayer.slownessCounter, heartbeat.SlowSuspicions, maxSlowShare, now)
+		for i := range slow {
+			slow[i].IsSlow = true
 		}
-		relayer.addSlowServers(heartbeat.SlowSuspicions, now)
+		relayer.ejectAndReport(append(failing, slow...), now)
 	}
 	relayer.eject(heartbeat.Ejections)
 	relayer.relayEjections(heartbeat, now)
 }
 
-// countSuspicions counts suspicions, and returns the ejections of servers that have too many.
-func (relayer *Relayer) countSuspicions(counter suspicionCounter, tokens []uint32, now time.Time) []Ejection {
+// countSuspicions counts suspicions, and returns the ejections of servers that have too many,
+// none while more than maxShare of all servers are suspected.
+func (relayer *Relayer) countSuspicions(counter suspicionCounter, tokens []uint32, maxShare float64, now time.Time) []Ejection {
+	if len(tokens) == 0 {
+		return nil
+	}
 	var ejections []Ejection
+	view := relayer.viewer.Current()
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	for _, token := range tokens {
@@ -101,28 +107,10 @@
 			ejections = append(ejections, Ejection{Token: token, Duration: duration})
 		}
 	}
-	return ejections
-}
-
-// addSlowServers counts suspicions of slowness, ejects the servers that have too many, and
-// keeps them for the next report unless too many servers are suspected.
-func (relayer *Relayer) addSlowServers(tokens []uint32, now time.Time) {
-	slow := relayer.countSuspicions(relayer.slownessCounter, tokens, now)
-	view := relayer.viewer.Current()
-	if len(slow) == 0 || view.Servers == nil {
-		return
-	}
-	for i := range slow {
-		slow[i].IsSlow = true
-	}
-	relayer.mutex.Lock()
-	manySuspects := float64(relayer.slownessCounter.SuspectCount(now)) > maxSlowShare*float64(len(view.Servers.List))
-	relayer.mutex.Unlock()
-	if !manySuspects {
-		relayer.eject(slow)
-		relayer.queueForDomain(slow)
-		relayer.queueForOthers(slow)
+	if view.Servers == nil || float64(counter.SuspectCount(now)) > maxShare*float64(len(view.Servers.List)) {
+		return nil
 	}
+	return ejections
 }
 
 // sendReport sends a heartbeat that modify has completed, and that asks for no answer, to the
