--- a/relayer/fleet_test.go
+++ b/relayer/fleet_test.go
@@ -428,8 +428,23 @@
 	}
 }
 
+func TestNoServerIsEjectedWhenManyAreSlow(t *testing.T) {
+	runWithFleet(t, 10, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(100)
+		for round := range 3 {
+			for token := range uint32(60) {
+				nodes[4+(int(token)+round)%6].Relayer.ReportSuspicion(token+1, examiner.Slow)
+				advance(30 * time.Millisecond)
+			}
+		}
+		for _, node := range nodes {
+			assert.Assert(t, len(node.ejected) <= 10, "%s ejected %d servers", node.member.Name, len(node.ejected))
+		}
+	})
+}
+
 func TestFewServersAreEjectedWhenMostAreSuspected(t *testing.T) {
-	for _, suspicion := range []examiner.Suspicion{examiner.Slow, examiner.Failing} {
+	for suspicion, maxShare := range map[examiner.Suspicion]float64{examiner.Slow: maxSlowShare, examiner.Failing: maxFailingShare} {
 		t.Run(suspicion.String(), func(t *testing.T) {
 			runWithFleet(t, 30, func(simulation *fleetSimulation, nodes []*node) {
 				simulation.addServers(100)
@@ -448,7 +463,8 @@
 				for _, token := range nodes[10].ejected {
 					ejected[token] = true
 				}
-				assert.Assert(t, len(ejected) <= 60, "%d servers", len(ejected))
+				limit := int(maxShare*float64(len(simulation.servers))) + 1
+				assert.Assert(t, len(ejected) <= limit, "%d servers, limit %d", len(ejected), limit)
 				rate := simulation.heartbeatBytes / 30 / seconds
 				assert.Assert(t, rate <= 2*controlBytesPerSecondLimit, "%d bytes per second and instance", rate)
 			})
