Name a failing server also in a fleet of few

Ruled out: load (one suspect of one server, whatever else runs). Change: up to three suspects are never most of a fleet. Figures: the test red before, green after.

--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -23,6 +23,9 @@
 	// take over.
 	maxSlowShare    = 0.3
 	maxFailingShare = 0.5
+	// minSuspects is the number of suspected servers that shows nothing of the kind in any
+	// fleet.
+	minSuspects = 3
 )
 
 // suspicionSender limits the suspicions that an instance sends.
@@ -107,7 +110,7 @@
 			ejections = append(ejections, Ejection{Token: token, Duration: duration})
 		}
 	}
-	if view.Servers == nil || float64(counter.SuspectCount(now)) > maxShare*float64(len(view.Servers.List)) {
+	if view.Servers == nil || float64(counter.SuspectCount(now)) > max(minSuspects, maxShare*float64(len(view.Servers.List))) {
 		return nil
 	}
 	return ejections
