Ask the steerer for due verdicts also when no packet arrives

Cause: overdue openings are looked for after a packet only, so an instance with few packets retries late; the parts to come (resets, a queue of openings) need a time of their own. Change: Steerer.WakeTime ends the socket's read, Steerer.Next takes NextRetry's place, and Socket.Wake lets other goroutines ask for due verdicts. Ruled out: a second goroutine with a mutex, since the steerer decides every packet.

--- a/director/socket.go
+++ b/director/socket.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,8 @@
 	receiveBufferSize  = 1 << 20 // bytes
 	// emptyWait is how long a read has to block to show that the receive buffer was empty.
 	emptyWait = 200 * time.Microsecond
+	// minWait is the shortest deadline of a read.
+	minWait = time.Millisecond
 )
 
 // Socket receives callers' packets and carries out the steerer's verdicts: it forwards
@@ -27,6 +30,8 @@
 	recorder   *Recorder
 	callerPort uint16       // UDP port where every caller receives packets
 	outgoing   []byte       // buffer for the datagram to be sent, reused
+	wakeAt     time.Time    // deadline of the next read; zero if it has none
+	woken      atomic.Bool  // Wake was called
 	lastPacket atomic.Int64 // receive time in Unix nanoseconds
 }
 
@@ -54,42 +59,80 @@
 // LastPacket returns when the last packet was received.
 func (socket *Socket) LastPacket() time.Time { return time.Unix(0, socket.lastPacket.Load()) }
 
+// Wake makes Run ask the steerer for due verdicts now. It may be called concurrently.
+func (socket *Socket) Wake() {
+	socket.woken.Store(true)
+	socket.setDeadline(deadlinePassed)
+}
+
 // Run forwards packets until the socket is closed.
 func (socket *Socket) Run() error {
 	datagram := make([]byte, datagramBufferSize)
 	var packet steerer.Packet
 	var emptyAt time.Time // when the receive buffer was last empty
 	for {
+		socket.setReadDeadline()
 		readStartedAt := time.Now()
 		count, _, err := socket.connection.ReadFromUDPAddrPort(datagram)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			socket.recorder.SocketFailed("packets", err)
-			continue
-		}
 		now := time.Now()
 		if now.Sub(readStartedAt) > emptyWait {
 			emptyAt = now
 		}
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			socket.executeDue(now, emptyAt)
+			continue
+		case err != nil:
+			socket.recorder.SocketFailed("packets", err)
+			continue
+		}
 		socket.lastPacket.Store(now.UnixNano())
 		if err := platform.DecodePacket(datagram[:count], &packet); err != nil {
 			socket.recorder.PacketMalformed(err)
 			continue
 		}
 		socket.execute(socket.steerer.Decide(&packet, now))
-		socket.retryOverdue(now, emptyAt)
+		socket.executeDue(now, emptyAt)
 	}
 }
 
-// retryOverdue sends openings that their servers did not answer in time to other
-// servers. Every packet that arrived before emptyAt has been decided; a later one
-// may be an answer that still waits in the receive buffer, so the steerer measures
-// the time without an answer up to emptyAt.
-func (socket *Socket) retryOverdue(now, emptyAt time.Time) {
+// deadlinePassed is a read deadline that has passed.
+var deadlinePassed = time.Unix(0, 1)
+
+// setReadDeadline ends the next read when the steerer has to be asked for due verdicts, or at
+// once if Wake has been called. A deadline that has passed would end the read although packets
+// wait in the receive buffer, so the read lasts minWait at least.
+func (socket *Socket) setReadDeadline() {
+	wakeAt := socket.steerer.WakeTime()
+	if earliest := time.Now().Add(minWait); !wakeAt.IsZero() && wakeAt.Before(earliest) {
+		wakeAt = earliest
+	}
+	if !wakeAt.Equal(socket.wakeAt) {
+		socket.wakeAt = wakeAt
+		socket.setDeadline(wakeAt)
+	}
+	if socket.woken.Load() {
+		socket.setDeadline(deadlinePassed)
+	}
+}
+
+func (socket *Socket) setDeadline(deadline time.Time) {
+	if err := socket.connection.SetReadDeadline(deadline); err != nil {
+		socket.recorder.SocketFailed("packets", err)
+	}
+}
+
+// executeDue carries out the verdicts that are due without a packet. Every packet that
+// arrived before emptyAt has been decided; a later one may be an answer that still waits in
+// the receive buffer, so the steerer measures the time without an answer up to emptyAt.
+func (socket *Socket) executeDue(now, emptyAt time.Time) {
+	if socket.woken.Swap(false) {
+		socket.wakeAt = deadlinePassed
+	}
 	for {
-		verdict, ok := socket.steerer.NextRetry(now, emptyAt)
+		verdict, ok := socket.steerer.Next(now, emptyAt)
 		if !ok {
 			return
 		}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -214,29 +214,52 @@
 	steerer.observe(flow, packet, server, now)
 }
 
-// NextRetry returns the verdict that sends the next overdue opening to another
-// server, or false after expiring idle flows if no opening is overdue. The time
-// without an answer ends at drained: all packets that arrived before it have been passed
-// to Decide, while the answer may be among later ones that still wait in the receive queue.
-func (steerer *Steerer) NextRetry(now, drained time.Time) (Verdict, bool) {
-	for len(steerer.unanswered) > 0 {
+// Next returns the next verdict that is due without a packet, or false after expiring idle
+// flows if there is none. A time without an answer ends at drained: all packets that arrived
+// before it have been passed to Decide, while the answer may be among later ones that still
+// wait in the receive queue.
+func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
+	if verdict, ok := steerer.nextRetry(now, drained); ok {
+		return verdict, true
+	}
+	steerer.reportLostRequests(now, drained)
+	steerer.expireFlows(now)
+	return Verdict{}, false
+}
+
+// WakeTime returns when Next has to be called even if no packet arrives before; the zero
+// time if it need not be called.
+func (steerer *Steerer) WakeTime() time.Time {
+	steerer.dropAnswered()
+	if len(steerer.unanswered) == 0 {
+		return time.Time{}
+	}
+	return steerer.unanswered[0].openingSentAt.Add(answerTimeout)
+}
+
+// nextRetry returns the verdict that sends the next overdue opening to another server, or
+// false if no opening is overdue.
+func (steerer *Steerer) nextRetry(now, drained time.Time) (Verdict, bool) {
+	for steerer.dropAnswered(); len(steerer.unanswered) > 0; steerer.dropAnswered() {
 		oldest := steerer.unanswered[0]
 		if drained.Sub(oldest.openingSentAt) < answerTimeout {
 			break
 		}
 		steerer.unanswered = steerer.unanswered[1:]
-		if oldest.established || oldest.ended {
-			continue
-		}
 		if verdict, ok := steerer.retryOpening(oldest, now); ok {
 			return verdict, true
 		}
 	}
-	steerer.reportLostRequests(now, drained)
-	steerer.expireFlows(now)
 	return Verdict{}, false
 }
 
+// dropAnswered removes the flows at the head of unanswered whose opening needs no retry.
+func (steerer *Steerer) dropAnswered() {
+	for len(steerer.unanswered) > 0 && (steerer.unanswered[0].established || steerer.unanswered[0].ended) {
+		steerer.unanswered = steerer.unanswered[1:]
+	}
+}
+
 // recordUnanswered counts an unanswered opening against a server and reports the
 // server to the observer if it is ejected for it.
 func (steerer *Steerer) recordUnanswered(server *viewer.BackendServer, now time.Time) {
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -169,14 +169,14 @@
 	harness := newHarness("a", "b")
 	first := harness.Decide(opening(1), start)
 	now := start.Add(answerTimeout)
-	_, early := harness.NextRetry(now, now.Add(-1))
+	_, early := harness.Next(now, now.Add(-1))
 	assert.Assert(t, !early, "the answer may still be in the receive queue")
-	retry, ok := harness.NextRetry(now, now)
+	retry, ok := harness.Next(now, now)
 	assert.Assert(t, ok)
 	assert.Equal(t, retry.Reason, ReasonRetried)
 	assert.Equal(t, string(retry.Raw), "opening")
 	assert.Assert(t, retry.Server.Name != first.Server.Name)
-	_, again := harness.NextRetry(now, now)
+	_, again := harness.Next(now, now)
 	assert.Assert(t, !again)
 }
 
@@ -185,7 +185,7 @@
 	first := harness.Decide(opening(1), start)
 	harness.Decide(laterPacket(1, first.Server.Token, 100, 0, Flags{}), start)
 	now := start.Add(time.Second)
-	_, ok := harness.NextRetry(now, now)
+	_, ok := harness.Next(now, now)
 	assert.Assert(t, !ok)
 }
 
@@ -196,7 +196,7 @@
 	}
 	now := at.Add(answerTimeout)
 	for {
-		if _, ok := harness.NextRetry(now, now); !ok {
+		if _, ok := harness.Next(now, now); !ok {
 			return
 		}
 	}
@@ -216,7 +216,7 @@
 		if verdict.Server.Name != "a" {
 			harness.Decide(laterPacket(i, verdict.Server.Token, 100, 0, Flags{}), at)
 		}
-		for retry, ok := harness.NextRetry(at, at); ok; retry, ok = harness.NextRetry(at, at) {
+		for retry, ok := harness.Next(at, at); ok; retry, ok = harness.Next(at, at) {
 			if retry.Server.Name != "a" {
 				harness.Decide(laterPacket(retry.Flow.CallerAddress.Port(), retry.Server.Token, 100, 0, Flags{}), at)
 			}
@@ -281,7 +281,7 @@
 	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start.Add(300*time.Millisecond))
 	assert.Equal(t, loadCounter.openFlows["a"], 1)
 	afterIdle := start.Add(5 * time.Second)
-	harness.NextRetry(afterIdle, start)
+	harness.Next(afterIdle, start)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
 	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), afterIdle)
 	assert.Equal(t, loadCounter.openFlows["a"], 1)
@@ -293,7 +293,7 @@
 	harness := newHarness("a")
 	harness.Decide(opening(1), start)
 	now := start.Add(time.Minute)
-	harness.NextRetry(now, start)
+	harness.Next(now, start)
 	assert.Equal(t, len(harness.flows), 0)
 	assert.Equal(t, len(harness.ended), 1)
 	assert.Assert(t, !harness.ended[0].Established)
@@ -357,7 +357,7 @@
 		assert.Equal(t, harness.Decide(opening(port), start).Action, Send)
 	}
 	now := start.Add(time.Minute)
-	for _, ok := harness.NextRetry(now, start); ok; _, ok = harness.NextRetry(now, start) {
+	for _, ok := harness.Next(now, start); ok; _, ok = harness.Next(now, start) {
 	}
 	assert.Equal(t, len(harness.flows), 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
@@ -392,7 +392,7 @@
 			c.play(harness)
 			for _, waited := range []time.Duration{lostRequestTimeout - time.Millisecond, lostRequestTimeout, 2 * time.Second} {
 				now := start.Add(waited)
-				harness.NextRetry(now, now)
+				harness.Next(now, now)
 				assert.Assert(t, waited >= lostRequestTimeout || len(harness.lost) == 0)
 			}
 			assert.DeepEqual(t, harness.lost, c.want)
