Send no new flows to evacuated failure domains

Change: the reader's first call lists these entries in place of a kind without objects; its answer has the store's revision as before, so a read costs no call more. Other domains than before are announced before the rest is read. ActiveServers leaves the servers out; tokens still find them. A service without any other server is refused at once (evacuated).

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -18,10 +18,11 @@
 	Seeds             []netip.AddrPort `json:"seeds"`              // control addresses of some instances
 	ProcessorShare    float64          `json:"processor_share"`    // fraction of a core; instances with the largest share read the store
 	StoreAddress      netip.AddrPort   `json:"store_address"`
-	MetricsPort       uint16           `json:"metrics_port"`  // TCP on Address, for metrics and state; 0 for no such listener
-	StopTimeout       Duration         `json:"stop_timeout"`  // time from the stop signal until the process is killed
-	DrainTimeout      Duration         `json:"drain_timeout"` // time after which a draining backend server may get no new flows; 0 if unlimited
-	ApplyTimeout      Duration         `json:"apply_timeout"` // time within which a configuration has to be in force; 0 if unlimited
+	MetricsPort       uint16           `json:"metrics_port"`     // TCP on Address, for metrics and state; 0 for no such listener
+	StopTimeout       Duration         `json:"stop_timeout"`     // time from the stop signal until the process is killed
+	DrainTimeout      Duration         `json:"drain_timeout"`    // time after which a draining backend server may get no new flows; 0 if unlimited
+	ApplyTimeout      Duration         `json:"apply_timeout"`    // time within which a configuration has to be in force; 0 if unlimited
+	EvacuateTimeout   Duration         `json:"evacuate_timeout"` // time after which the servers of an evacuated failure domain may get no new flows; 0 if unlimited
 	Log               Log              `json:"log"`
 }
 
@@ -38,14 +39,16 @@
 	return netip.AddrPortFrom(platformSettings.AdvertisedAddress, local.Port())
 }
 
-// ChangeDeadline returns the shorter one of the drain timeout and the apply timeout that are
-// set, or 0 if neither is.
+// ChangeDeadline returns the shortest one of the drain, apply and evacuate timeouts that are
+// set, or 0 if none is.
 func (platformSettings *PlatformSettings) ChangeDeadline() time.Duration {
-	drain, apply := time.Duration(platformSettings.DrainTimeout), time.Duration(platformSettings.ApplyTimeout)
-	if drain <= 0 || apply <= 0 {
-		return max(drain, apply, 0)
+	deadline := Duration(0)
+	for _, timeout := range []Duration{platformSettings.DrainTimeout, platformSettings.ApplyTimeout, platformSettings.EvacuateTimeout} {
+		if timeout > 0 && (deadline == 0 || timeout < deadline) {
+			deadline = timeout
+		}
 	}
-	return min(drain, apply)
+	return time.Duration(deadline)
 }
 
 const defaultStopTimeout = Duration(6 * time.Second)
@@ -80,6 +83,7 @@
 	require(platformSettings.StopTimeout > 0, "stop_timeout", "must be above 0")
 	require(platformSettings.DrainTimeout >= 0, "drain_timeout", "must not be negative")
 	require(platformSettings.ApplyTimeout >= 0, "apply_timeout", "must not be negative")
+	require(platformSettings.EvacuateTimeout >= 0, "evacuate_timeout", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
 	return findings
 }
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -50,6 +50,7 @@
 		{"port too large", `7735`, `77350`, "settings.json: line"},
 		{"negative drain timeout", `"packet_address"`, `"drain_timeout": "-1s", "packet_address"`, "drain_timeout: must not be negative"},
 		{"negative apply timeout", `"packet_address"`, `"apply_timeout": "-1s", "packet_address"`, "apply_timeout: must not be negative"},
+		{"negative evacuate timeout", `"packet_address"`, `"evacuate_timeout": "-1s", "packet_address"`, "evacuate_timeout: must not be negative"},
 		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
 		{"truncated", `}`, ``, "unexpected EOF"},
 	}
@@ -68,15 +69,19 @@
 	assert.Equal(t, len(findings), 8)
 }
 
-func TestChangeDeadlineIsTheShorterTimeoutThatIsSet(t *testing.T) {
-	cases := []struct{ drain, apply, want Duration }{
-		{0, 0, 0},
-		{Duration(3 * time.Second), 0, Duration(3 * time.Second)},
-		{0, Duration(5 * time.Second), Duration(5 * time.Second)},
-		{Duration(6 * time.Second), Duration(5 * time.Second), Duration(5 * time.Second)},
+func TestChangeDeadlineIsTheShortestTimeoutThatIsSet(t *testing.T) {
+	const three, five, six = Duration(3 * time.Second), Duration(5 * time.Second), Duration(6 * time.Second)
+	cases := []struct{ drain, apply, evacuate, want Duration }{
+		{0, 0, 0, 0},
+		{three, 0, 0, three},
+		{0, five, 0, five},
+		{six, five, 0, five},
+		{0, 0, three, three},
+		{six, five, three, three},
+		{three, five, six, three},
 	}
 	for _, c := range cases {
-		settings := &PlatformSettings{DrainTimeout: c.drain, ApplyTimeout: c.apply}
+		settings := &PlatformSettings{DrainTimeout: c.drain, ApplyTimeout: c.apply, EvacuateTimeout: c.evacuate}
 		assert.Equal(t, settings.ChangeDeadline(), time.Duration(c.want))
 	}
 }
--- a/director/responder.go
+++ b/director/responder.go
@@ -50,6 +50,8 @@
 	AgeSeconds    float64 `json:"age_seconds"`  // since the store last confirmed the list of backend servers
 	Instances     int     `json:"instances"`    // in the fleet, this one included
 	ReadingRank   int     `json:"reading_rank"` // in the order in which instances read the store; 0 is the reader
+
+	EvacuatedDomains []string `json:"evacuated_domains"`
 }
 
 // NewResponder listens on the ready, control and metrics addresses in the settings
@@ -126,6 +128,8 @@
 func (responder *Responder) serveState(writer http.ResponseWriter, instance string) {
 	view := responder.viewer.Current()
 	state := State{
+		EvacuatedDomains: append([]string{}, view.Evacuations.List()...),
+
 		Instance:    instance,
 		Ready:       responder.ready(),
 		AgeSeconds:  responder.relayer.Age(time.Now()).Seconds(),
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -40,6 +40,9 @@
 	EventServerFailing        decider.EventKind = 509
 	EventServerSlow           decider.EventKind = 510
 	EventHeartbeatInvalid     decider.EventKind = 511
+	EventEvacuated            decider.EventKind = 512
+	EventEvacuationEnded      decider.EventKind = 513
+	EventEvacuationIgnored    decider.EventKind = 514
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -73,6 +76,9 @@
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
+	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
+	EventEvacuationEnded:      "evacuation of a failure domain ended",
+	EventEvacuationIgnored:    "evacuation has no effect",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -97,7 +97,7 @@
 // answers and reports. The mutex must be held.
 func (relayer *Relayer) newHeartbeat(now time.Time, isAnswer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now)}
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
 	}
@@ -136,6 +136,7 @@
 	}
 	now := time.Now()
 	relayer.recordSender(heartbeat, now)
+	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	return nil
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -34,6 +34,9 @@
 	// RouteDelta leads to ConfigurationVersion from the version in the sender's previous
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
+
+	// Evacuations are sent in full in announcements and answers, and left out of reports.
+	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -57,6 +60,9 @@
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
 		}
 	}
+	if err := checkEvacuations(heartbeat.Evacuations); err != nil {
+		return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+	}
 	return nil
 }
 
@@ -75,6 +81,7 @@
 	Servers       *viewer.Servers       `cbor:"servers"`       // nil when ServersDelta is enough
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
+	Evacuations   *viewer.Evacuations   `cbor:"evacuations"`
 }
 
 // encode encodes a message as CBOR. It panics on an error, which the types above cannot cause.
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -55,15 +55,23 @@
 	relayer.saveSnapshot(ctx)
 }
 
-// readChanges reads the servers and the configuration from the store and applies them. With a
-// complete view it first checks whether the store's revision is newer than the view's.
+// readChanges reads the evacuations, the servers and the configuration from the store and
+// applies them. The first call also gives the store's revision: if the rest of a complete
+// view is as new, it is not read again. Other evacuations than before are announced at once,
+// since the rest may take long.
 func (relayer *Relayer) readChanges(ctx context.Context) error {
 	var base *viewer.Servers
 	since := uint64(0)
+	revision, evacuated, err := relayer.readEvacuations(ctx)
+	if err != nil {
+		return err
+	}
 	if view := relayer.viewer.Current(); view.Complete() {
-		revision, err := relayer.source.Revision(ctx)
-		if err != nil || relayer.knownRevision() >= revision {
-			return err
+		if evacuated {
+			relayer.announceToDomainAndLeaders()
+		}
+		if relayer.knownRevision() >= revision {
+			return nil
 		}
 		base, since = view.Servers, view.Servers.Revision
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -51,8 +51,9 @@
 
 // Source reads the platform's store and edits the list of members in it.
 type Source interface {
-	// Revision returns a number that grows with every change in the store.
-	Revision(ctx context.Context) (uint64, error)
+	// Evacuations returns the evacuated failure domains and the revision of the store, which
+	// grows with every change in it.
+	Evacuations(ctx context.Context) (*viewer.Evacuations, error)
 	// Servers returns the list of backend servers. It may read only the changes since
 	// base, the relayer's own list, which is nil when the relayer has none.
 	Servers(ctx context.Context, base *viewer.Servers) (*viewer.Servers, error)
@@ -88,6 +89,11 @@
 type Observer interface {
 	ConfigurationApplied(version uint64, from string)
 	ServersApplied(before, after *viewer.Servers, from string)
+	// EvacuationsApplied reports that other failure domains are evacuated than before, which is
+	// nil if none were known. The store gave the new ones age ago.
+	EvacuationsApplied(before, after *viewer.Evacuations, from string, age time.Duration)
+	// EvacuationsIgnored reports failure domains that are too many to be evacuated.
+	EvacuationsIgnored(domains []string)
 	// ServerExpired reports a server that did not come back after an outage of the store.
 	ServerExpired(server *viewer.BackendServer)
 	SourceCallFailed(call string, err error)
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,7 @@
 type SavedSnapshot struct {
 	ConfigurationVersion uint64
 	ServersRevision      uint64
+	EvacuatedDomains     []string
 	Content              []byte // as Relayer.Snapshot returns it
 	ObjectRevision       uint64 // revision of the object that holds it; 0 if there is none yet
 }
@@ -46,7 +48,7 @@
 type savedState struct {
 	objectRevision uint64 // of the last object that was read or written; 0 if there was none
 	version        uint64 // of the configuration in it
-	digest         uint64 // of the servers and the members in it
+	digest         uint64 // of the servers, the members and the evacuated failure domains in it
 	savedAt        time.Time
 	missing        bool // there was none when this instance started
 }
@@ -126,9 +128,10 @@
 		return false, nil
 	}
 	relayer.addMembers(snapshot.Members, time.Now())
+	relayer.applyEvacuations(snapshot.Evacuations, "saved snapshot", 0)
 	relayer.applyConfiguration(snapshot.Configuration, "saved snapshot")
 	relayer.applyServers(snapshot.Servers, "saved snapshot")
-	relayer.recordSaved(saved.ObjectRevision, snapshot.Configuration.Version, savedDigest(snapshot.Servers.Digest(), snapshot.Members))
+	relayer.recordSaved(saved.ObjectRevision, snapshot.Configuration.Version, savedDigest(snapshot.Servers.Digest(), snapshot))
 	return true, nil
 }
 
@@ -143,6 +146,8 @@
 		return Snapshot{}, errors.New("saved snapshot has no configuration or no servers")
 	case snapshot.Servers.Revision >= savedSnapshot.ObjectRevision:
 		return Snapshot{}, errors.Errorf("saved snapshot of revision %d was written at revision %d", snapshot.Servers.Revision, savedSnapshot.ObjectRevision)
+	case snapshot.Evacuations != nil && snapshot.Evacuations.Revision >= savedSnapshot.ObjectRevision:
+		return Snapshot{}, errors.Errorf("saved snapshot with evacuations of revision %d was written at revision %d", snapshot.Evacuations.Revision, savedSnapshot.ObjectRevision)
 	}
 	return snapshot, nil
 }
@@ -165,8 +170,8 @@
 		relayer.mutex.Unlock()
 		return
 	}
-	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers()}
-	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot.Members)
+	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers(), Evacuations: view.Evacuations}
+	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot)
 	if before.objectRevision != 0 && before.version == view.Configuration.Version && before.digest == digest {
 		relayer.mutex.Unlock()
 		return
@@ -181,6 +186,7 @@
 	saved, err := relayer.source.SaveSnapshot(ctx, SavedSnapshot{
 		ConfigurationVersion: view.Configuration.Version,
 		ServersRevision:      view.Servers.Revision,
+		EvacuatedDomains:     view.Evacuations.List(),
 		Content:              encode(snapshotEnvelope{IsCompressed: encoded.isCompressed, Content: encoded.content}),
 		ObjectRevision:       before.objectRevision,
 	})
@@ -189,20 +195,25 @@
 		return
 	}
 	relayer.skipRevision(saved.ObjectRevision)
-	if saved.ConfigurationVersion < view.Configuration.Version || saved.ServersRevision < view.Servers.Revision {
-		relayer.recordSaved(saved.ObjectRevision, 0, 0) // another instance's older view, to be replaced next time
+	isOlder := saved.ConfigurationVersion < view.Configuration.Version || saved.ServersRevision < view.Servers.Revision
+	if isOlder || !slices.Equal(saved.EvacuatedDomains, view.Evacuations.List()) {
+		relayer.recordSaved(saved.ObjectRevision, 0, 0) // another instance's view, to be replaced next time
 		return
 	}
 	relayer.recordSaved(saved.ObjectRevision, view.Configuration.Version, digest)
 }
 
-// savedDigest returns a hash of the digest of the servers and the names of the members.
-func savedDigest(serversDigest uint64, members []Member) uint64 {
+// savedDigest returns a hash of the digest of the servers, the names of the members and the
+// evacuated failure domains.
+func savedDigest(serversDigest uint64, snapshot Snapshot) uint64 {
 	digest := xxhash.New()
 	digest.Write(binary.LittleEndian.AppendUint64(nil, serversDigest))
-	for _, member := range members {
+	for _, member := range snapshot.Members {
 		digest.WriteString(member.Name + "\n")
 	}
+	for _, domain := range snapshot.Evacuations.List() {
+		digest.WriteString("evacuated " + domain + "\n")
+	}
 	return digest.Sum64()
 }
 
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 	servers          []viewer.BackendServer
 	members          map[string]Member
 	saved            SavedSnapshot
+	evacuated        []string // failure domains, sorted
 	storeCalls       int
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
@@ -65,6 +67,9 @@
 	lost       []string
 	expired    []string
 	ejected    []uint32 // tokens of the servers it was to eject
+	ignored    []string // evacuated failure domains that were too many
+
+	evacuationChanges atomic.Int64
 
 	suspicionCount int
 }
@@ -155,9 +160,11 @@
 	return ctx.Err()
 }
 
-func (node *node) Revision(ctx context.Context) (revision uint64, err error) {
-	err = node.callStore(ctx, func(simulation *fleetSimulation) { revision = simulation.revision })
-	return revision, err
+func (node *node) Evacuations(ctx context.Context) (evacuations *viewer.Evacuations, err error) {
+	err = node.callStore(ctx, func(simulation *fleetSimulation) {
+		evacuations = &viewer.Evacuations{Revision: simulation.revision, Domains: slices.Clone(simulation.evacuated)}
+	})
+	return evacuations, err
 }
 
 func (node *node) Servers(ctx context.Context, _ *viewer.Servers) (servers *viewer.Servers, err error) {
@@ -267,9 +274,16 @@
 
 func (node *node) ConfigurationApplied(uint64, string)           {}
 func (node *node) ServersApplied(_, _ *viewer.Servers, _ string) {}
-func (node *node) SourceCallFailed(string, error)                {}
-func (node *node) SourceCallSucceeded(string)                    {}
-func (node *node) MemberJoined(Member)                           {}
+func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string, _ time.Duration) {
+	node.evacuationChanges.Add(1)
+}
+
+func (node *node) EvacuationsIgnored(domains []string) {
+	node.ignored = append(node.ignored, domains...)
+}
+func (node *node) SourceCallFailed(string, error) {}
+func (node *node) SourceCallSucceeded(string)     {}
+func (node *node) MemberJoined(Member)            {}
 func (node *node) MemberLost(member Member, _ time.Duration) {
 	node.lost = append(node.lost, member.Name)
 }
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -39,6 +39,7 @@
 type snapshotRequest struct {
 	version, revision       uint64 // of the requester's configuration and servers
 	ownVersion, ownRevision uint64 // of this instance's configuration and servers
+	evacuationsRevision     uint64 // of this instance's evacuations
 	memberCount             int    // in the snapshot; 0 unless the requester has just started
 }
 
@@ -73,8 +74,10 @@
 	if envelope.Age < 0 {
 		return snapshot, 0, errors.Errorf("snapshot has age %s", envelope.Age)
 	}
-	err := decode(envelope.Content, &snapshot)
-	return snapshot, envelope.Age, err
+	if err := decode(envelope.Content, &snapshot); err != nil {
+		return snapshot, envelope.Age, err
+	}
+	return snapshot, envelope.Age, checkEvacuations(snapshot.Evacuations)
 }
 
 // fetch requests a snapshot from another instance and applies what is newer in it.
@@ -110,6 +113,9 @@
 // applySnapshot applies a snapshot that was requested at a time; age is its age at that time.
 func (relayer *Relayer) applySnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
 	relayer.addMembers(snapshot.Members, at) // first, as a leader announces a fresher view to them
+	if relayer.applyEvacuations(snapshot.Evacuations, from.Name, age) {
+		relayer.forwardEvacuations(from)
+	}
 	if snapshot.Configuration != nil {
 		relayer.applyConfiguration(snapshot.Configuration, from.Name)
 	}
@@ -132,7 +138,10 @@
 	if view.Servers != nil {
 		request.ownRevision = view.Servers.Revision
 	}
-	var snapshot Snapshot
+	if view.Evacuations != nil {
+		request.evacuationsRevision = view.Evacuations.Revision
+	}
+	snapshot := Snapshot{Evacuations: view.Evacuations}
 	deltas := relayer.history.after(revision)
 	if revision == 0 {
 		snapshot.Members = relayer.activeMembers() // the requester has just started
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -121,6 +121,7 @@
 func (relayer *Relayer) sendReport(modify func(*Heartbeat), now time.Time, selects func(member Member, position int) bool) {
 	relayer.mutex.Lock()
 	heartbeat := relayer.newHeartbeat(now, true)
+	heartbeat.Evacuations = nil // announcements carry them, and the report needs the room
 	modify(&heartbeat)
 	content := encode(heartbeat)
 	sorted, positions := rankMembers(relayer.activeMembers())
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -76,8 +76,10 @@
 	ReasonRetransmitted Reason = "opening_repeated" // a retransmitted opening, sent to the flow's server or, if unanswered, to another one
 	ReasonRetried       Reason = "opening_retried"  // the server did not answer, so the opening is sent to another one
 	ReasonExistingFlow  Reason = "kept"             // a later packet was forwarded by its token
+	ReasonEvacuatedFlow Reason = "kept_evacuated"   // the same, to a server in an evacuated failure domain
 	ReasonNoRoute       Reason = "no_route"         // the service address belongs to no route
 	ReasonNoServer      Reason = "no_server"        // the service has no active server
+	ReasonEvacuated     Reason = "evacuated"        // all active servers of the service are in evacuated failure domains
 	ReasonJustResumed   Reason = "just_resumed"     // dropped instead of reset, because the process was paused
 	ReasonUnknownToken  Reason = "unknown_token"    // no server has the token of a later packet
 	ReasonNoView        Reason = "no_view"          // configuration or servers not yet known
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -109,7 +109,7 @@
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
-	if verdict.Reason != ReasonExistingFlow {
+	if verdict.Reason != ReasonExistingFlow && verdict.Reason != ReasonEvacuatedFlow {
 		steerer.observer.Decided(&verdict, view)
 	}
 	return verdict
@@ -158,11 +158,16 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	candidates := view.ActiveServers(steerer.drawService(route))
+	service := steerer.drawService(route)
+	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
 	if server == nil {
-		steerer.refuse(verdict, ReasonNoServer, now)
+		reason := ReasonNoServer
+		if view.IsEvacuated(service) {
+			reason = ReasonEvacuated
+		}
+		steerer.refuse(verdict, reason, now)
 	}
 	return server
 }
@@ -206,6 +211,9 @@
 		return
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
+	if view.Evacuations.Contains(server.FailureDomain) {
+		verdict.Reason = ReasonEvacuatedFlow
+	}
 	flow := steerer.flows[packet.Flow]
 	if flow == nil {
 		steerer.noticeUntracked(packet.Flow, now)
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -81,9 +81,11 @@
 type View struct {
 	Configuration *Configuration // nil until one was accepted
 	Servers       *Servers       // nil until one was accepted
+	Evacuations   *Evacuations   // nil until some were accepted
 
 	routes    map[netip.AddrPort]*Route
 	byService map[string][]*BackendServer // only servers that accept new flows
+	evacuated map[string]bool             // services with active servers in evacuated failure domains
 	byToken   map[uint32]*BackendServer
 }
 
@@ -93,22 +95,31 @@
 // Route returns the route with an address, or nil.
 func (view *View) Route(address netip.AddrPort) *Route { return view.routes[address] }
 
-// ActiveServers returns the servers of a service that accept new flows.
+// ActiveServers returns the servers of a service that accept new flows; those in evacuated
+// failure domains do not.
 func (view *View) ActiveServers(service string) []*BackendServer { return view.byService[service] }
 
+// IsEvacuated reports whether a service has active servers, but all in evacuated failure
+// domains.
+func (view *View) IsEvacuated(service string) bool {
+	return view.evacuated[service] && len(view.byService[service]) == 0
+}
+
 // ServerByToken returns the server whose flows carry token, or nil. It also finds
-// servers that are leaving or were removed recently (see maxFlowAge).
+// servers that are leaving, evacuated or were removed recently (see maxFlowAge).
 func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
 
-// newView returns a View of a configuration and a list of servers, each of which may be
-// nil. Retained servers are treated as if they were listed; removed ones are only found
-// by their tokens.
-func newView(configuration *Configuration, servers *Servers, retained, removed []*BackendServer) *View {
+// newView returns a View of a configuration, a list of servers and evacuations, each of
+// which may be nil. Retained servers are treated as if they were listed; removed ones are
+// only found by their tokens.
+func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, retained, removed []*BackendServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
+		Evacuations:   evacuations,
 		routes:        map[netip.AddrPort]*Route{},
 		byService:     map[string][]*BackendServer{},
+		evacuated:     map[string]bool{},
 		byToken:       map[uint32]*BackendServer{},
 	}
 	if configuration != nil {
@@ -127,7 +138,7 @@
 	return view
 }
 
-// indexServers indexes servers by token and, if active, by service. If two have the
+// indexServers indexes servers by token and, if they accept new flows, by service. If two have the
 // same token, the one that started first keeps it; the other gets no new flows,
 // since their later packets would be indistinguishable.
 func (view *View) indexServers(servers *Servers, retained []*BackendServer) {
@@ -144,7 +155,11 @@
 			continue
 		}
 		view.byToken[server.Token] = server
-		if server.State == parser.Active {
+		switch {
+		case server.State != parser.Active:
+		case view.Evacuations.Contains(server.FailureDomain):
+			view.evacuated[server.Service] = true
+		default:
 			view.byService[server.Service] = append(view.byService[server.Service], server)
 		}
 	}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -31,7 +31,7 @@
 // NewViewer returns a Viewer with an empty view.
 func NewViewer() *Viewer {
 	viewer := &Viewer{}
-	viewer.current.Store(newView(nil, nil, nil, nil))
+	viewer.current.Store(newView(nil, nil, nil, nil, nil))
 	return viewer
 }
 
@@ -46,7 +46,7 @@
 	if view.Configuration != nil && view.Configuration.Version >= configuration.Version {
 		return false
 	}
-	viewer.publish(configuration, view.Servers)
+	viewer.publish(configuration, view.Servers, view.Evacuations)
 	return true
 }
 
@@ -62,10 +62,30 @@
 		viewer.rememberRemoved(view.Servers, servers, now)
 		viewer.retained = viewer.retainedServers(view.Servers, servers, now)
 	}
-	viewer.publish(view.Configuration, servers)
+	viewer.publish(view.Configuration, servers, view.Evacuations)
 	return true
 }
 
+// ApplyEvacuations replaces the evacuations if their revision is newer than that of the
+// current ones, and reports whether it did. It returns the ones before, nil if none were known.
+func (viewer *Viewer) ApplyEvacuations(evacuations *Evacuations) (*Evacuations, bool) {
+	viewer.mutex.Lock()
+	defer viewer.mutex.Unlock()
+	view := viewer.Current()
+	before := view.Evacuations
+	switch {
+	case !evacuations.IsNewerThan(before):
+		return before, false
+	case evacuations.SameDomains(before): // as after most reads of the store: the indexes stay
+		confirmed := *view
+		confirmed.Evacuations = evacuations
+		viewer.current.Store(&confirmed)
+	default:
+		viewer.publish(view.Configuration, view.Servers, evacuations)
+	}
+	return before, true
+}
+
 // RetainMissingUntil keeps active servers in use until a time although a newer
 // list lacks them: their entries expire during an outage of the store and are
 // written again shortly after it. An earlier time than the current one has no effect.
@@ -88,17 +108,17 @@
 	expired := viewer.retained
 	viewer.retained = nil
 	view := viewer.Current()
-	viewer.publish(view.Configuration, view.Servers)
+	viewer.publish(view.Configuration, view.Servers, view.Evacuations)
 	return expired
 }
 
 // publish replaces the current view. The mutex must be held.
-func (viewer *Viewer) publish(configuration *Configuration, servers *Servers) {
+func (viewer *Viewer) publish(configuration *Configuration, servers *Servers, evacuations *Evacuations) {
 	removed := make([]*BackendServer, len(viewer.removed))
 	for i := range viewer.removed {
 		removed[i] = viewer.removed[i].server
 	}
-	viewer.current.Store(newView(configuration, servers, viewer.retained, removed))
+	viewer.current.Store(newView(configuration, servers, evacuations, viewer.retained, removed))
 }
 
 // retainedServers returns the active servers that the new list lacks, if now is
