--- a/director/evacuation.go
+++ b/director/evacuation.go
@@ -1,25 +1,18 @@
 package director
 
 import (
-	"time"
-
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // EvacuationsApplied logs one line for each failure domain that is evacuated now and was not
-// before, or the reverse. The store gave the evacuations age ago, 0 if that is unknown; from
-// names where they were received from.
-func (ejectingRecorder *ejectingRecorder) EvacuationsApplied(before, after *viewer.Evacuations, from string, age time.Duration) {
+// before, or the reverse; from names where the evacuations were received from.
+func (ejectingRecorder *ejectingRecorder) EvacuationsApplied(before, after *viewer.Evacuations, from string) {
 	for _, domain := range after.List() {
 		if before.Contains(domain) {
 			continue
 		}
-		fields := []any{"failure_domain", domain, "revision", after.Revision, "from", from}
-		if age > 0 {
-			fields = append(fields, "age_ms", age.Milliseconds())
-		}
-		ejectingRecorder.Event(logger.EventEvacuated, fields...)
+		ejectingRecorder.Event(logger.EventEvacuated, "failure_domain", domain, "revision", after.Revision, "from", from)
 		if servers := ejectingRecorder.viewer.Current().Servers; servers != nil && !servers.HasDomain(domain) {
 			ejectingRecorder.Event(logger.EventEvacuationIgnored, "failure_domain", domain, "reason", "no backend server is in it")
 		}
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -51,7 +51,6 @@
 // readEvacuations reads the evacuations from the store and applies them. It returns the
 // revision of the store, and whether other failure domains are evacuated than before.
 func (relayer *Relayer) readEvacuations(ctx context.Context) (uint64, bool, error) {
-	startedAt := time.Now()
 	evacuations, err := relayer.source.Evacuations(ctx)
 	if err != nil {
 		return 0, false, err
@@ -60,18 +59,17 @@
 	if ignored := len(evacuations.Domains) - len(limited.Domains); ignored > 0 {
 		relayer.observer.EvacuationsIgnored(evacuations.Domains[len(limited.Domains):])
 	}
-	return limited.Revision, relayer.applyEvacuations(limited, "store", time.Since(startedAt)), nil
+	return limited.Revision, relayer.applyEvacuations(limited, "store"), nil
 }
 
 // applyEvacuations applies evacuations from the store or an instance unless newer ones have
-// been applied, and reports whether other failure domains are evacuated than before. Age is
-// the time since the store gave them.
-func (relayer *Relayer) applyEvacuations(evacuations *viewer.Evacuations, from string, age time.Duration) bool {
+// been applied, and reports whether other failure domains are evacuated than before.
+func (relayer *Relayer) applyEvacuations(evacuations *viewer.Evacuations, from string) bool {
 	before, applied := relayer.viewer.ApplyEvacuations(evacuations)
 	if !applied || evacuations.SameDomains(before) {
 		return false
 	}
-	relayer.observer.EvacuationsApplied(before, evacuations, from, age)
+	relayer.observer.EvacuationsApplied(before, evacuations, from)
 	return true
 }
 
@@ -79,7 +77,7 @@
 // on to its failure domain, whatever else the heartbeat says, and an instance with older
 // ones gets an answer.
 func (relayer *Relayer) receiveEvacuations(heartbeat Heartbeat, now time.Time) {
-	if relayer.applyEvacuations(heartbeat.Evacuations, heartbeat.Sender.Name, heartbeat.Age) {
+	if relayer.applyEvacuations(heartbeat.Evacuations, heartbeat.Sender.Name) {
 		relayer.forwardEvacuations(heartbeat.Sender)
 		return
 	}
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,7 +89,22 @@
 		"no control address":         func(heartbeat *Heartbeat) { heartbeat.Sender.ControlAddress = netip.AddrPort{} },
 		"age in the future":          func(heartbeat *Heartbeat) { heartbeat.Age = -time.Hour },
 		"negative number of members": func(heartbeat *Heartbeat) { heartbeat.InstanceCount = -5 },
-		"ejection without an end":    func(heartbeat *Heartbeat) { heartbeat.Ejections = []Ejection{{Token: 7, Duration: time.Hour}} },
+		"evacuation without a name": func(heartbeat *Heartbeat) {
+			heartbeat.Evacuations = &viewer.Evacuations{Revision: 9, Domains: []string{""}}
+		},
+		"evacuations not in order": func(heartbeat *Heartbeat) {
+			heartbeat.Evacuations = &viewer.Evacuations{Revision: 9, Domains: []string{"b", "a"}}
+		},
+		"evacuation with a long name": func(heartbeat *Heartbeat) {
+			heartbeat.Evacuations = &viewer.Evacuations{Revision: 9, Domains: []string{strings.Repeat("a", maxEvacuatedBytes+1)}}
+		},
+		"too many evacuations": func(heartbeat *Heartbeat) {
+			heartbeat.Evacuations = &viewer.Evacuations{Revision: 9}
+			for i := range maxEvacuatedDomains + 1 {
+				heartbeat.Evacuations.Domains = append(heartbeat.Evacuations.Domains, string(rune('0'+i)))
+			}
+		},
+		"ejection without an end": func(heartbeat *Heartbeat) { heartbeat.Ejections = []Ejection{{Token: 7, Duration: time.Hour}} },
 	}
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -96,6 +112,7 @@
 			change(&heartbeat)
 			assert.Assert(t, relayer.Receive(t.Context(), encode(heartbeat)) != nil)
 			assert.Equal(t, len(relayer.members), 0)
+			assert.Assert(t, relayer.viewer.Current().Evacuations == nil)
 			assert.Equal(t, relayer.Instances(), 1)
 			assert.Assert(t, relayer.schedule.freshAt.IsZero())
 		})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -90,8 +90,8 @@
 	ConfigurationApplied(version uint64, from string)
 	ServersApplied(before, after *viewer.Servers, from string)
 	// EvacuationsApplied reports that other failure domains are evacuated than before, which is
-	// nil if none were known. The store gave the new ones age ago.
-	EvacuationsApplied(before, after *viewer.Evacuations, from string, age time.Duration)
+	// nil if none were known.
+	EvacuationsApplied(before, after *viewer.Evacuations, from string)
 	// EvacuationsIgnored reports failure domains that are too many to be evacuated.
 	EvacuationsIgnored(domains []string)
 	// ServerExpired reports a server that did not come back after an outage of the store.
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -128,7 +128,7 @@
 		return false, nil
 	}
 	relayer.addMembers(snapshot.Members, time.Now())
-	relayer.applyEvacuations(snapshot.Evacuations, "saved snapshot", 0)
+	relayer.applyEvacuations(snapshot.Evacuations, "saved snapshot")
 	relayer.applyConfiguration(snapshot.Configuration, "saved snapshot")
 	relayer.applyServers(snapshot.Servers, "saved snapshot")
 	relayer.recordSaved(saved.ObjectRevision, snapshot.Configuration.Version, savedDigest(snapshot.Servers.Digest(), snapshot))
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -40,6 +40,7 @@
 	members          map[string]Member
 	saved            SavedSnapshot
 	evacuated        []string // failure domains, sorted
+	nextEvacuated    []string // evacuated right after the evacuations were read; nil for none
 	storeCalls       int
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
@@ -163,6 +164,10 @@
 func (node *node) Evacuations(ctx context.Context) (evacuations *viewer.Evacuations, err error) {
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		evacuations = &viewer.Evacuations{Revision: simulation.revision, Domains: slices.Clone(simulation.evacuated)}
+		if simulation.nextEvacuated != nil {
+			simulation.evacuated, simulation.nextEvacuated = simulation.nextEvacuated, nil
+			simulation.revision++
+		}
 	})
 	return evacuations, err
 }
@@ -274,7 +279,7 @@
 
 func (node *node) ConfigurationApplied(uint64, string)           {}
 func (node *node) ServersApplied(_, _ *viewer.Servers, _ string) {}
-func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string, _ time.Duration) {
+func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string) {
 	node.evacuationChanges.Add(1)
 }
 
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -113,7 +113,7 @@
 // applySnapshot applies a snapshot that was requested at a time; age is its age at that time.
 func (relayer *Relayer) applySnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
 	relayer.addMembers(snapshot.Members, at) // first, as a leader announces a fresher view to them
-	if relayer.applyEvacuations(snapshot.Evacuations, from.Name, age) {
+	if relayer.applyEvacuations(snapshot.Evacuations, from.Name) {
 		relayer.forwardEvacuations(from)
 	}
 	if snapshot.Configuration != nil {
