--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -32,6 +32,8 @@
 	leavingAt := server.leavingAt
 	soak.mutex.Lock()
 	afterDrain := soak.isStable() && !leavingAt.IsZero() && time.Since(leavingAt) > drainNoticeLimit+timeTolerance
+	evacuatedAt, evacuated := soak.evacuatedAt[server.failureDomain()]
+	afterEvacuation := soak.isStable() && evacuated && time.Since(evacuatedAt) > evacuationLimit+timeTolerance
 	removedAt := soak.extraRouteRemovedAt
 	afterRemoval := soak.isStable() && received.destination == extraRoute && !removedAt.IsZero() && time.Since(removedAt) > configurationApplyLimit+timeTolerance
 	soak.mutex.Unlock()
@@ -40,6 +42,8 @@
 		soak.recordViolation("a flow to %s reached server %s of service %s", received.destination, server.name, server.service)
 	case afterDrain:
 		soak.recordViolation("server %s received a new flow %.1f s after it began to drain", server.name, time.Since(leavingAt).Seconds())
+	case afterEvacuation:
+		soak.recordViolation("server %s received a new flow %.1f s after its failure domain was evacuated", server.name, time.Since(evacuatedAt).Seconds())
 	case afterRemoval:
 		soak.recordViolation("a new flow to a route that was removed %.1f s ago reached server %s", time.Since(removedAt).Seconds(), server.name)
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/platform/standin"
 )
 
@@ -73,12 +74,16 @@
 		soak.store.DropHistory()
 		soak.injectStoreFault(standin.StoreFaults{HangWatches: parameters.choice%2 == 0}, parameters.duration)
 	}},
+	{"evacuation begins or ends", func(soak *soak, parameters faultParameters) {
+		soak.toggleEvacuation(domainName(parameters.choice % failureDomainCount))
+	}},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
 // waits until all have ended.
 func (soak *soak) injectFaults(ctx context.Context) {
 	var group sync.WaitGroup
+	defer soak.endEvacuations()
 	defer group.Wait()
 	kinds := faults
 	if soak.settings.FaultKinds > 0 {
@@ -302,6 +307,26 @@
 	}
 }
 
+// toggleEvacuation evacuates a failure domain, or ends its evacuation.
+func (soak *soak) toggleEvacuation(domain string) {
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	if _, evacuated := soak.evacuatedAt[domain]; evacuated {
+		delete(soak.evacuatedAt, domain)
+		soak.store.Remove(platform.EvacuationsKind, domain)
+		return
+	}
+	soak.evacuatedAt[domain] = time.Now()
+	soak.store.Put(platform.EvacuationsKind, domain, "{}")
+}
+
+// endEvacuations ends all evacuations.
+func (soak *soak) endEvacuations() {
+	for _, domain := range soak.store.Names(platform.EvacuationsKind) {
+		soak.toggleEvacuation(domain)
+	}
+}
+
 func drainServer(soak *soak, parameters faultParameters) {
 	if selected := soak.replaceServer(parameters); selected != nil {
 		selected.drain(drainGracePeriod + parameters.duration)
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -83,7 +83,7 @@
 // the peers that it contacts first.
 func (instance *instance) writeSettings(seeds []string) error {
 	settings := map[string]any{
-		"instance": instance.name, "failure_domain": fmt.Sprintf("domain-%d", instance.failureDomain), "address": instance.address.String(),
+		"instance": instance.name, "failure_domain": domainName(instance.failureDomain), "address": instance.address.String(),
 		"advertised_address": instance.heartbeatLink.socket.LocalAddr().(*net.UDPAddr).IP.String(),
 		"packet_address":     instance.endpoint(packetPort), "ready_address": instance.endpoint(readyPort),
 		"control_address": instance.endpoint(controlPort), "peer_ports": []int{peerPort}, "seeds": seeds,
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -58,11 +58,16 @@
 func (server *server) writeEntry(state parser.State) {
 	entry := viewer.BackendServer{
 		Service: server.service, Address: server.socket.LocalAddr().(*net.UDPAddr).AddrPort(),
-		FailureDomain: "domain-0", Slots: 3, State: state, StartedAt: 1,
+		FailureDomain: server.failureDomain(), Slots: 3, State: state, StartedAt: 1,
 	}
 	server.soak.store.Put(platform.ServersKind, server.name, platform.EncodeServer(&entry))
 }
 
+// failureDomain returns a failure domain such that each service has servers in all of them.
+func (server *server) failureDomain() string {
+	return domainName(int(server.identity/3) % failureDomainCount)
+}
+
 // removeEntry removes the server's entry from the store.
 func (server *server) removeEntry() { server.soak.store.Remove(platform.ServersKind, server.name) }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -25,13 +25,16 @@
 const (
 	drainNoticeLimit        = 3 * time.Second        // from a server's announcement that it leaves to its last new flow
 	configurationApplyLimit = 3 * time.Second        // from the removal of a route to the last new flow to it
-	stabilizationTime       = 4 * time.Second        // without faults before the two limits above apply
+	evacuationLimit         = 3 * time.Second        // from the evacuation of a failure domain to the last new flow to its servers
+	stabilizationTime       = 4 * time.Second        // without faults before the limits above apply
 	recoveryLimit           = 12 * time.Second       // from the last fault; the specification requires a quarter to be served again by then
 	timeTolerance           = 500 * time.Millisecond // added to a limit before a violation is recorded
 )
 
 const failureDomainCount = 3
 
+func domainName(number int) string { return fmt.Sprintf("domain-%d", number) }
+
 // Addresses of the routes, and the service behind each. The extra route is added
 // and removed during the run.
 var (
@@ -88,7 +91,8 @@
 	report               Report
 	activeFaults         int
 	lastFaultEnd         time.Time
-	extraRouteRemovedAt  time.Time // zero while the extra route is configured
+	extraRouteRemovedAt  time.Time            // zero while the extra route is configured
+	evacuatedAt          map[string]time.Time // by failure domain; only while it is evacuated
 	configurationVersion uint64
 	lastServerNumber     uint64
 }
@@ -125,7 +129,7 @@
 	return &soak{
 		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(),
 		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
-		servers: map[string]*server{}, executedBy: map[string]string{}, report: Report{Seed: settings.Seed},
+		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, report: Report{Seed: settings.Seed},
 	}
 }
 
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -113,6 +113,12 @@
 			system.deskServer.leavingAt = time.Now().Add(-time.Minute)
 			return func(content []byte, _ [2]netip.AddrPort) { system.deliver(content, system.deskServer) }
 		}},
+		{"new flow to an evacuated server", "after its failure domain was evacuated", func(system *testSystem) forwardFunc {
+			system.lastFaultEnd = time.Now().Add(-time.Hour)
+			system.toggleEvacuation(system.deskServer.failureDomain())
+			system.evacuatedAt[system.deskServer.failureDomain()] = time.Now().Add(-time.Minute)
+			return func(content []byte, _ [2]netip.AddrPort) { system.deliver(content, system.deskServer) }
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
