--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -31,6 +31,12 @@
 // to the sender's view, it fetches a snapshot from the sender over HTTP, which holds
 // deltas since the receiver's own versions, or the full data.
 //
+// # Evacuations
+//
+// The evacuated failure domains are read first at every read of the store, and sent in full
+// in every announcement and answer. They have a revision of their own and take effect and are
+// passed on at once, whatever else the sender's view lacks.
+//
 // # Suspicions
 //
 // A suspicion is a response of a backend server that looked like a failure to one
