--- a/director/director.go
+++ b/director/director.go
@@ -164,8 +164,8 @@
 	return created
 }
 
-func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, error) {
-	responder, cleanup, err := NewResponder(settings, current, relayer, recorder)
+func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, error) {
+	responder, cleanup, err := NewResponder(settings, current, relayer, steerer, recorder)
 	if err != nil {
 		return nil, err
 	}
--- a/director/responder.go
+++ b/director/responder.go
@@ -17,6 +17,7 @@
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
+	"github.com/pimentowind/pimentowind/steerer"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -33,6 +34,8 @@
 type Responder struct {
 	viewer    *viewer.Viewer
 	relayer   *relayer.Relayer
+	steerer   *steerer.Steerer
+	domain    string // this instance's failure domain
 	recorder  *Recorder
 	notReady  atomic.Bool   // set when the instance stops
 	viewSlots chan struct{} // semaphore with one entry for each view being sent
@@ -56,8 +59,8 @@
 
 // NewResponder listens on the ready, control and metrics addresses in the settings
 // and serves the same paths on all of them; the returned function closes the listeners.
-func NewResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, func(), error) {
-	responder := &Responder{viewer: current, relayer: relayer, recorder: recorder, viewSlots: make(chan struct{}, maxConcurrentViews), vars: &expvar.Map{}}
+func NewResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, func(), error) {
+	responder := &Responder{viewer: current, relayer: relayer, steerer: steerer, domain: settings.FailureDomain, recorder: recorder, viewSlots: make(chan struct{}, maxConcurrentViews), vars: &expvar.Map{}}
 	recorder.publish(responder.vars)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, responder.serveReady)
@@ -91,7 +94,11 @@
 func (responder *Responder) Close() { responder.notReady.Store(true) }
 
 func (responder *Responder) ready() bool {
-	return !responder.notReady.Load() && responder.viewer.Current().Complete() && responder.relayer.Confirmed(time.Now())
+	now, view := time.Now(), responder.viewer.Current()
+	if responder.notReady.Load() || !view.Complete() || !responder.relayer.Confirmed(now) {
+		return false
+	}
+	return !lacksServers(view, responder.domain, responder.relayer.Age(now), now.Sub(responder.steerer.LastAnswer()))
 }
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -123,6 +123,7 @@
 func (steerer *Steerer) establish(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	flow.established = true
 	flow.establishedAt = now
+	steerer.answeredAt.Store(now.UnixNano())
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -468,6 +468,17 @@
 	assert.Assert(t, harness.foreignAt.IsZero())
 }
 
+func TestLastAnswerIsThatOfAnOpening(t *testing.T) {
+	harness := newHarness("a")
+	harness.Decide(opening(1), start)
+	harness.Decide(laterPacket(2, tokenOf("a"), 100, 50, Flags{}), start) // of another instance's flow
+	assert.Assert(t, start.Sub(harness.LastAnswer()) > time.Hour)
+	answered := start.Add(10 * time.Millisecond)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), answered)
+	harness.Decide(laterPacket(1, tokenOf("a"), 900, 50, Flags{}), answered.Add(time.Second))
+	assert.Assert(t, harness.LastAnswer().Equal(answered))
+}
+
 func TestUnansweredOpeningIsReportedAsLost(t *testing.T) {
 	harness := newHarness("a", "b")
 	first := harness.Decide(opening(1), start)
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -105,6 +105,9 @@
 	return view.evacuated[service] && len(view.byService[service]) == 0
 }
 
+// HasServerLeft reports whether any server accepts new flows.
+func (view *View) HasServerLeft() bool { return len(view.byService) > 0 }
+
 // ServerByToken returns the server whose flows carry token, or nil. It also finds
 // servers that are leaving, evacuated or were removed recently (see maxFlowAge).
 func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
