--- a/director/reach.go
+++ b/director/reach.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/relayer"
+	"github.com/pimentowind/pimentowind/steerer"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -13,16 +14,25 @@
 	maxCalmAge = relayer.ReadInterval + 400*time.Millisecond
 	// answerWindow is how long after an answered opening other domains count as reachable.
 	answerWindow = 500 * time.Millisecond
+	// minSilence is how long openings stay unanswered before other domains count as out of
+	// reach; until then they are retried elsewhere.
+	minSilence = 300 * time.Millisecond
 )
 
 // lacksServers reports whether an instance has no server that it may and can send new flows
-// to: its own failure domain is evacuated, and it reaches neither the store nor, by its view's
-// age and the time since an opening was answered, another domain. The fabric then passes its
-// packets to instances of other domains, which reach their servers. If no domain is left, it
+// to: its own failure domain is evacuated, and it reaches no other. Its packets then pass
+// through instances of other domains, which reach their servers. If no domain is left, it
 // goes on and refuses.
-func lacksServers(view *viewer.View, failureDomain string, age, sinceAnswer time.Duration) bool {
-	if !view.Evacuations.Contains(failureDomain) || age <= maxCalmAge || sinceAnswer <= answerWindow {
-		return false
+func lacksServers(view *viewer.View, failureDomain string, age time.Duration, answers steerer.Answers) bool {
+	return view.Evacuations.Contains(failureDomain) && view.HasServerLeft() && isCutOff(age, answers)
+}
+
+// isCutOff reports whether an instance without servers in its own domain reaches no other:
+// openings get no answer, and the view has not been confirmed since; or, with too few
+// openings, the view is old.
+func isCutOff(age time.Duration, answers steerer.Answers) bool {
+	if answers.SilentFor >= minSilence && age > answers.SilentFor {
+		return true
 	}
-	return view.HasServerLeft()
+	return age > maxCalmAge && answers.SinceLast > answerWindow
 }
--- a/director/responder.go
+++ b/director/responder.go
@@ -98,7 +98,7 @@
 	if responder.notReady.Load() || !view.Complete() || !responder.relayer.Confirmed(now) {
 		return false
 	}
-	return !lacksServers(view, responder.domain, responder.relayer.Age(now), now.Sub(responder.steerer.LastAnswer()))
+	return !lacksServers(view, responder.domain, responder.relayer.Age(now), responder.steerer.Answers(now))
 }
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -64,6 +64,9 @@
 // flow as load of that server.
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
 	steerer.assignLoad(flow, server, now)
+	if len(flow.attempted) == 0 {
+		steerer.silence.openingSent(now)
+	}
 	flow.openingSentAt = now
 	flow.lastPacketAt = now
 	flow.attempted = append(flow.attempted, server)
@@ -123,7 +126,7 @@
 func (steerer *Steerer) establish(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	flow.established = true
 	flow.establishedAt = now
-	steerer.answeredAt.Store(now.UnixNano())
+	steerer.silence.end(now)
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -88,7 +87,7 @@
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
-	answeredAt           atomic.Int64          // when a caller last confirmed the answer to its opening, in Unix nanoseconds; 0 if none has
+	silence              silence
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
@@ -97,10 +96,6 @@
 	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}}
 }
 
-// LastAnswer returns when a caller last confirmed that a server answered its opening, a time
-// before 1971 if none has. It may be called concurrently.
-func (steerer *Steerer) LastAnswer() time.Time { return time.Unix(0, steerer.answeredAt.Load()) }
-
 // Decide returns the verdict on one packet from a caller.
 func (steerer *Steerer) Decide(packet *Packet, now time.Time) Verdict {
 	view := steerer.currentView()
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -468,15 +468,20 @@
 	assert.Assert(t, harness.foreignAt.IsZero())
 }
 
-func TestLastAnswerIsThatOfAnOpening(t *testing.T) {
-	harness := newHarness("a")
-	harness.Decide(opening(1), start)
-	harness.Decide(laterPacket(2, tokenOf("a"), 100, 50, Flags{}), start) // of another instance's flow
-	assert.Assert(t, start.Sub(harness.LastAnswer()) > time.Hour)
-	answered := start.Add(10 * time.Millisecond)
-	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), answered)
-	harness.Decide(laterPacket(1, tokenOf("a"), 900, 50, Flags{}), answered.Add(time.Second))
-	assert.Assert(t, harness.LastAnswer().Equal(answered))
+func TestSilenceLastsFromTheFirstOpeningToAnAnswer(t *testing.T) {
+	harness := newHarness("a", "b")
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	for port := range uint16(minSilentOpenings) {
+		assert.Equal(t, harness.Answers(at(90)).SilentFor, time.Duration(0))
+		harness.Decide(opening(1+port), at(10*int(port)))
+		harness.Decide(opening(1+port), at(10*int(port)+1))                     // a retransmission is no other flow
+		harness.Decide(laterPacket(99, tokenOf("a"), 100, 50, Flags{}), at(40)) // of another instance's flow
+	}
+	assert.Equal(t, harness.Answers(at(100)).SilentFor, 100*time.Millisecond)
+	assert.Assert(t, harness.Answers(at(100)).SinceLast > time.Hour)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), at(110))
+	harness.Decide(laterPacket(1, tokenOf("a"), 900, 50, Flags{}), at(150))
+	assert.Equal(t, harness.Answers(at(160)), Answers{SinceLast: 50 * time.Millisecond})
 }
 
 func TestUnansweredOpeningIsReportedAsLost(t *testing.T) {
