Pass callers on when the view has no server outside the evacuated domains

Change: an instance of an evacuated domain is not ready either when its view has no server that accepts flows, as long as there are instances in a domain that is not evacuated.

--- a/director/reach.go
+++ b/director/reach.go
@@ -20,11 +20,15 @@
 )
 
 // lacksServers reports whether an instance has no server that it may and can send new flows
-// to: its own failure domain is evacuated, and it reaches no other. Its packets then pass
-// through instances of other domains, which reach their servers. If no domain is left, it
-// goes on and refuses.
-func lacksServers(view *viewer.View, failureDomain string, age time.Duration, answers steerer.Answers) bool {
-	return view.Evacuations.Contains(failureDomain) && view.HasServerLeft() && isCutOff(age, answers)
+// to: its own failure domain is evacuated, and it reaches no other, or the others' servers are
+// not in its view, as when their domain is cut off from the store. Its packets then pass
+// through instances of other domains, which reach their servers. If no domain is left, as
+// domainLeft says, it goes on and refuses.
+func lacksServers(view *viewer.View, failureDomain string, domainLeft bool, age time.Duration, answers steerer.Answers) bool {
+	if !domainLeft || !view.Evacuations.Contains(failureDomain) {
+		return false
+	}
+	return !view.HasServerLeft() || isCutOff(age, answers)
 }
 
 // isCutOff reports whether an instance without servers in its own domain reaches no other:
--- a/director/responder.go
+++ b/director/responder.go
@@ -98,7 +98,8 @@
 	if responder.notReady.Load() || !view.Complete() || !responder.relayer.Confirmed(now) {
 		return false
 	}
-	return !lacksServers(view, responder.domain, responder.relayer.Age(now), responder.steerer.Answers(now))
+	domainLeft := responder.relayer.HasDomainLeft(view.Evacuations)
+	return !lacksServers(view, responder.domain, domainLeft, responder.relayer.Age(now), responder.steerer.Answers(now))
 }
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,6 +49,14 @@
 	return evacuations
 }
 
+// HasDomainLeft reports whether an instance of the fleet is in a failure domain that is not
+// evacuated.
+func (relayer *Relayer) HasDomainLeft(evacuations *viewer.Evacuations) bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return slices.ContainsFunc(relayer.activeMembers(), func(member Member) bool { return !evacuations.Contains(member.FailureDomain) })
+}
+
 // readEvacuations reads the evacuations from the store and applies them. It returns the
 // revision of the store, and whether other failure domains are evacuated than before.
 func (relayer *Relayer) readEvacuations(ctx context.Context) (uint64, bool, error) {
--- a/relayer/evacuation_test.go
+++ b/relayer/evacuation_test.go
@@ -228,6 +228,17 @@
 	assert.DeepEqual(t, relayer.viewer.Current().Evacuations, newer)
 }
 
+func TestDomainIsLeftWhileAnInstanceIsOutsideTheEvacuatedOnes(t *testing.T) {
+	relayer, stranger := newMuteRelayer(nil), backendMember("lb-2")
+	stranger.FailureDomain = "dakar-1"
+	own := &viewer.Evacuations{Revision: 1, Domains: []string{"dakar-0"}}
+	assert.Assert(t, relayer.HasDomainLeft(nil))
+	assert.Assert(t, !relayer.HasDomainLeft(own))
+	relayer.addMembers([]Member{stranger}, time.Now())
+	assert.Assert(t, relayer.HasDomainLeft(own))
+	assert.Assert(t, !relayer.HasDomainLeft(&viewer.Evacuations{Revision: 2, Domains: []string{"dakar-0", "dakar-1"}}))
+}
+
 func TestSnapshotsCarryEvacuations(t *testing.T) {
 	evacuations := &viewer.Evacuations{Revision: 9, Domains: []string{"dakar-1"}}
 	relayer := newMuteRelayer(encode(snapshotEnvelope{Content: encode(Snapshot{Evacuations: evacuations})}))
