Let two instances share the new flows of a cold server; slow start by shares

Cause: a cold server got openings from all instances as if it were warm but for a cost of 1.6 times; a known server that turned cold again was known to the reader of the store alone, by its time of day.

Ruled out: a fraction of the rate at each instance (rate / instances). With one opening an interval and random phases the sum in a sliding second has the tail of a Poisson draw: to exceed 35 less than once in 10^9 seconds only half of a rate of 20 could be used, a fifth of a rate of 5, nothing where no excess is allowed; and it needs the number of instances. Owners found by each instance itself by hashing: only leaders know all names, and their number varies as much.

Change: the reader names two instances in the list of servers when it reads that a server is cold and its service states a rate, by the highest hash among the members of the server's failure domain. Others send none; if no server is left the flow is refused (warming_up), or its copy dropped. A new warm-up of a known server is a change (ColdSince, in the digest); its end travels as remaining time. Where no rate is stated, the share of new flows grows from a quarter to the whole over the warm-up, in place of the cost of 1.6.

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -18,10 +18,12 @@
 	Seeds             []netip.AddrPort `json:"seeds"`              // control addresses of some instances
 	ProcessorShare    float64          `json:"processor_share"`    // fraction of a core; instances with the largest share read the store
 	StoreAddress      netip.AddrPort   `json:"store_address"`
-	MetricsPort       uint16           `json:"metrics_port"`  // TCP on Address, for metrics and state; 0 for no such listener
-	StopTimeout       Duration         `json:"stop_timeout"`  // time from the stop signal until the process is killed
-	DrainTimeout      Duration         `json:"drain_timeout"` // time after which a draining backend server may get no new flows; 0 if unlimited
-	ApplyTimeout      Duration         `json:"apply_timeout"` // time within which a configuration has to be in force; 0 if unlimited
+	MetricsPort       uint16           `json:"metrics_port"`   // TCP on Address, for metrics and state; 0 for no such listener
+	StopTimeout       Duration         `json:"stop_timeout"`   // time from the stop signal until the process is killed
+	DrainTimeout      Duration         `json:"drain_timeout"`  // time after which a draining backend server may get no new flows; 0 if unlimited
+	ApplyTimeout      Duration         `json:"apply_timeout"`  // time within which a configuration has to be in force; 0 if unlimited
+	WarmUpExcess      float64          `json:"warm_up_excess"` // factor by which the openings that reach a cold backend server in a second may exceed the stated rate; 0 if not stated, for 1
+	WarmUpSlack       float64          `json:"warm_up_slack"`  // openings in a second that may come on top
 	Log               Log              `json:"log"`
 }
 
@@ -80,6 +82,8 @@
 	require(platformSettings.StopTimeout > 0, "stop_timeout", "must be above 0")
 	require(platformSettings.DrainTimeout >= 0, "drain_timeout", "must not be negative")
 	require(platformSettings.ApplyTimeout >= 0, "apply_timeout", "must not be negative")
+	require(platformSettings.WarmUpExcess >= 0, "warm_up_excess", "must not be negative")
+	require(platformSettings.WarmUpSlack >= 0, "warm_up_slack", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
 	return findings
 }
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -50,6 +50,8 @@
 		{"port too large", `7735`, `77350`, "settings.json: line"},
 		{"negative drain timeout", `"packet_address"`, `"drain_timeout": "-1s", "packet_address"`, "drain_timeout: must not be negative"},
 		{"negative apply timeout", `"packet_address"`, `"apply_timeout": "-1s", "packet_address"`, "apply_timeout: must not be negative"},
+		{"negative warm-up excess", `"packet_address"`, `"warm_up_excess": -1, "packet_address"`, "warm_up_excess: must not be negative"},
+		{"negative warm-up slack", `"packet_address"`, `"warm_up_slack": -0.1, "packet_address"`, "warm_up_slack: must not be negative"},
 		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
 		{"truncated", `}`, ``, "unexpected EOF"},
 	}
--- a/director/director.go
+++ b/director/director.go
@@ -17,6 +17,7 @@
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/pacer"
 	"github.com/pimentowind/pimentowind/placer"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
@@ -75,6 +76,7 @@
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newPacer,
 		newSteerer,
 		builder.newSocket,
 		builder.newTicker,
@@ -140,9 +142,20 @@
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newPacer(settings *configurer.PlatformSettings, current *viewer.Viewer, reloader *Reloader, recorder *Recorder) *pacer.Pacer {
+	created := pacer.NewPacer(settings.Instance, warmUpBounds(settings), current.Current, recorder, time.Now())
+	reloader.Subscribe(func(settings *configurer.PlatformSettings) { created.SetBounds(warmUpBounds(settings)) })
+	return created
+}
+
+func warmUpBounds(settings *configurer.PlatformSettings) pacer.Bounds {
+	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
+}
+
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
+	placer.SetPacer(pacer)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -29,6 +29,7 @@
 	handshakeTimes *expvar.Map // histogram, published as opening_ms
 	responseTimes  *expvar.Map // histogram
 	queue          *logger.Queue
+	instance       uint32                                            // hash of this instance's name
 	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
 
 	mutex           sync.Mutex
@@ -50,6 +51,7 @@
 		handshakeTimes:  &expvar.Map{},
 		responseTimes:   &expvar.Map{},
 		queue:           queue,
+		instance:        viewer.InstanceHash(settings.Instance),
 		failingCalls:    map[string]bool{},
 		failureLoggedAt: map[string]time.Time{},
 	}
@@ -98,6 +100,13 @@
 // Count counts a verdict under its reason.
 func (recorder *Recorder) Count(reason steerer.Reason) { recorder.counters.Add(string(reason), 1) }
 
+// WarmUpOpening counts an opening that was sent to a cold server whose service states a rate.
+func (recorder *Recorder) WarmUpOpening() { recorder.counters.Add("warm_up_openings", 1) }
+
+// WarmUpDeclined counts a cold server that was passed over because this instance may send it no
+// opening now.
+func (recorder *Recorder) WarmUpDeclined() { recorder.counters.Add("warm_up_declined", 1) }
+
 // PacketMalformed counts a datagram that cannot be decoded as a packet, by the kind of error.
 func (recorder *Recorder) PacketMalformed(err error) {
 	if errors.Is(err, platform.ErrTooShort) {
@@ -261,6 +270,7 @@
 // with counts by state when more than maxChangeLines did; from names where the list
 // was received from.
 func (recorder *Recorder) ServersApplied(before, after *viewer.Servers, from string) {
+	recorder.logWarmUps(before, after)
 	changes := viewer.ServerChanges(before, after)
 	if len(changes) > maxChangeLines {
 		counts := map[string]int{}
@@ -276,6 +286,29 @@
 	}
 }
 
+// logWarmUps logs one line for each server that turned cold or is warm again, or a single
+// line with counts when more than maxChangeLines did.
+func (recorder *Recorder) logWarmUps(before, after *viewer.Servers) {
+	changes := viewer.WarmUpChanges(before, after)
+	if len(changes) > maxChangeLines {
+		cold := 0
+		for _, change := range changes {
+			if change.IsCold {
+				cold++
+			}
+		}
+		recorder.Event(logger.EventWarmUpChanged, "cold", cold, "warm", len(changes)-cold, "revision", after.Revision)
+		return
+	}
+	for _, change := range changes {
+		fields := []any{"backend_server", change.Server.Name, "service", change.Server.Service, "cold", change.IsCold}
+		if change.IsCold {
+			fields = append(fields, "for_ms", time.Until(change.Server.ColdUntil.Time).Milliseconds(), "shared", change.Server.Sharers.Contains(recorder.instance))
+		}
+		recorder.Event(logger.EventWarmUpChanged, fields...)
+	}
+}
+
 // ServerExpired logs that a server was removed from the view because it was not listed
 // again after an outage of the store.
 func (recorder *Recorder) ServerExpired(server *viewer.BackendServer) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -18,8 +18,6 @@
 	minResponseTimeRatio = 0.3
 	// crossDomainPenalty multiplies the cost of a server outside the instance's failure domain.
 	crossDomainPenalty = 1.5
-	// coldStartPenalty multiplies the cost of a server that has just started.
-	coldStartPenalty = 1.6
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
 	// maxDraws is how many random candidates are tried before all candidates are examined.
@@ -33,6 +31,7 @@
 	instanceCount        func() int                             // how many instances share the load, this one included
 	isFailing            func(token uint32, now time.Time) bool // by the server's token
 	random               *rand.Rand
+	pacer                warmUpPacer
 	servers              map[serverKey]*serverState
 	domainEjections      map[domainKey]*ejection
 	serviceResponseTimes map[string]*serviceAverage
@@ -84,6 +83,7 @@
 		instanceCount:        instanceCount,
 		isFailing:            isFailing,
 		random:               random,
+		pacer:                unpaced{},
 		servers:              map[serverKey]*serverState{},
 		domainEjections:      map[domainKey]*ejection{},
 		serviceResponseTimes: map[string]*serviceAverage{},
@@ -91,7 +91,7 @@
 }
 
 // Select returns the server for a new flow: the cheapest of a few random
-// candidates, or nil if there are no candidates. Ejected servers are selected only if
+// candidates, or nil if there are no candidates that may get one now. Ejected servers are selected only if
 // there are no others, and servers in attempted, which the flow's opening was sent to
 // before, only if there are no servers outside attempted.
 func (placer *Placer) Select(candidates []*viewer.BackendServer, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
@@ -107,6 +107,9 @@
 			best, bestCost = candidate, cost
 		}
 	}
+	if shared := placer.drawShared(candidates, attempted, now); shared != nil && placer.expectedCost(shared, now) < bestCost {
+		return shared
+	}
 	return best
 }
 
@@ -117,7 +120,7 @@
 func (placer *Placer) drawCandidate(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	for range min(maxDraws, len(candidates)) {
 		candidate := candidates[placer.random.IntN(len(candidates))]
-		if !containsDomain(attempted, candidate) && !placer.isEjected(candidate, now) {
+		if !containsDomain(attempted, candidate) && !placer.isEjected(candidate, now) && placer.acceptsDraw(candidate, now) {
 			return candidate
 		}
 	}
@@ -131,8 +134,9 @@
 // preferredCandidates returns the first of these groups that is not empty: servers
 // that are not ejected, outside the failure domains of the attempted ones; other
 // servers that are not ejected; ejected servers; all candidates. Only the last
-// contains attempted servers.
+// contains attempted servers, and none those that may get no flow now.
 func (placer *Placer) preferredCandidates(candidates, attempted []*viewer.BackendServer, now time.Time) []*viewer.BackendServer {
+	candidates = placer.withoutDeclined(candidates, now)
 	var otherDomain, sameDomain, ejected []*viewer.BackendServer
 	for _, candidate := range candidates {
 		switch {
@@ -183,19 +187,16 @@
 }
 
 // expectedCost estimates how long a flow takes at a server, in multiples of the
-// service's average response time. It assumes that each instance has as many flows
-// open at the server as this one.
+// service's average response time. It assumes that each instance that
+// opens flows at the server has as many open there as this one.
 func (placer *Placer) expectedCost(candidate *viewer.BackendServer, now time.Time) float64 {
 	state := placer.stateOf(candidate, now)
 	cost := placer.responseTimeRatio(candidate, state)
-	flowsPerSlot := float64(state.openFlows*placer.instanceCount()) / float64(max(candidate.Slots, 1))
+	flowsPerSlot := float64(state.openFlows*placer.loadFactor(candidate, now)) / float64(max(candidate.Slots, 1))
 	cost *= 1 + flowsPerSlot
 	if candidate.FailureDomain != placer.failureDomain {
 		cost *= crossDomainPenalty
 	}
-	if now.Before(candidate.ColdUntil) {
-		cost *= coldStartPenalty
-	}
 	return cost
 }
 
@@ -257,6 +258,7 @@
 // ExpireServers deletes the state of servers, and the averages of services, that were last
 // used before a time.
 func (placer *Placer) ExpireServers(before time.Time) {
+	placer.pacer.Expire(before)
 	for key, state := range placer.servers {
 		if state.lastUsed.Before(before) {
 			delete(placer.servers, key)
--- /dev/null
+++ b/placer/warm_up_test.go
@@ -0,0 +1,120 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// stubPacer gives each server a share by its name, 1 by default, and counts openings.
+type stubPacer struct {
+	unpaced
+	shares   map[string]float64
+	shared   []*viewer.BackendServer // servers that one instance opens flows at
+	openings map[string]int
+}
+
+func (stubPacer *stubPacer) Share(server *viewer.BackendServer, _ time.Time) float64 {
+	if share, ok := stubPacer.shares[server.Name]; ok {
+		return share
+	}
+	return 1
+}
+
+func (stubPacer *stubPacer) Shared(string) []*viewer.BackendServer { return stubPacer.shared }
+
+func (stubPacer *stubPacer) Sharers(server *viewer.BackendServer, _ time.Time) int {
+	if viewer.Contains(stubPacer.shared, server) {
+		return 1
+	}
+	return 0
+}
+
+func (stubPacer *stubPacer) OpeningSent(server *viewer.BackendServer, _ time.Time) {
+	stubPacer.openings[server.Name]++
+}
+
+func newPacedPlacer(shares map[string]float64) (*Placer, *stubPacer) {
+	placer, pacer := newPlacer(1), &stubPacer{shares: shares, openings: map[string]int{}}
+	placer.SetPacer(pacer)
+	return placer, pacer
+}
+
+func TestServerWithoutBudgetIsNoCandidate(t *testing.T) {
+	servers := candidates("cold", "warm", "other")
+	placer, _ := newPacedPlacer(map[string]float64{"cold": 0})
+	for range 200 {
+		assert.Assert(t, placer.Select(servers, nil, start).Name != "cold")
+	}
+	// Not even when all others are ejected, or were tried before.
+	for range serverUnansweredLimit {
+		placer.OpeningUnanswered(servers[1], start)
+	}
+	for range 50 {
+		assert.Assert(t, placer.Select(servers, servers[2:], start).Name != "cold")
+	}
+	assert.Assert(t, placer.Select(servers[:1], nil, start) == nil)
+	assert.Assert(t, placer.Select(servers[:1], servers[:1], start) == nil)
+	assert.Assert(t, !placer.MayOpen(servers[0], start))
+}
+
+func TestNewFlowsOfAColdServerFollowItsShare(t *testing.T) {
+	servers := candidates("cold", "a", "b", "c", "d", "e", "f", "g", "h", "i")
+	previous := 0
+	for _, share := range []float64{0.25, 0.5, 1} {
+		placer, _ := newPacedPlacer(map[string]float64{"cold": share})
+		count := 0
+		for range 10_000 {
+			if server := placer.Select(servers, nil, start); server.Name == "cold" {
+				count++
+			}
+		}
+		want := 1000 * share
+		assert.Assert(t, float64(count) > 0.75*want && float64(count) < 1.35*want, "share %g: %d of 10000", share, count)
+		assert.Assert(t, count > previous)
+		previous = count
+	}
+}
+
+func TestOnlyServerGetsFlowsAlsoWhileItIsCold(t *testing.T) {
+	servers := candidates("cold")
+	placer, _ := newPacedPlacer(map[string]float64{"cold": 0.25})
+	for range 100 {
+		assert.Equal(t, placer.Select(servers, nil, start).Name, "cold")
+	}
+}
+
+func TestSharedServerIsComparedForEachFlow(t *testing.T) {
+	names := []string{"cold"}
+	for i := range 100 {
+		names = append(names, "warm-"+string(rune('a'+i)))
+	}
+	servers := candidates(names...)
+	placer, pacer := newPacedPlacer(map[string]float64{})
+	placer.instanceCount = func() int { return 50 }
+	for _, server := range servers[1:] {
+		placer.FlowOpened(server, start) // 50 at each in all, as each instance has one
+	}
+	placer.FlowOpened(servers[0], start)
+	assert.Assert(t, placer.expectedCost(servers[0], start) == placer.expectedCost(servers[1], start))
+	pacer.shared = servers[:1]
+	assert.Assert(t, placer.expectedCost(servers[0], start) < placer.expectedCost(servers[1], start)/10, "no other instance opens flows there")
+	for range 100 {
+		assert.Equal(t, placer.Select(servers, nil, start).Name, "cold")
+	}
+	pacer.shares["cold"] = 0
+	for range 100 {
+		assert.Assert(t, placer.Select(servers, nil, start).Name != "cold")
+	}
+}
+
+func TestOpeningsReachThePacer(t *testing.T) {
+	servers := candidates("a")
+	placer, pacer := newPacedPlacer(nil)
+	placer.OpeningSent(servers[0], start)
+	placer.OpeningSent(servers[0], start)
+	assert.Equal(t, pacer.openings["a"], 2)
+}
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -81,7 +81,7 @@
 	if configuration != nil {
 		relayer.applyConfiguration(configuration, "store")
 	}
-	relayer.applyServers(servers, "store")
+	relayer.applyServers(relayer.continueWarmUps(servers), "store")
 	return nil
 }
 
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -36,6 +36,7 @@
 	revision         uint64
 	configuration    *viewer.Configuration
 	servers          []viewer.BackendServer
+	coldEntries      map[string]coldEntry // by server
 	members          map[string]Member
 	saved            SavedSnapshot
 	storeCalls       int
@@ -53,6 +54,12 @@
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
 }
 
+// coldEntry is what a cold server has written into the store.
+type coldEntry struct {
+	revision  uint64
+	remaining time.Duration
+}
+
 // node is one instance in the simulation, with its source, network, observer and suspicion
 // counter.
 type node struct {
@@ -71,7 +78,7 @@
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
 		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
@@ -167,6 +174,11 @@
 	ticker.Sleep(ctx, readTime)
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		servers = &viewer.Servers{Revision: simulation.revision, List: slices.Clone(simulation.servers)}
+		for i := range servers.List {
+			if entry, isCold := simulation.coldEntries[servers.List[i].Name]; isCold {
+				servers.List[i].ColdSince, servers.List[i].ColdUntil = entry.revision, viewer.DeadlineAfter(time.Now(), entry.remaining)
+			}
+		}
 	})
 	return servers, err
 }
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -78,6 +78,7 @@
 	ReasonExistingFlow  Reason = "kept"             // a later packet was forwarded by its token
 	ReasonNoRoute       Reason = "no_route"         // the service address belongs to no route
 	ReasonNoServer      Reason = "no_server"        // the service has no active server
+	ReasonWarmingUp     Reason = "warming_up"       // the service has only cold servers that may get no flow now
 	ReasonJustResumed   Reason = "just_resumed"     // dropped instead of reset, because the process was paused
 	ReasonUnknownToken  Reason = "unknown_token"    // no server has the token of a later packet
 	ReasonNoView        Reason = "no_view"          // configuration or servers not yet known
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,6 +24,10 @@
 // placer.Placer implements it.
 type serverSelector interface {
 	Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer
+	// MayOpen reports whether an opening may be sent to a server now.
+	MayOpen(server *viewer.BackendServer, now time.Time) bool
+	// OpeningSent is called for each opening, and each copy of one, that is sent to a server.
+	OpeningSent(server *viewer.BackendServer, now time.Time)
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
@@ -127,7 +131,7 @@
 		flow = nil
 	}
 	if flow != nil && flow.established {
-		verdict.Action, verdict.Server, verdict.Reason = Send, flow.server, ReasonRetransmitted
+		steerer.repeatOpening(flow, verdict, now)
 		return
 	}
 	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
@@ -141,11 +145,23 @@
 	} else {
 		steerer.recordUnanswered(flow.server, now)
 	}
+	steerer.placer.OpeningSent(server, now)
 	if flow != nil {
 		steerer.recordAttempt(flow, server, now)
 	}
 }
 
+// repeatOpening sends a late copy of an established flow's opening to its server, if that may
+// get an opening now; otherwise it is dropped, as the flow does not need it.
+func (steerer *Steerer) repeatOpening(flow *flow, verdict *Verdict, now time.Time) {
+	if !steerer.placer.MayOpen(flow.server, now) {
+		verdict.Reason = ReasonWarmingUp
+		return
+	}
+	steerer.placer.OpeningSent(flow.server, now)
+	verdict.Action, verdict.Server, verdict.Reason = Send, flow.server, ReasonRetransmitted
+}
+
 // selectServer returns the server for an opening, or nil after setting the refusal
 // in verdict; flow is nil if the flow is not tracked yet.
 func (steerer *Steerer) selectServer(key FlowKey, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
@@ -161,8 +177,14 @@
 	candidates := view.ActiveServers(steerer.drawService(route))
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
-	if server == nil {
+	switch {
+	case server != nil:
+	case len(candidates) == 0:
 		steerer.refuse(verdict, ReasonNoServer, now)
+	case len(attempted) > 0: // a server may have accepted the flow
+		verdict.Action, verdict.Reason = Drop, ReasonWarmingUp
+	default:
+		steerer.refuse(verdict, ReasonWarmingUp, now)
 	}
 	return server
 }
@@ -288,6 +310,7 @@
 		return Verdict{}, false
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonRetried
+	steerer.placer.OpeningSent(server, now)
 	steerer.recordAttempt(flow, server, now)
 	steerer.observer.Decided(&verdict, view)
 	return verdict, true
--- a/viewer/delta.go
+++ b/viewer/delta.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // ServerDelta is the difference between two revisions of the list of backend servers.
@@ -87,10 +86,11 @@
 	return composed
 }
 
-// equal compares all fields but ColdUntil, which is computed anew at every read of the store.
+// equal compares all fields but ColdUntil, which is computed anew at every read of the store;
+// a later warm-up has another ColdSince.
 func (backendServer *BackendServer) equal(other *BackendServer) bool {
 	one, two := *backendServer, *other
-	one.ColdUntil, two.ColdUntil = time.Time{}, time.Time{}
+	one.ColdUntil, two.ColdUntil = Deadline{}, Deadline{}
 	return one == two
 }
 
--- a/viewer/delta_test.go
+++ b/viewer/delta_test.go
@@ -20,6 +20,10 @@
 			next.List[i].State = parser.Leaving
 		case 1:
 			next.List[i].StartedAt++
+		case 2:
+			next.List[i].ColdSince = next.Revision
+		case 3:
+			next.List[i].Sharers = Sharers{uint32(next.Revision), 7}
 		}
 	}
 	next.List = slices.DeleteFunc(next.List, func(BackendServer) bool { return random.IntN(12) == 0 })
@@ -54,6 +58,6 @@
 
 func TestDeltaIgnoresColdUntil(t *testing.T) {
 	before, after := list(1, server("a", 1, 1)), list(2, server("a", 1, 1))
-	after.List[0].ColdUntil = start
+	after.List[0].ColdUntil = Deadline{Time: start}
 	assert.Equal(t, DiffServers(before, after).Len(), 0)
 }
--- a/viewer/digest.go
+++ b/viewer/digest.go
@@ -14,6 +14,10 @@
 	writeString(digest, string(backendServer.State))
 	writeUint64(digest, uint64(backendServer.Slots))
 	writeUint64(digest, uint64(backendServer.StartedAt))
+	writeUint64(digest, backendServer.ColdSince)
+	for _, sharer := range backendServer.Sharers {
+		writeUint64(digest, uint64(sharer))
+	}
 }
 
 // writeString prefixes text with its length, so that adjacent strings cannot be confused.
--- a/viewer/route_delta.go
+++ b/viewer/route_delta.go
@@ -13,6 +13,7 @@
 	IdleTimeout time.Duration    `cbor:"3,keyasint"`           // of the newer version
 	Changed     []Route          `cbor:"4,keyasint,omitempty"` // added or changed
 	Removed     []netip.AddrPort `cbor:"5,keyasint,omitempty"` // addresses of routes that the newer version lacks
+	Services    *[]Service       `cbor:"6,keyasint,omitempty"` // of the newer version; nil if they are the same
 }
 
 // Len returns the number of routes that a delta changes or removes.
@@ -38,6 +39,10 @@
 			delta.Removed = append(delta.Removed, address)
 		}
 	}
+	if !slices.Equal(before.Services, after.Services) {
+		services := append([]Service{}, after.Services...) // nil would be decoded as no change
+		delta.Services = &services
+	}
 	return delta
 }
 
@@ -55,7 +60,11 @@
 		replaced[address] = true
 	}
 	unchanged := slices.DeleteFunc(slices.Clone(configuration.Routes), func(route Route) bool { return replaced[route.Address] })
-	return &Configuration{Version: delta.Version, IdleTimeout: delta.IdleTimeout, Routes: append(unchanged, delta.Changed...)}
+	services := configuration.Services
+	if delta.Services != nil {
+		services = *delta.Services
+	}
+	return &Configuration{Version: delta.Version, IdleTimeout: delta.IdleTimeout, Routes: append(unchanged, delta.Changed...), Services: services}
 }
 
 // equal compares all fields but the address.
--- a/viewer/route_delta_test.go
+++ b/viewer/route_delta_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 )
 
@@ -30,6 +31,13 @@
 			next.Routes = append(next.Routes, route)
 		}
 	}
+	next.Services = configuration.Services
+	switch random.IntN(4) {
+	case 0:
+		next.Services = nil
+	case 1:
+		next.Services = []Service{{Name: "desk-sync", WarmUpRate: float64(next.Version)}}
+	}
 	if added := routeAt(100+int(next.Version%100), "desk-sync"); !slices.ContainsFunc(next.Routes, func(route Route) bool { return route.Address == added.Address }) {
 		next.Routes = append(next.Routes, added)
 	}
@@ -47,7 +55,12 @@
 		applied := last
 		for range 8 {
 			next := randomVersion(random, last)
-			applied = applied.Apply(DiffRoutes(last, next))
+			content, err := cbor.Marshal(DiffRoutes(last, next))
+			assert.NilError(t, err)
+			var delta RouteDelta
+			assert.NilError(t, cbor.Unmarshal(content, &delta))
+			applied = applied.Apply(&delta)
+			assert.Assert(t, slices.Equal(applied.Services, next.Services), "seed %d: %v, not %v", seed, applied.Services, next.Services)
 			assert.Equal(t, applied.Version, next.Version)
 			assert.Equal(t, applied.IdleTimeout, next.IdleTimeout)
 			assert.Assert(t, slices.EqualFunc(sorted(applied.Routes), sorted(next.Routes), func(a, b Route) bool {
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -15,6 +15,7 @@
 type Configuration struct {
 	Version     uint64
 	Routes      []Route
+	Services    []Service     // sorted by Name
 	IdleTimeout time.Duration // after this time without packets a flow may be dropped; instances only pass the value on
 }
 
@@ -48,8 +49,10 @@
 	FailureDomain string         `cbor:"6,keyasint"`
 	Slots         int            `cbor:"7,keyasint"` // requests that the server processes at the same time
 	State         parser.State   `cbor:"8,keyasint"`
-	StartedAt     int64          `cbor:"9,keyasint"`           // Unix milliseconds; distinguishes incarnations with the same name
-	ColdUntil     time.Time      `cbor:"10,keyasint,omitzero"` // end of the warm-up, during which the server is slower than usual
+	StartedAt     int64          `cbor:"9,keyasint"`            // Unix milliseconds; distinguishes incarnations with the same name
+	ColdUntil     Deadline       `cbor:"11,keyasint,omitzero"`  // not before the end of the warm-up, during which the server is slower than usual; zero if it has none
+	ColdSince     uint64         `cbor:"12,keyasint,omitempty"` // revision of the store at which the server turned cold again; 0 if it is warm, or cold since its start
+	Sharers       Sharers        `cbor:"13,keyasint,omitzero"`  // instances that may open flows during the warm-up if the service states a rate
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation of a server.
@@ -68,7 +71,7 @@
 }
 
 // Digest returns a hash of the list's content. It leaves out the revision and, of
-// each server, ColdUntil, as well as Identity and Token, which follow from the name.
+// each server, ColdUntil, which differs between instances, as well as Identity and Token, which follow from the name.
 func (servers *Servers) Digest() uint64 {
 	digest := xxhash.New()
 	for i := range servers.List {
@@ -83,6 +86,7 @@
 	Servers       *Servers       // nil until one was accepted
 
 	routes    map[netip.AddrPort]*Route
+	services  map[string]Service
 	byService map[string][]*BackendServer // only servers that accept new flows
 	byToken   map[uint32]*BackendServer
 }
@@ -93,6 +97,10 @@
 // Route returns the route with an address, or nil.
 func (view *View) Route(address netip.AddrPort) *Route { return view.routes[address] }
 
+// Service returns what the configuration states about a service, which is nothing if it does
+// not name it.
+func (view *View) Service(name string) Service { return view.services[name] }
+
 // ActiveServers returns the servers of a service that accept new flows.
 func (view *View) ActiveServers(service string) []*BackendServer { return view.byService[service] }
 
@@ -108,6 +116,7 @@
 		Configuration: configuration,
 		Servers:       servers,
 		routes:        map[netip.AddrPort]*Route{},
+		services:      map[string]Service{},
 		byService:     map[string][]*BackendServer{},
 		byToken:       map[uint32]*BackendServer{},
 	}
@@ -115,6 +124,9 @@
 		for i := range configuration.Routes {
 			view.routes[configuration.Routes[i].Address] = &configuration.Routes[i]
 		}
+		for _, service := range configuration.Services {
+			view.services[service.Name] = service
+		}
 	}
 	if servers != nil {
 		view.indexServers(servers, retained)
--- a/viewer/viewer_test.go
+++ b/viewer/viewer_test.go
@@ -105,7 +105,7 @@
 
 func TestDigestDependsOnlyOnContent(t *testing.T) {
 	one, two := list(1, server("a", 1, 1)), list(2, server("a", 1, 1))
-	two.List[0].ColdUntil = start
+	two.List[0].ColdUntil = Deadline{Time: start}
 	assert.Equal(t, one.Digest(), two.Digest())
 	two.List[0].State = parser.Leaving
 	assert.Assert(t, one.Digest() != two.Digest())
