Count requests on open flows against the budget of a cold server

Long flows go on sending after the second in which they opened. A request on a flow that a sharer opened takes from its budget what an opening takes, so a cold server gets fewer new flows the more its open ones send. Red first: steerer and pacer tests.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -53,7 +53,8 @@
 	startedAt int64
 }
 
-// budget holds the openings that were sent to a server within the last window.
+// budget holds the openings, and the requests on open flows, that were sent to a server within
+// the last window.
 type budget struct {
 	sentAt     []time.Time // oldest first
 	lastSentAt time.Time   // also if it was sent earlier
@@ -76,14 +77,14 @@
 // Share returns the share of new flows that a server may get from this instance now, from 0 to
 // 1 for a warm server; 0 means that none may be sent.
 func (pacer *Pacer) Share(server *viewer.BackendServer, now time.Time) float64 {
-	if server.ColdUntil.IsZero() {
+	if !mayBeCold(server, now) {
 		return 1
 	}
 	service := pacer.currentView().Service(server.Service)
 	if service.WarmUpRate <= 0 {
 		return rampedShare(server, service.WarmUp, now)
 	}
-	if !isPaced(server, now) || pacer.hasBudget(server, service, now) {
+	if pacer.hasBudget(server, service, now) {
 		return 1
 	}
 	pacer.counter.WarmUpDeclined()
@@ -92,17 +93,23 @@
 
 // OpeningSent counts an opening against the budget, if the server has one.
 func (pacer *Pacer) OpeningSent(server *viewer.BackendServer, now time.Time) {
-	if server.ColdUntil.IsZero() || !isPaced(server, now) || pacer.currentView().Service(server.Service).WarmUpRate <= 0 {
-		return
+	if pacer.isPaced(server, now) {
+		pacer.budgetOf(server, now).add(now)
+		pacer.counter.WarmUpOpening()
+	}
+}
+
+// RequestSent counts a request on an open flow, but the first, against the budget like an
+// opening, so that the server gets fewer new flows the more requests those it has send.
+func (pacer *Pacer) RequestSent(server *viewer.BackendServer, now time.Time) {
+	if pacer.isPaced(server, now) && server.Sharers.Contains(pacer.instance) {
+		pacer.budgetOf(server, now).add(now)
 	}
-	budget := pacer.budgetOf(server, now)
-	budget.sentAt, budget.lastSentAt = append(budget.sentAt, now), now
-	pacer.counter.WarmUpOpening()
 }
 
 // Sharers returns how many instances open flows at the server in place of all, or 0 if all do.
 func (pacer *Pacer) Sharers(server *viewer.BackendServer, now time.Time) int {
-	if server.ColdUntil.IsZero() || !isPaced(server, now) || pacer.currentView().Service(server.Service).WarmUpRate <= 0 {
+	if !pacer.isPaced(server, now) {
 		return 0
 	}
 	return server.Sharers.Count()
@@ -145,10 +152,15 @@
 	}
 }
 
-// isPaced reports whether a server may still be cold. Its warm-up can end later than it is
+// isPaced reports whether only the sharers may open flows at a server now.
+func (pacer *Pacer) isPaced(server *viewer.BackendServer, now time.Time) bool {
+	return mayBeCold(server, now) && pacer.currentView().Service(server.Service).WarmUpRate > 0
+}
+
+// mayBeCold reports whether a server may still be cold. Its warm-up can end later than it is
 // known to by WarmUpTolerance.
-func isPaced(server *viewer.BackendServer, now time.Time) bool {
-	return now.Before(server.ColdUntil.Add(viewer.WarmUpTolerance))
+func mayBeCold(server *viewer.BackendServer, now time.Time) bool {
+	return !server.ColdUntil.IsZero() && now.Before(server.ColdUntil.Add(viewer.WarmUpTolerance))
 }
 
 // hasBudget reports whether this instance may send an opening to a cold server now. A process
@@ -180,6 +192,12 @@
 	return limit, time.Duration(interval * float64(time.Second))
 }
 
+// add counts an opening or a request.
+func (budget *budget) add(now time.Time) {
+	budget.expire(now)
+	budget.sentAt, budget.lastSentAt = append(budget.sentAt, now), now
+}
+
 // expire forgets the openings that were sent a window ago.
 func (budget *budget) expire(now time.Time) {
 	for len(budget.sentAt) > 0 && now.Sub(budget.sentAt[0]) >= window {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -178,3 +178,20 @@
 	assert.Equal(t, len(pacer.Shared("desk-sync")), 0)
 	assert.Equal(t, pacer.Sharers(&server, start), 0)
 }
+
+func TestRequestsOnOpenFlowsTakeFromTheBudget(t *testing.T) {
+	server := coldServer("lb-0", "lb-1")
+	pacer, counts := newPacer("lb-0", Bounds{1.5, 5}, viewOf(viewer.Service{WarmUpRate: 20}, server))
+	limit, spacing := allowance(20, Bounds{1.5, 5}, 2)
+	now := start
+	for range limit {
+		pacer.RequestSent(&server, now)
+		now = now.Add(spacing)
+	}
+	assert.Equal(t, pacer.Share(&server, now), 0.0)
+	assert.Equal(t, pacer.Share(&server, start.Add(window)), 1.0)
+	assert.Equal(t, counts.openings, 0)
+	warm := viewer.BackendServer{Name: "b", Service: "desk-sync"}
+	pacer.RequestSent(&warm, now)
+	assert.Equal(t, len(pacer.budgets), 1)
+}
--- a/placer/warm_up.go
+++ b/placer/warm_up.go
@@ -18,6 +18,7 @@
 	// Sharers returns how many instances open flows at the server, or 0 if all do.
 	Sharers(server *viewer.BackendServer, now time.Time) int
 	OpeningSent(server *viewer.BackendServer, now time.Time)
+	RequestSent(server *viewer.BackendServer, now time.Time)
 	Expire(before time.Time)
 }
 
@@ -28,6 +29,7 @@
 func (unpaced) Shared(string) []*viewer.BackendServer          { return nil }
 func (unpaced) Sharers(*viewer.BackendServer, time.Time) int   { return 0 }
 func (unpaced) OpeningSent(*viewer.BackendServer, time.Time)   {}
+func (unpaced) RequestSent(*viewer.BackendServer, time.Time)   {}
 func (unpaced) Expire(time.Time)                               {}
 
 // SetPacer sets what limits the new flows of cold servers; without it they count as warm.
@@ -43,6 +45,11 @@
 	placer.pacer.OpeningSent(server, now)
 }
 
+// RequestSent records that a request, but the first, is sent on an open flow of a server.
+func (placer *Placer) RequestSent(server *viewer.BackendServer, now time.Time) {
+	placer.pacer.RequestSent(server, now)
+}
+
 // acceptsDraw reports whether a server that was drawn is to be compared: a cold one in
 // proportion to its share.
 func (placer *Placer) acceptsDraw(candidate *viewer.BackendServer, now time.Time) bool {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -101,6 +101,9 @@
 	}
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
+		if !flow.requestReceivedAt.IsZero() {
+			steerer.placer.RequestSent(server, now)
+		}
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
 		steerer.awaitResponse(flow)
 	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -28,6 +28,8 @@
 	MayOpen(server *viewer.BackendServer, now time.Time) bool
 	// OpeningSent is called for each opening, and each copy of one, that is sent to a server.
 	OpeningSent(server *viewer.BackendServer, now time.Time)
+	// RequestSent is called for each request on an open flow but the first.
+	RequestSent(server *viewer.BackendServer, now time.Time)
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
--- a/steerer/warm_up_test.go
+++ b/steerer/warm_up_test.go
@@ -13,8 +13,9 @@
 // countingPacer allows openings to servers up to a number by name, or any number if it has
 // none for the server, and counts them.
 type countingPacer struct {
-	allowed map[string]int
-	sent    map[string]int
+	allowed  map[string]int
+	sent     map[string]int
+	requests map[string]int
 }
 
 func (pacer *countingPacer) Share(server *viewer.BackendServer, _ time.Time) float64 {
@@ -27,12 +28,15 @@
 func (pacer *countingPacer) OpeningSent(server *viewer.BackendServer, _ time.Time) {
 	pacer.sent[server.Name]++
 }
+func (pacer *countingPacer) RequestSent(server *viewer.BackendServer, _ time.Time) {
+	pacer.requests[server.Name]++
+}
 func (pacer *countingPacer) Shared(string) []*viewer.BackendServer        { return nil }
 func (pacer *countingPacer) Sharers(*viewer.BackendServer, time.Time) int { return 0 }
 func (pacer *countingPacer) Expire(time.Time)                             {}
 
 func newPacedHarness(allowed map[string]int, names ...string) (*harness, *countingPacer) {
-	harness, pacer := newHarness(names...), &countingPacer{allowed: allowed, sent: map[string]int{}}
+	harness, pacer := newHarness(names...), &countingPacer{allowed: allowed, sent: map[string]int{}, requests: map[string]int{}}
 	harness.placer.(*placer.Placer).SetPacer(pacer)
 	return harness, pacer
 }
@@ -95,3 +99,13 @@
 	assert.Assert(t, !retried)
 	assert.Equal(t, pacer.sent["a"], 0)
 }
+
+func TestRequestsAfterTheFirstAreReported(t *testing.T) {
+	harness, pacer := newPacedHarness(nil, "a")
+	harness.Decide(opening(1), start)
+	for i, acknowledgment := range []uint32{100, 100, 300, 300, 500} { // two packets of a request, two of the next, and one
+		harness.Decide(laterPacket(1, tokenOf("a"), acknowledgment, 10, Flags{}), start.Add(time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, pacer.requests["a"], 2)
+	assert.Equal(t, pacer.sent["a"], 1)
+}
