--- a/steerer/warm_up_test.go
+++ b/steerer/warm_up_test.go
@@ -28,6 +28,7 @@
 func (pacer *countingPacer) OpeningSent(server *viewer.BackendServer, _ time.Time) {
 	pacer.sent[server.Name]++
 }
+
 func (pacer *countingPacer) RequestSent(server *viewer.BackendServer, _ time.Time) {
 	pacer.requests[server.Name]++
 }
