--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -23,6 +23,8 @@
 	DrainTimeout      Duration         `json:"drain_timeout"`    // time after which a draining backend server may get no new flows; 0 if unlimited
 	ApplyTimeout      Duration         `json:"apply_timeout"`    // time within which a configuration has to be in force; 0 if unlimited
 	EvacuateTimeout   Duration         `json:"evacuate_timeout"` // time after which the servers of an evacuated failure domain may get no new flows; 0 if unlimited
+	WarmUpExcess      float64          `json:"warm_up_excess"`   // factor by which the openings that reach a cold backend server in a second may exceed the stated rate; 0 if not stated, for 1
+	WarmUpSlack       float64          `json:"warm_up_slack"`    // openings in a second that may come on top
 	Log               Log              `json:"log"`
 }
 
@@ -84,6 +86,8 @@
 	require(platformSettings.DrainTimeout >= 0, "drain_timeout", "must not be negative")
 	require(platformSettings.ApplyTimeout >= 0, "apply_timeout", "must not be negative")
 	require(platformSettings.EvacuateTimeout >= 0, "evacuate_timeout", "must not be negative")
+	require(platformSettings.WarmUpExcess >= 0, "warm_up_excess", "must not be negative")
+	require(platformSettings.WarmUpSlack >= 0, "warm_up_slack", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
 	return findings
 }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -43,6 +43,7 @@
 	EventEvacuated            decider.EventKind = 512
 	EventEvacuationEnded      decider.EventKind = 513
 	EventEvacuationIgnored    decider.EventKind = 514
+	EventWarmUpChanged        decider.EventKind = 515
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -75,6 +76,7 @@
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
+	EventWarmUpChanged:        "backend server turned cold or warm",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
