Estimate how much room each service has

Change: package estimator counts outstanding requests for each service and failure domain, averages them over a second, multiplies by the instances of the failure domain, and gives slots, utilization, demand and response times against those without load. An unknown past counts as half used. Shared figures replace its own (ApplyShared). Not wired yet.

--- /dev/null
+++ b/estimator/average.go
@@ -0,0 +1,43 @@
+package estimator
+
+import (
+	"math"
+	"time"
+)
+
+// timeAverage is the exponentially weighted average, over time, of a count.
+type timeAverage struct {
+	level     int       // the present count
+	mean      float64   // of the observed part of the past
+	observed  float64   // weight of the observed part of the past, from 0 to 1
+	updatedAt time.Time // zero before the first update
+}
+
+// advance accounts for the time from the last update to now; span is the time after which
+// the past counts e times less.
+func (timeAverage *timeAverage) advance(now time.Time, span time.Duration) {
+	elapsed := now.Sub(timeAverage.updatedAt)
+	if timeAverage.updatedAt.IsZero() {
+		elapsed = 0
+	}
+	if elapsed > 0 {
+		kept := timeAverage.observed * math.Exp(-elapsed.Seconds()/span.Seconds())
+		added := 1 - math.Exp(-elapsed.Seconds()/span.Seconds())
+		timeAverage.mean = (timeAverage.mean*kept + float64(timeAverage.level)*added) / (kept + added)
+		timeAverage.observed = kept + added
+	}
+	if elapsed >= 0 {
+		timeAverage.updatedAt = now
+	}
+}
+
+// add changes the count.
+func (timeAverage *timeAverage) add(change int, now time.Time, span time.Duration) {
+	timeAverage.advance(now, span)
+	timeAverage.level = max(timeAverage.level+change, 0)
+}
+
+// meanWith returns the average in which the count was unknown before the first update.
+func (timeAverage *timeAverage) meanWith(unknown float64) float64 {
+	return timeAverage.mean*timeAverage.observed + unknown*(1-timeAverage.observed)
+}
--- /dev/null
+++ b/estimator/room.go
@@ -0,0 +1,149 @@
+package estimator
+
+import (
+	"math"
+	"time"
+)
+
+// Room is how much of a service's slots is taken, in the whole fleet.
+type Room struct {
+	Slots       int     // of the servers that may get new flows
+	Outstanding float64 // requests that have begun and are not answered; above Slots they wait
+	// ResponseTimeRatio is the recent response time in this instance's failure domain over
+	// that without load; 1 if either is unknown.
+	ResponseTimeRatio float64
+	// Observed is how much of the estimate rests on observation: 0 for an instance that has
+	// just started, for which Outstanding is an assumption, up to 1.
+	Observed float64
+}
+
+// Free returns how many more requests could be processed at once; it is negative when
+// requests wait.
+func (room Room) Free() float64 { return float64(room.Slots) - room.Outstanding }
+
+// Room returns how much of a service's slots is taken, in all failure domains together.
+func (estimator *Estimator) Room(service string, now time.Time) Room {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	load := estimator.service(service, now)
+	room := Room{Slots: load.capacity.total, ResponseTimeRatio: load.responseTimeRatio(estimator.failureDomain)}
+	load.demand.advance(now, averagingSpan)
+	room.Observed = load.demand.observed
+	for domain := range load.capacity.byDomain {
+		room.Outstanding += estimator.outstanding(load, domain, now)
+	}
+	return room
+}
+
+// Utilization returns the outstanding requests of the whole fleet at the servers of a service
+// in a failure domain over the slots there; it is infinite if there are no slots.
+func (estimator *Estimator) Utilization(service, failureDomain string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	return estimator.utilization(estimator.service(service, now), failureDomain, now)
+}
+
+// Demand returns the outstanding requests of the callers of this instance's failure domain,
+// wherever they are processed, and those of this instance's flows if there are no others.
+func (estimator *Estimator) Demand(service string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	return estimator.demand(estimator.service(service, now), now)
+}
+
+// Slots returns the slots of a service in a failure domain, of servers that may get new flows.
+func (estimator *Estimator) Slots(service, failureDomain string, now time.Time) int {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	return estimator.service(service, now).capacity.byDomain[failureDomain]
+}
+
+func (estimator *Estimator) utilization(service *serviceLoad, domain string, now time.Time) float64 {
+	slots := service.capacity.byDomain[domain]
+	if slots == 0 {
+		return math.Inf(1)
+	}
+	return estimator.outstanding(service, domain, now) / float64(slots)
+}
+
+// outstanding returns the requests that are outstanding in a failure domain: the shared
+// figure if there is one, and otherwise what this instance counts and assumes, or what the
+// response times show if that is more.
+func (estimator *Estimator) outstanding(service *serviceLoad, domain string, now time.Time) float64 {
+	load := service.domain(domain)
+	if now.Sub(load.sharedAt) < sharedLifetime {
+		return load.shared.Outstanding
+	}
+	slots := float64(service.capacity.byDomain[domain])
+	byResponseTimes := slots * utilizationByResponseTime(service.responseTimeRatio(domain))
+	return max(slots*estimator.countedUtilization(service, domain, now), byResponseTimes)
+}
+
+// countedUtilization returns the utilization of a failure domain by the requests that this
+// instance counts; in another failure domain, those of its own callers are assumed.
+func (estimator *Estimator) countedUtilization(service *serviceLoad, domain string, now time.Time) float64 {
+	slots := service.capacity.byDomain[domain]
+	if slots == 0 {
+		return math.Inf(1)
+	}
+	load := service.domain(domain)
+	load.outstanding.advance(now, averagingSpan)
+	counted := float64(estimator.instances().Domain) * load.outstanding.meanWith(0) / float64(slots)
+	if domain != estimator.failureDomain {
+		return counted + estimator.usualUtilization(service, now)
+	}
+	service.demand.advance(now, averagingSpan)
+	return counted + unknownUtilization*(1-service.demand.observed)
+}
+
+// usualUtilization returns the long average of the demand in this instance's failure domain
+// over its slots.
+func (estimator *Estimator) usualUtilization(service *serviceLoad, now time.Time) float64 {
+	service.usual.advance(now, usualSpan)
+	slots := service.capacity.byDomain[estimator.failureDomain]
+	if slots == 0 {
+		return unknownUtilization
+	}
+	counted := float64(estimator.instances().Domain) * service.usual.meanWith(0) / float64(slots)
+	return min(counted+unknownUtilization*(1-service.usual.observed), 1)
+}
+
+// demand returns the outstanding requests of this failure domain's callers.
+func (estimator *Estimator) demand(service *serviceLoad, now time.Time) float64 {
+	service.demand.advance(now, averagingSpan)
+	unknown := unknownUtilization * float64(service.capacity.byDomain[estimator.failureDomain])
+	return float64(estimator.instances().Domain)*service.demand.meanWith(0) + unknown*(1-service.demand.observed)
+}
+
+// responseTimeRatio returns the average response time in a failure domain over that of the
+// service without load, or 1 if either is unknown.
+func (serviceLoad *serviceLoad) responseTimeRatio(domain string) float64 {
+	load := serviceLoad.domains[domain]
+	if load == nil || load.responseTimes.samples < minResponseSamples || serviceLoad.unloaded.samples < minResponseSamples {
+		return 1
+	}
+	return max(load.responseTimes.seconds/serviceLoad.unloaded.seconds, 1)
+}
+
+// utilizationByResponseTime returns the utilization at which servers with two slots, Poisson
+// arrivals and exponential service times take ratio times as long as without load.
+func utilizationByResponseTime(ratio float64) float64 { return math.Sqrt(1 - 1/ratio) }
+
+// Shared is a figure that instances share.
+type Shared struct {
+	Service       string
+	FailureDomain string        // of the servers
+	Outstanding   float64       // requests of all instances that are outstanding there
+	Age           time.Duration // since the figure was true
+}
+
+// ApplyShared replaces this instance's own estimate by a shared figure until that is too old.
+// An older figure than the present one has no effect.
+func (estimator *Estimator) ApplyShared(shared Shared, now time.Time) {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	load := estimator.service(shared.Service, now).domain(shared.FailureDomain)
+	if at := now.Add(-shared.Age); at.After(load.sharedAt) {
+		load.shared, load.sharedAt = shared, at
+	}
+}
