--- a/director/director.go
+++ b/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/placer"
@@ -75,6 +76,7 @@
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newEstimator,
 		newSteerer,
 		builder.newSocket,
 		builder.newTicker,
@@ -140,9 +142,16 @@
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections) *estimator.Estimator {
+	instances := func() estimator.Instances {
+		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
+	}
+	return estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+}
+
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
+	placer := placer.NewPlacer(settings.FailureDomain, estimator, ejections.IsEjected, random)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
--- a/director/socket_test.go
+++ b/director/socket_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/internal/rehearser"
 	"github.com/pimentowind/pimentowind/logger"
@@ -49,7 +50,7 @@
 	}
 	current.ApplyServers(list, time.Now())
 	random := rand.New(rand.NewPCG(1, 2))
-	placer := placer.NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, random)
+	placer := placer.NewPlacer("dakar-1", estimator.NewEstimator("dakar-1", oneInstance, current.Current, neverFailing), neverFailing, random)
 	examiner := examiner.NewExaminer(func(*viewer.BackendServer, examiner.Suspicion) {})
 	created := steerer.NewSteerer(current.Current, func(time.Time) bool { return false }, placer, examiner, recorder, random)
 	address := rehearser.FreeAddress()
@@ -60,6 +61,10 @@
 	return socket, address
 }
 
+func oneInstance() estimator.Instances { return estimator.Instances{Fleet: 1, Domain: 1} }
+
+func neverFailing(uint32, time.Time) bool { return false }
+
 // opening returns the first packet of a flow to 198.18.0.1:443.
 func opening() []byte {
 	packet := make([]byte, 34)
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -109,8 +109,12 @@
 	defer estimator.mutex.Unlock()
 	service := estimator.service(server.Service, now)
 	service.domain(server.FailureDomain).responseTimes.add(duration, domainSmoothing)
-	isOwn := server.FailureDomain == estimator.failureDomain
-	if isOwn && estimator.countedUtilization(service, server.FailureDomain, now) < unloadedUtilization {
+	if server.FailureDomain != estimator.failureDomain {
+		return
+	}
+	unloadedLimit := unloadedUtilization * float64(service.capacity.byDomain[server.FailureDomain])
+	isUnloaded := estimator.counted(service, server.FailureDomain, now)+estimator.assumed(service, server.FailureDomain, now) < unloadedLimit
+	if isUnloaded {
 		service.unloaded.add(duration, unloadedSmoothing)
 	}
 }
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -44,7 +44,7 @@
 }
 
 // Demand returns the outstanding requests of the callers of this instance's failure domain,
-// wherever they are processed, and those of this instance's flows if there are no others.
+// wherever they are processed.
 func (estimator *Estimator) Demand(service string, now time.Time) float64 {
 	estimator.mutex.Lock()
 	defer estimator.mutex.Unlock()
@@ -58,6 +58,16 @@
 	return estimator.service(service, now).capacity.byDomain[failureDomain]
 }
 
+// Background returns the requests that are outstanding in a failure domain but do not come from
+// callers of this instance's failure domain.
+func (estimator *Estimator) Background(service, failureDomain string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	load := estimator.service(service, now)
+	outstanding := estimator.outstanding(load, failureDomain, now)
+	return max(outstanding-estimator.counted(load, failureDomain, now), 0)
+}
+
 func (estimator *Estimator) utilization(service *serviceLoad, domain string, now time.Time) float64 {
 	slots := service.capacity.byDomain[domain]
 	if slots == 0 {
@@ -75,25 +85,28 @@
 		return load.shared.Outstanding
 	}
 	slots := float64(service.capacity.byDomain[domain])
-	byResponseTimes := slots * utilizationByResponseTime(service.responseTimeRatio(domain))
-	return max(slots*estimator.countedUtilization(service, domain, now), byResponseTimes)
+	byCount := estimator.counted(service, domain, now) + estimator.assumed(service, domain, now)
+	return max(byCount, slots*utilizationByResponseTime(service.responseTimeRatio(domain)))
 }
 
-// countedUtilization returns the utilization of a failure domain by the requests that this
-// instance counts; in another failure domain, those of its own callers are assumed.
-func (estimator *Estimator) countedUtilization(service *serviceLoad, domain string, now time.Time) float64 {
-	slots := service.capacity.byDomain[domain]
-	if slots == 0 {
-		return math.Inf(1)
-	}
+// counted returns the requests of this failure domain's callers that are outstanding in a
+// failure domain, from those of this instance.
+func (estimator *Estimator) counted(service *serviceLoad, domain string, now time.Time) float64 {
 	load := service.domain(domain)
 	load.outstanding.advance(now, averagingSpan)
-	counted := float64(estimator.instances().Domain) * load.outstanding.meanWith(0) / float64(slots)
+	return float64(estimator.instances().Domain) * load.outstanding.meanWith(0)
+}
+
+// assumed returns the requests that are assumed to be outstanding in a failure domain besides
+// the counted ones: in this one for the time before the first observation, in others for their
+// own callers.
+func (estimator *Estimator) assumed(service *serviceLoad, domain string, now time.Time) float64 {
+	slots := float64(service.capacity.byDomain[domain])
 	if domain != estimator.failureDomain {
-		return counted + estimator.usualUtilization(service, now)
+		return slots * estimator.usualUtilization(service, now)
 	}
 	service.demand.advance(now, averagingSpan)
-	return counted + unknownUtilization*(1-service.demand.observed)
+	return slots * unknownUtilization * (1 - service.demand.observed)
 }
 
 // usualUtilization returns the long average of the demand in this instance's failure domain
@@ -111,8 +124,8 @@
 // demand returns the outstanding requests of this failure domain's callers.
 func (estimator *Estimator) demand(service *serviceLoad, now time.Time) float64 {
 	service.demand.advance(now, averagingSpan)
-	unknown := unknownUtilization * float64(service.capacity.byDomain[estimator.failureDomain])
-	return float64(estimator.instances().Domain)*service.demand.meanWith(0) + unknown*(1-service.demand.observed)
+	counted := float64(estimator.instances().Domain) * service.demand.meanWith(0)
+	return counted + estimator.assumed(service, estimator.failureDomain, now)
 }
 
 // responseTimeRatio returns the average response time in a failure domain over that of the
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,26 +16,45 @@
 	// fastest servers are about 1.6 times as fast as the average. A server with a
 	// smaller ratio may be failing its requests immediately.
 	minResponseTimeRatio = 0.3
-	// crossDomainPenalty multiplies the cost of a server outside the instance's failure domain.
-	crossDomainPenalty = 1.5
 	// coldStartPenalty multiplies the cost of a server that has just started.
 	coldStartPenalty = 1.6
+	// ownLoadWeight is what one of this instance's requests for each slot of a server adds to the
+	// expected time there.
+	ownLoadWeight = 4.0
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
-	// maxDraws is how many random candidates are tried before all candidates are examined.
+	// maxDraws is how many random candidates of a failure domain are tried before all candidates are
+	// examined.
 	maxDraws = 8
+	// activitySmoothing is the weight of a new sample in the average share of open flows
+	// that have a request outstanding.
+	activitySmoothing = 0.02
 )
 
+// loadEstimator estimates the load of services in failure domains;
+// estimator.Estimator implements it.
+type loadEstimator interface {
+	RequestBegan(server *viewer.BackendServer, now time.Time)
+	RequestEnded(server *viewer.BackendServer, now time.Time)
+	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
+	// Demand returns the outstanding requests of the callers of this failure domain.
+	Demand(service string, now time.Time) float64
+	// Background returns the outstanding requests of other callers in a failure domain.
+	Background(service, failureDomain string, now time.Time) float64
+	Expire(before time.Time)
+}
+
 // Placer selects servers for new flows and keeps the load of each server as this
 // instance measures it; it is not safe for concurrent use.
 type Placer struct {
-	failureDomain        string
-	instanceCount        func() int                             // how many instances share the load, this one included
-	isFailing            func(token uint32, now time.Time) bool // by the server's token
-	random               *rand.Rand
-	servers              map[serverKey]*serverState
-	domainEjections      map[domainKey]*ejection
-	serviceResponseTimes map[string]*serviceAverage
+	failureDomain   string
+	estimator       loadEstimator
+	isFailing       func(token uint32, now time.Time) bool // by the server's token
+	random          *rand.Rand
+	servers         map[serverKey]*serverState
+	domainEjections map[domainKey]*ejection
+	services        map[string]*serviceState
+	indexes         map[string]*domainIndex // by service
 }
 
 // serverKey identifies one incarnation of a backend server.
@@ -44,6 +63,10 @@
 	startedAt int64
 }
 
+func keyOf(backendServer *viewer.BackendServer) serverKey {
+	return serverKey{name: backendServer.Name, startedAt: backendServer.StartedAt}
+}
+
 // domainKey identifies the servers of a service in one failure domain.
 type domainKey struct {
 	service string
@@ -53,15 +76,19 @@
 // serverState is the state of one incarnation of a backend server.
 type serverState struct {
 	openFlows    int
+	outstanding  int           // requests that this instance has sent and that are not answered
 	responseTime movingAverage // seconds from a request to the end of its response
 	ejection     ejection
 	lastUsed     time.Time // when the state was last read or updated
 }
 
-// serviceAverage is the average response time of a service in seconds.
-type serviceAverage struct {
-	movingAverage
-	lastUsed time.Time // when it was last updated
+// serviceState is what is known of a service as a whole.
+type serviceState struct {
+	responseTime movingAverage // seconds
+	openFlows    int
+	outstanding  int
+	activity     float64   // average share of the open flows that have a request outstanding
+	lastUsed     time.Time // when it was last updated
 }
 
 // movingAverage is an exponential moving average that starts at its first sample.
@@ -75,57 +102,61 @@
 	movingAverage.value += responseTimeSmoothing * (sample - movingAverage.value)
 }
 
-// NewPlacer returns a Placer for an instance in failureDomain; instanceCount returns
-// how many instances share the load, and isFailing reports whether the server with a
-// token is ejected because its requests fail.
-func NewPlacer(failureDomain string, instanceCount func() int, isFailing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
+// NewPlacer returns a Placer for an instance in failureDomain; isFailing reports whether
+// the server with a token is ejected because its requests fail.
+func NewPlacer(failureDomain string, estimator loadEstimator, isFailing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
 	return &Placer{
-		failureDomain:        failureDomain,
-		instanceCount:        instanceCount,
-		isFailing:            isFailing,
-		random:               random,
-		servers:              map[serverKey]*serverState{},
-		domainEjections:      map[domainKey]*ejection{},
-		serviceResponseTimes: map[string]*serviceAverage{},
+		failureDomain:   failureDomain,
+		estimator:       estimator,
+		isFailing:       isFailing,
+		random:          random,
+		servers:         map[serverKey]*serverState{},
+		domainEjections: map[domainKey]*ejection{},
+		services:        map[string]*serviceState{},
+		indexes:         map[string]*domainIndex{},
+	}
+}
+
+// Select returns the server for a new flow: the cheapest of a few random candidates in the
+// failure domain that drawDomain chooses, or nil if there are no candidates. Ejected servers are
+// selected only if there are no others, and servers in attempted, which the flow's opening was
+// sent to before, only if there are no servers outside attempted; servers outside the
+// failure domains of attempted come first. All candidates are examined only where the drawn
+// ones don't serve, so that the usual cost does not grow with their number.
+func (placer *Placer) Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+	if len(candidates) == 0 {
+		return nil
 	}
+	index := placer.indexOf(candidates, now)
+	if domain := placer.drawDomain(index, attempted, now); domain != nil {
+		if server := placer.cheapest(domain.usable, now); server != nil {
+			return server
+		}
+	}
+	preferred := placer.preferredCandidates(candidates, attempted, now)
+	return preferred[placer.random.IntN(len(preferred))]
 }
 
-// Select returns the server for a new flow: the cheapest of a few random
-// candidates, or nil if there are no candidates. Ejected servers are selected only if
-// there are no others, and servers in attempted, which the flow's opening was sent to
-// before, only if there are no servers outside attempted.
-func (placer *Placer) Select(candidates []*viewer.BackendServer, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+// cheapest returns the cheapest of comparedCandidates random candidates that are not ejected, or
+// nil if maxDraws draws find none.
+func (placer *Placer) cheapest(candidates []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	var best *viewer.BackendServer
 	bestCost := 0.0
-	for range comparedCandidates {
-		candidate := placer.drawCandidate(candidates, attempted, now)
-		if candidate == nil {
-			break
+	compared := 0
+	for range maxDraws {
+		candidate := candidates[placer.random.IntN(len(candidates))]
+		if placer.isEjected(candidate, now) {
+			continue
 		}
 		cost := placer.expectedCost(candidate, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
-	}
-	return best
-}
-
-// drawCandidate returns a random candidate that is not ejected and lies outside the
-// failure domains of the attempted servers. It examines all candidates only if
-// maxDraws draws find none, so that the usual cost does not grow with their number; then
-// it draws from the preferredCandidates.
-func (placer *Placer) drawCandidate(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
-	for range min(maxDraws, len(candidates)) {
-		candidate := candidates[placer.random.IntN(len(candidates))]
-		if !containsDomain(attempted, candidate) && !placer.isEjected(candidate, now) {
-			return candidate
+		if compared++; compared == comparedCandidates {
+			break
 		}
 	}
-	preferred := placer.preferredCandidates(candidates, attempted, now)
-	if len(preferred) == 0 {
-		return nil
-	}
-	return preferred[placer.random.IntN(len(preferred))]
+	return best
 }
 
 // preferredCandidates returns the first of these groups that is not empty: servers
@@ -156,7 +187,8 @@
 // isEjected reports whether a server gets no new flows because it, or its failure
 // domain, does not answer openings, or because its requests fail.
 func (placer *Placer) isEjected(candidate *viewer.BackendServer, now time.Time) bool {
-	unresponsive := placer.stateOf(candidate, now).ejection.active(now) || placer.domainEjection(candidate).active(now)
+	state := placer.servers[keyOf(candidate)]
+	unresponsive := state != nil && state.ejection.active(now) || placer.domainEjection(candidate).active(now)
 	return unresponsive || placer.isFailing(candidate.Token, now)
 }
 
@@ -182,17 +214,15 @@
 	return false
 }
 
-// expectedCost estimates how long a flow takes at a server, in multiples of the
-// service's average response time. It assumes that each instance has as many flows
-// open at the server as this one.
+// expectedCost estimates how long a request takes at a server, in multiples of the
+// service's average response time. Of this instance's flows there, one between two requests
+// counts as much as such a flow is active on average.
 func (placer *Placer) expectedCost(candidate *viewer.BackendServer, now time.Time) float64 {
 	state := placer.stateOf(candidate, now)
 	cost := placer.responseTimeRatio(candidate, state)
-	flowsPerSlot := float64(state.openFlows*placer.instanceCount()) / float64(max(candidate.Slots, 1))
-	cost *= 1 + flowsPerSlot
-	if candidate.FailureDomain != placer.failureDomain {
-		cost *= crossDomainPenalty
-	}
+	pausing := float64(max(state.openFlows-state.outstanding, 0))
+	load := float64(state.outstanding) + pausing*placer.service(candidate.Service, now).activity
+	cost *= 1 + ownLoadWeight*load/float64(max(candidate.Slots, 1))
 	if now.Before(candidate.ColdUntil) {
 		cost *= coldStartPenalty
 	}
@@ -202,11 +232,11 @@
 // responseTimeRatio returns the server's average response time divided by its
 // service's, or 1 if either is unknown or the ratio is below minResponseTimeRatio.
 func (placer *Placer) responseTimeRatio(candidate *viewer.BackendServer, state *serverState) float64 {
-	average := placer.serviceResponseTimes[candidate.Service]
-	if average == nil || average.value == 0 || state.responseTime.value == 0 {
+	service := placer.services[candidate.Service]
+	if service == nil || service.responseTime.value == 0 || state.responseTime.value == 0 {
 		return 1
 	}
-	ratio := state.responseTime.value / average.value
+	ratio := state.responseTime.value / service.responseTime.value
 	if ratio < minResponseTimeRatio {
 		return 1
 	}
@@ -216,12 +246,34 @@
 // FlowOpened counts a flow as open at a server.
 func (placer *Placer) FlowOpened(backendServer *viewer.BackendServer, now time.Time) {
 	placer.stateOf(backendServer, now).openFlows++
+	placer.service(backendServer.Service, now).openFlows++
 }
 
 // FlowClosed reverts one FlowOpened.
 func (placer *Placer) FlowClosed(backendServer *viewer.BackendServer, now time.Time) {
-	state := placer.stateOf(backendServer, now)
+	state, service := placer.stateOf(backendServer, now), placer.service(backendServer.Service, now)
 	state.openFlows = max(state.openFlows-1, 0)
+	service.openFlows = max(service.openFlows-1, 0)
+}
+
+// RequestBegan counts a request as outstanding at a server.
+func (placer *Placer) RequestBegan(backendServer *viewer.BackendServer, now time.Time) {
+	placer.stateOf(backendServer, now).outstanding++
+	service := placer.service(backendServer.Service, now)
+	if service.openFlows > 0 {
+		sample := float64(service.outstanding) / float64(service.openFlows)
+		service.activity += activitySmoothing * (min(sample, 1) - service.activity)
+	}
+	service.outstanding++
+	placer.estimator.RequestBegan(backendServer, now)
+}
+
+// RequestEnded reverts one RequestBegan: the request was answered or given up.
+func (placer *Placer) RequestEnded(backendServer *viewer.BackendServer, now time.Time) {
+	state, service := placer.stateOf(backendServer, now), placer.service(backendServer.Service, now)
+	state.outstanding = max(state.outstanding-1, 0)
+	service.outstanding = max(service.outstanding-1, 0)
+	placer.estimator.RequestEnded(backendServer, now)
 }
 
 // OpeningAnswered records that a server answered an opening, which ends the ejections
@@ -242,36 +294,45 @@
 // averages of the server and its service. A time that is implausibly short for the
 // service is left out of the service's average.
 func (placer *Placer) RecordResponseTime(backendServer *viewer.BackendServer, duration time.Duration, now time.Time) {
+	placer.estimator.RecordResponseTime(backendServer, duration, now)
 	placer.stateOf(backendServer, now).responseTime.add(duration.Seconds())
-	average := placer.serviceResponseTimes[backendServer.Service]
-	if average == nil {
-		average = &serviceAverage{}
-		placer.serviceResponseTimes[backendServer.Service] = average
-	}
-	average.lastUsed = now
-	if duration.Seconds() >= minResponseTimeRatio*average.value {
-		average.add(duration.Seconds())
+	service := placer.service(backendServer.Service, now)
+	if duration.Seconds() >= minResponseTimeRatio*service.responseTime.value {
+		service.responseTime.add(duration.Seconds())
 	}
 }
 
-// ExpireServers deletes the state of servers, and the averages of services, that were last
-// used before a time.
+// ExpireServers deletes the state of servers and of services that were last used before a
+// time.
 func (placer *Placer) ExpireServers(before time.Time) {
 	for key, state := range placer.servers {
 		if state.lastUsed.Before(before) {
 			delete(placer.servers, key)
 		}
 	}
-	for service, average := range placer.serviceResponseTimes {
-		if average.lastUsed.Before(before) {
-			delete(placer.serviceResponseTimes, service)
+	for name, service := range placer.services {
+		if service.lastUsed.Before(before) {
+			delete(placer.services, name)
+			delete(placer.indexes, name)
 		}
 	}
+	placer.estimator.Expire(before)
+}
+
+// service returns the state of a service, created if necessary, and marks it as used.
+func (placer *Placer) service(name string, now time.Time) *serviceState {
+	service := placer.services[name]
+	if service == nil {
+		service = &serviceState{}
+		placer.services[name] = service
+	}
+	service.lastUsed = now
+	return service
 }
 
 // stateOf returns the state of a server, created if necessary, and marks it as used.
 func (placer *Placer) stateOf(backendServer *viewer.BackendServer, now time.Time) *serverState {
-	key := serverKey{name: backendServer.Name, startedAt: backendServer.StartedAt}
+	key := keyOf(backendServer)
 	state := placer.servers[key]
 	if state == nil {
 		state = &serverState{}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -14,7 +14,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newPlacer(seed uint64) *Placer {
-	return NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, rand.New(rand.NewPCG(seed, seed)))
+	return NewPlacer("dakar-1", noEstimate{}, neverFailing, rand.New(rand.NewPCG(seed, seed)))
 }
 
 func candidates(names ...string) []*viewer.BackendServer {
@@ -25,12 +25,13 @@
 	return servers
 }
 
-// placeAndCount places flows that stay open and returns their number by server.
+// placeAndCount places flows whose requests stay outstanding and returns their number by server.
 func placeAndCount(placer *Placer, servers []*viewer.BackendServer, flows int) map[string]int {
 	result := map[string]int{}
 	for range flows {
 		server := placer.Select(servers, nil, start)
 		placer.FlowOpened(server, start)
+		placer.RequestBegan(server, start)
 		result[server.Name]++
 	}
 	return result
@@ -40,7 +41,7 @@
 	assert.Assert(t, newPlacer(1).Select(nil, nil, start) == nil)
 }
 
-func TestOpenFlowsAreSpreadEvenly(t *testing.T) {
+func TestOutstandingRequestsAreSpreadEvenly(t *testing.T) {
 	for seed := range uint64(20) {
 		for name, count := range placeAndCount(newPlacer(seed), candidates("a", "b", "c", "d"), 200) {
 			assert.Assert(t, count >= 45 && count <= 55, "seed %d: %s got %d of 200", seed, name, count)
@@ -219,5 +220,5 @@
 	}
 	placer.RecordResponseTime(candidates("b")[0], time.Second, start.Add(time.Minute))
 	placer.ExpireServers(start.Add(time.Second))
-	assert.Equal(t, len(placer.serviceResponseTimes), 1)
+	assert.Equal(t, len(placer.services), 1)
 }
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -100,6 +100,7 @@
 	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now)}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
+		heartbeat.DomainInstanceCount = relayer.domainCount.members
 	}
 	if view.Configuration != nil {
 		heartbeat.ConfigurationVersion = view.Configuration.Version
@@ -154,6 +155,7 @@
 	if heartbeat.InstanceCount > 0 {
 		relayer.reportedInstances = heartbeat.InstanceCount
 	}
+	relayer.recordDomainCount(heartbeat)
 	member.Member, member.receivedAt, member.leaving = heartbeat.Sender, now, heartbeat.Leaving
 	if changed {
 		relayer.updateRank()
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -34,6 +34,10 @@
 	// RouteDelta leads to ConfigurationVersion from the version in the sender's previous
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
+
+	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
+	// the sender may not know all.
+	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -49,8 +53,8 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
-	case heartbeat.InstanceCount < 0:
-		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -117,6 +117,7 @@
 	members           map[string]*peer
 	reportedInstances int          // size of the fleet that a leader last sent; 0 before the first
 	instanceCount     atomic.Int64 // what Instances returns
+	domainCount       domainCount
 	leaving           bool
 	running           map[string]bool // names of the background calls in progress
 	membersReadAt     time.Time       // when the members were last read from the store; at first the start time
@@ -255,6 +256,7 @@
 		count = 1 + len(relayer.members)
 	}
 	relayer.instanceCount.Store(int64(count))
+	relayer.updateDomainCount(count)
 }
 
 // isLeader reports whether this instance is a leader of its failure domain.
@@ -293,6 +295,7 @@
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
 	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.countDomainMembers()
 	relayer.updateInstanceCount()
 }
 
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -9,10 +9,6 @@
 const (
 	// sweepInterval is the time between two searches for idle flows.
 	sweepInterval = time.Second
-	// loadIdleTimeout is how long a flow may go without packets before it
-	// no longer counts as load: it is between two requests, or its packets now
-	// reach another instance.
-	loadIdleTimeout = 2 * time.Second
 	// flowIdleTimeout is how long an established flow without packets stays tracked.
 	flowIdleTimeout = 10 * time.Second
 	// serverStateLifetime is how long the placer keeps the state of a server that is
@@ -32,8 +28,12 @@
 	lastPacketAt    time.Time
 	established     bool // a packet other than an opening has arrived
 	ended           bool
-	countedAsLoad   bool // the placer counts the flow as open at server
+	isOutstanding   bool // the placer counts an opening or a request of the flow as outstanding at server
+	isListed        bool // in Steerer.outstanding
+	isAdopted       bool // another instance opened the flow
 	isRetransmitted bool // the caller has retransmitted data of the last request
+	// isRequestPartial says that the last request may have begun at another instance.
+	isRequestPartial bool
 
 	establishedAt         time.Time
 	requestReceivedAt     time.Time // when the last request began; zero until the first data
@@ -60,28 +60,16 @@
 	return flow
 }
 
-// recordAttempt notes that the flow's opening is sent to a server, and counts the
-// flow as load of that server.
+// recordAttempt notes that the flow's opening is sent to a server.
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
-	steerer.assignLoad(flow, server, now)
+	steerer.assignServer(flow, server, now)
+	steerer.beginRequest(flow, now)
 	flow.openingSentAt = now
 	flow.lastPacketAt = now
 	flow.attempted = append(flow.attempted, server)
 	steerer.unanswered = append(steerer.unanswered, flow)
 }
 
-// assignLoad counts the flow as load of a server, or of none if server is nil.
-func (steerer *Steerer) assignLoad(flow *flow, server *viewer.BackendServer, now time.Time) {
-	if flow.countedAsLoad {
-		steerer.placer.FlowClosed(flow.server, now)
-	}
-	flow.countedAsLoad = server != nil
-	if server != nil {
-		flow.server = server
-		steerer.placer.FlowOpened(server, now)
-	}
-}
-
 // observe updates the flow from a caller's packet that follows the opening. The first
 // data begins a request, and so does data whose acknowledgment number differs from that at
 // the start of the last request, because the caller has received a response in between.
@@ -90,18 +78,19 @@
 	if !flow.established {
 		steerer.establish(flow, packet, server, now)
 	}
-	if packet.PayloadLength > 0 && !flow.countedAsLoad {
-		steerer.assignLoad(flow, server, now)
-	}
 	if packet.Acknowledgment != flow.lastAcknowledgment {
 		flow.lastAcknowledgment = packet.Acknowledgment
 		if packet.PayloadLength == 0 { // otherwise the caller may have paused before its next request
 			flow.acknowledgedAt = now
+			steerer.endRequest(flow, now)
 		}
 	}
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
+		flow.isRequestPartial = false
+		steerer.endRequest(flow, now)
+		steerer.beginRequest(flow, now)
 		steerer.awaitResponse(flow)
 	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
 		flow.isRetransmitted = true
@@ -129,7 +118,8 @@
 	}
 	flow.firstAcknowledgment, flow.lastAcknowledgment = packet.Acknowledgment, packet.Acknowledgment
 	if !server.SameIncarnation(flow.server) {
-		steerer.assignLoad(flow, server, now)
+		steerer.assignServer(flow, server, now)
+		steerer.beginRequest(flow, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
 }
@@ -144,23 +134,29 @@
 }
 
 // responseTime returns the time from the last request until the caller acknowledged the end
-// of its response, or 0 if it has not done so with a packet of its own.
+// of its response, or 0 if it has not done so with a packet of its own, or the request may have
+// begun at another instance.
 func (flow *flow) responseTime() time.Duration {
-	if flow.requestReceivedAt.IsZero() || flow.acknowledgedAt.IsZero() || flow.lastAcknowledgment == flow.requestAcknowledgment {
+	if flow.isRequestPartial || flow.requestReceivedAt.IsZero() || flow.acknowledgedAt.IsZero() || flow.lastAcknowledgment == flow.requestAcknowledgment {
 		return 0
 	}
 	return flow.acknowledgedAt.Sub(flow.requestReceivedAt)
 }
 
-// endFlow stops tracking the flow and reports its summary to the observer.
+// endFlow stops tracking the flow, and reports its summary to the observer unless another
+// instance opened it.
 func (steerer *Steerer) endFlow(flow *flow, reason EndReason, now time.Time) {
 	if flow.ended {
 		return
 	}
 	flow.ended = true
-	steerer.assignLoad(flow, nil, now)
+	steerer.endRequest(flow, now)
+	steerer.placer.FlowClosed(flow.server, now)
 	delete(steerer.flows, flow.key)
 	steerer.rememberClosed(flow.key, now)
+	if flow.isAdopted {
+		return
+	}
 	summary := FlowSummary{Flow: flow.key, Server: flow.server, Established: flow.established, ResponseBytes: flow.lastAcknowledgment - flow.firstAcknowledgment, EndReason: reason}
 	if flow.established {
 		summary.HandshakeTime = flow.establishedAt.Sub(flow.openedAt)
@@ -171,8 +167,7 @@
 	steerer.observer.FlowEnded(&summary)
 }
 
-// expireFlows ends flows that have been idle for too long, stops counting those idle for
-// loadIdleTimeout as load, and expires the placer's unused server state, at most once
+// expireFlows ends flows that have been idle for too long, and expires the placer's unused server state, at most once
 // per sweepInterval.
 func (steerer *Steerer) expireFlows(now time.Time) {
 	if now.Sub(steerer.lastSweepAt) < sweepInterval {
@@ -186,11 +181,8 @@
 		if !flow.established {
 			timeout = retransmissionWindow
 		}
-		switch idle := now.Sub(flow.lastPacketAt); {
-		case idle > timeout:
+		if now.Sub(flow.lastPacketAt) > timeout {
 			steerer.endFlow(flow, EndIdle, now)
-		case idle > loadIdleTimeout:
-			steerer.assignLoad(flow, nil, now)
 		}
 	}
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,8 +24,13 @@
 // placer.Placer implements it.
 type serverSelector interface {
 	Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer
+	// FlowOpened counts a flow as open at a server until FlowClosed.
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
+	// RequestBegan counts an opening or a request as outstanding at a server until
+	// RequestEnded.
+	RequestBegan(server *viewer.BackendServer, now time.Time)
+	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
@@ -84,6 +89,9 @@
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
 	lastSweepAt          time.Time
+	outstanding          []*flow // flows with an outstanding request; may contain others
+	outstandingCheckedAt time.Time
+	adoptedAt            time.Time             // when the last flow of another instance was adopted
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
@@ -207,8 +215,11 @@
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
 	flow := steerer.flows[packet.Flow]
-	if flow == nil {
+	if flow == nil || flow.isAdopted {
 		steerer.noticeUntracked(packet.Flow, now)
+	}
+	if flow == nil {
+		steerer.adopt(packet, server, now)
 		return
 	}
 	steerer.observe(flow, packet, server, now)
@@ -223,6 +234,7 @@
 		return verdict, true
 	}
 	steerer.reportLostRequests(now, drained)
+	steerer.expireRequests(now)
 	steerer.expireFlows(now)
 	return Verdict{}, false
 }
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/placer"
 	"github.com/pimentowind/pimentowind/viewer"
@@ -57,7 +58,11 @@
 func newHarness(names ...string) *harness {
 	harness := &harness{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
-	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer.NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, random), harness, harness, random)
+	neverFailing := func(uint32, time.Time) bool { return false }
+	oneInstance := func() estimator.Instances { return estimator.Instances{Fleet: 1, Domain: 1} }
+	estimator := estimator.NewEstimator("dakar-1", oneInstance, harness.viewer.Current, neverFailing)
+	placer := placer.NewPlacer("dakar-1", estimator, neverFailing, random)
+	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer, harness, harness, random)
 	harness.viewer.ApplyConfiguration(&viewer.Configuration{Version: 1, Routes: []viewer.Route{{
 		Name: "r", Address: address, Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}},
 	}}})
@@ -255,10 +260,18 @@
 	assert.DeepEqual(t, harness.responseLengths, []uint32{200})
 }
 
-// loadCounter counts the flows that the steerer reports to the placer as open, by server.
+// loadCounter counts the flows and the requests that the steerer reports to the placer, by server.
 type loadCounter struct {
 	*placer.Placer
-	openFlows map[string]int
+	openFlows   map[string]int
+	outstanding map[string]int
+}
+
+// countLoad makes the harness count what its steerer reports to the placer.
+func (harness *harness) countLoad() *loadCounter {
+	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}, outstanding: map[string]int{}}
+	harness.placer = loadCounter
+	return loadCounter
 }
 
 func (loadCounter *loadCounter) FlowOpened(server *viewer.BackendServer, now time.Time) {
@@ -271,21 +284,32 @@
 	loadCounter.Placer.FlowClosed(server, now)
 }
 
+func (loadCounter *loadCounter) RequestBegan(server *viewer.BackendServer, now time.Time) {
+	loadCounter.outstanding[server.Name]++
+	loadCounter.Placer.RequestBegan(server, now)
+}
+
+func (loadCounter *loadCounter) RequestEnded(server *viewer.BackendServer, now time.Time) {
+	loadCounter.outstanding[server.Name]--
+	loadCounter.Placer.RequestEnded(server, now)
+}
+
 func TestIdleFlowIsNotCountedAsLoad(t *testing.T) {
 	harness := newHarness("a")
-	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}}
-	harness.placer = loadCounter
+	loadCounter := harness.countLoad()
 	token := tokenOf("a")
 	harness.Decide(opening(1), start)
 	harness.Decide(opening(1), start.Add(200*time.Millisecond))
 	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start.Add(300*time.Millisecond))
-	assert.Equal(t, loadCounter.openFlows["a"], 1)
+	assert.Equal(t, loadCounter.outstanding["a"], 1)
 	afterIdle := start.Add(5 * time.Second)
 	harness.Next(afterIdle, start)
-	assert.Equal(t, loadCounter.openFlows["a"], 0)
-	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 1)
+	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 1)
 	harness.Decide(laterPacket(1, token, 2100, 0, Flags{FIN: true}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
 }
 
@@ -351,8 +375,7 @@
 
 func TestFlowsBeyondTheLimitAreNotCountedAsLoad(t *testing.T) {
 	harness := newHarness("a")
-	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}}
-	harness.placer = loadCounter
+	loadCounter := harness.countLoad()
 	for port := range uint16(maxFlows + 10) {
 		assert.Equal(t, harness.Decide(opening(port), start).Action, Send)
 	}
@@ -361,6 +384,7 @@
 	}
 	assert.Equal(t, len(harness.flows), 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 }
 
 func TestRequestsThatServersLoseAreReported(t *testing.T) {
