--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -24,6 +24,9 @@
 	domainSmoothing   = 0.1
 	// minResponseSamples is how many response times an average needs before it is used.
 	minResponseSamples = 20
+	// responseTimeTolerance is how many times as long as without load the average of a few
+	// response times may be without showing a load.
+	responseTimeTolerance = 1.5
 	// sharedLifetime is how long a shared figure is used.
 	sharedLifetime = 2 * time.Second
 )
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -139,8 +139,11 @@
 }
 
 // utilizationByResponseTime returns the utilization at which servers with two slots, Poisson
-// arrivals and exponential service times take ratio times as long as without load.
-func utilizationByResponseTime(ratio float64) float64 { return math.Sqrt(1 - 1/ratio) }
+// arrivals and exponential service times take ratio times as long as without load, after
+// allowing for responseTimeTolerance.
+func utilizationByResponseTime(ratio float64) float64 {
+	return math.Sqrt(1 - 1/max(ratio/responseTimeTolerance, 1))
+}
 
 // Shared is a figure that instances share.
 type Shared struct {
--- a/placer/domains.go
+++ b/placer/domains.go
@@ -109,12 +109,14 @@
 	service := index.candidates[0].Service
 	demand := placer.estimator.Demand(service, now)
 	ownUsable := index.own != nil && placer.isUsable(index.own, attempted, now)
-	ownLoad := 0.0 // in requests
+	ownLoad, spillable := 0.0, 1.0
 	if ownUsable {
-		ownLoad = demand + placer.estimator.Background(service, index.own.name, now)
+		background := placer.estimator.Background(service, index.own.name, now)
+		ownLoad = busySlots(demand+background, index.own.slots)
 		if ownLoad <= spillStart*comfortableLoad(index.own.slots) {
 			return index.own
 		}
+		spillable = max(ownLoad*demand/(demand+background), 1)
 	}
 	others := placer.otherLoads(index, attempted, now)
 	if len(others) == 0 {
@@ -132,7 +134,7 @@
 	for _, other := range others {
 		room += other.room(even)
 	}
-	if spilled := min(ownLoad-kept, room); placer.random.Float64()*max(demand, 1) < spilled {
+	if spilled := min(ownLoad-kept, room); placer.random.Float64()*spillable < spilled {
 		return placer.drawByRoom(others, even)
 	}
 	return index.own
@@ -142,7 +144,7 @@
 // outstanding there.
 type domainLoad struct {
 	*domain
-	background float64
+	background float64 // slots that these keep busy
 }
 
 // otherLoads returns the usable failure domains besides the instance's own one.
@@ -151,7 +153,7 @@
 	for _, other := range index.others {
 		if placer.isUsable(other, attempted, now) {
 			background := placer.estimator.Background(other.candidates[0].Service, other.name, now)
-			loads = append(loads, domainLoad{domain: other, background: background})
+			loads = append(loads, domainLoad{domain: other, background: busySlots(background, other.slots)})
 		}
 	}
 	return loads
@@ -189,6 +191,17 @@
 	return load / slots
 }
 
+// busySlots returns how many of the slots are busy on average when so many requests are
+// outstanding, waiting ones included: what servers with two slots show with Poisson arrivals and
+// exponential service times.
+func busySlots(outstanding, slots float64) float64 {
+	perSlot := outstanding / slots
+	if perSlot <= 0 {
+		return 0
+	}
+	return slots * (math.Sqrt(1+4*perSlot*perSlot) - 1) / (2 * perSlot)
+}
+
 // comfortableLoad returns the requests that slots process without much waiting: so many that
 // twice the standard deviation of a Poisson distribution fits in as well, and maxComfort of the
 // slots at most. Few slots vary more, so they leave more room.
--- a/placer/placement_test.go
+++ b/placer/placement_test.go
@@ -37,6 +37,16 @@
 		return 600
 	}
 	result["globalburst"] = global
+	overload := large
+	overload.work = 52 * time.Millisecond
+	overload.perSecond = func(domain int, at time.Duration) float64 {
+		wave := 1 + 0.3*math.Sin(2*math.Pi*(at.Seconds()/13+0.08*float64(domain)))
+		if at > 8*time.Second && at < 13*time.Second {
+			wave *= 3.2
+		}
+		return [3]float64{800, 660, 650}[domain] * wave
+	}
+	result["overload"] = overload
 	gone := large
 	gone.perSecond, gone.lost, gone.lostAt = steady(900, 600, 600), 20, 8*time.Second
 	result["gone"] = gone
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,6 +7,8 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
+var ownLoadWeight = 20.0
+
 const (
 	// responseTimeSmoothing is the weight of a new sample in a moving average of response times.
 	responseTimeSmoothing = 0.15
@@ -20,7 +22,6 @@
 	coldStartPenalty = 1.6
 	// ownLoadWeight is what one of this instance's requests for each slot of a server adds to the
 	// expected time there.
-	ownLoadWeight = 4.0
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
 	// maxDraws is how many random candidates of a failure domain are tried before all candidates are
--- a/placer/play_test.go
+++ b/placer/play_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +36,7 @@
 	asked, inObjective  [3]int // by domain of the caller
 	placed, placedOther int
 	crossed             int // requests
+	rejected            int
 	busiest             float64
 }
 
@@ -81,15 +84,14 @@
 	server    *playServer
 	attempted []*viewer.BackendServer
 	retries   int
+	isCounted bool      // asked neither in the first second nor in the last
 	flow      *longFlow // nil if the request has a flow of its own
 }
 
 // longFlow carries several requests of one caller.
 type longFlow struct {
-	domain   int
 	server   *playServer // nil before the first request
 	instance selector
-	left     int // requests until it is closed
 }
 
 // play runs a load in virtual time.
@@ -102,6 +104,7 @@
 	servers   map[uint32]*playServer
 	instances [][]selector
 	shared    []*estimator.Estimator
+	pools     [3][]*longFlow // open flows without a request, by domain
 	result    result
 }
 
@@ -179,25 +182,33 @@
 	return play.result
 }
 
-// arrive begins a request of a domain's callers, or a long flow, and waits for the next.
+// arrive begins a request of a domain's callers and waits for the next. On long flows, a tenth
+// of the requests opens a new one.
 func (play *play) arrive(domain int) {
-	const perFlow = 10 // requests of a long flow
-	rate := play.perSecond(domain, play.now.Sub(start))
-	rate *= 1 - play.longShare + play.longShare/perFlow
-	isLong := play.random.Float64() < play.longShare/perFlow/(1-play.longShare+play.longShare/perFlow)
+	const poolSize = 300
 	request := &request{domain: domain}
-	if isLong {
-		request.flow = &longFlow{domain: domain, left: perFlow}
+	if play.random.Float64() < play.longShare {
+		pool := play.pools[domain]
+		if len(pool) >= poolSize && play.random.IntN(10) > 0 {
+			i := play.random.IntN(len(pool))
+			request.flow = pool[i]
+			pool[i] = pool[len(pool)-1]
+			play.pools[domain] = pool[:len(pool)-1]
+		} else {
+			request.flow = &longFlow{}
+		}
 	}
 	play.ask(request)
-	play.after(time.Duration(play.random.ExpFloat64()/rate*float64(time.Second)), func() { play.arrive(domain) })
+	wait := play.random.ExpFloat64() / play.perSecond(domain, play.now.Sub(start))
+	play.after(time.Duration(wait*float64(time.Second)), func() { play.arrive(domain) })
 }
 
 // ask begins a request.
 func (play *play) ask(request *request) {
 	request.askedAt = play.now
 	request.work = time.Duration(float64(play.work) * math.Exp(0.5*play.random.NormFloat64()-0.125))
-	if play.now.Sub(start) > time.Second {
+	request.isCounted = play.now.Sub(start) > time.Second && play.now.Sub(start) < play.length-time.Second
+	if request.isCounted {
 		play.result.asked[request.domain]++
 	}
 	play.send(request)
@@ -256,6 +267,7 @@
 	case len(server.queue) < queueLength:
 		server.queue = append(server.queue, request)
 	default:
+		play.result.rejected++
 		play.end(request)
 		play.retry(request)
 	}
@@ -273,7 +285,7 @@
 func (play *play) process(request *request) {
 	server := request.server
 	server.busy++
-	if request.askedAt.Sub(start) > time.Second {
+	if request.isCounted {
 		server.served++
 		if server.FailureDomain != domainName(request.domain) {
 			play.result.crossed++
@@ -295,26 +307,18 @@
 		play.process(next)
 	}
 	request.instance.RecordResponseTime(server.BackendServer, play.now.Sub(request.sentAt), play.now)
-	if play.now.Sub(request.askedAt) <= play.objective && request.askedAt.Sub(start) > time.Second {
+	if play.now.Sub(request.askedAt) <= play.objective && request.isCounted {
 		play.result.inObjective[request.domain]++
 	}
-	flow := request.flow
 	play.end(request)
-	if flow != nil && flow.left > 0 {
-		pause := time.Duration(play.random.ExpFloat64() * float64(2*time.Second))
-		play.after(pause, func() { play.ask(newRequest(flow)) })
-	}
 }
 
-func newRequest(flow *longFlow) *request { return &request{domain: flow.domain, flow: flow} }
-
-// end stops counting a request, and its flow when that is over.
+// end stops counting a request, and its flow if that is over.
 func (play *play) end(request *request) {
 	request.instance.RequestEnded(request.server.BackendServer, play.now)
-	if flow := request.flow; flow != nil {
-		if flow.left--; flow.left > 0 {
-			return
-		}
+	if request.flow != nil && play.random.IntN(10) > 0 {
+		play.pools[request.domain] = append(play.pools[request.domain], request.flow)
+		return
 	}
 	request.instance.FlowClosed(request.server.BackendServer, play.now)
 }
@@ -367,12 +371,25 @@
 }
 
 func TestPlayPrint(t *testing.T) {
-	for name, load := range loads() {
-		for _, isBaseline := range []bool{true, false} {
-			for seed := range uint64(2) {
+	for _, name := range strings.Split(os.Getenv("PLAY"), ",") {
+		load := loads()[name]
+		run := func(label string, isBaseline bool) {
+			var sum result
+			for seed := range uint64(4) {
 				result := newPlay(load, seed, isBaseline).run()
-				t.Logf("%-30s %5v %s", name, isBaseline, &result)
+				for i := range 3 {
+					sum.asked[i] += result.asked[i]
+					sum.inObjective[i] += result.inObjective[i]
+				}
+				sum.crossed += result.crossed
+				sum.rejected += result.rejected
+				sum.busiest += result.busiest / 4
 			}
+			t.Logf("%-14s %10s %s rej %d  [%.4f %.4f %.4f]", name, label, &sum, sum.rejected, sum.share(0), sum.share(1), sum.share(2))
+		}
+		run("base", true)
+		for _, ownLoadWeight = range []float64{1, 4, 20, 80} {
+			run(fmt.Sprint(ownLoadWeight), false)
 		}
 	}
 }
