--- a/placer/domains.go
+++ b/placer/domains.go
@@ -134,7 +134,8 @@
 	for _, other := range others {
 		room += other.room(even)
 	}
-	if spilled := min(ownLoad-kept, room); placer.random.Float64()*spillable < spilled {
+	spilled := min(ownLoad-kept, room) / spillable
+	if placer.random.Float64() < placer.service(service, now).newFlowShare(spilled) {
 		return placer.drawByRoom(others, even)
 	}
 	return index.own
@@ -191,15 +192,23 @@
 	return load / slots
 }
 
-// busySlots returns how many of the slots are busy on average when so many requests are
-// outstanding, waiting ones included: what servers with two slots show with Poisson arrivals and
-// exponential service times.
+// busySlots returns how many slots the outstanding requests ask for, waiting ones included: what
+// servers with two slots show with Poisson arrivals and exponential service times up to
+// maxComfort, and in proportion above, where requests would wait ever longer or are rejected.
 func busySlots(outstanding, slots float64) float64 {
+	const (
+		steepest = (1 - maxComfort*maxComfort) * (1 - maxComfort*maxComfort) / (1 + maxComfort*maxComfort)
+		atMost   = maxComfort / (1 - maxComfort*maxComfort) // requests for each slot at maxComfort
+	)
 	perSlot := outstanding / slots
-	if perSlot <= 0 {
+	switch {
+	case perSlot <= 0:
 		return 0
+	case perSlot <= atMost:
+		return slots * (math.Sqrt(1+4*perSlot*perSlot) - 1) / (2 * perSlot)
+	default:
+		return slots * (maxComfort + steepest*(perSlot-atMost))
 	}
-	return slots * (math.Sqrt(1+4*perSlot*perSlot) - 1) / (2 * perSlot)
 }
 
 // comfortableLoad returns the requests that slots process without much waiting: so many that
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,6 +30,11 @@
 	// activitySmoothing is the weight of a new sample in the average share of open flows
 	// that have a request outstanding.
 	activitySmoothing = 0.02
+	// laterSmoothing is the weight of a request in the average shares of requests that are not the
+	// first of their flow.
+	laterSmoothing = 0.03
+	// minFirstShare is the smallest share of the requests that count as the first of their flow.
+	minFirstShare = 0.1
 )
 
 // loadEstimator estimates the load of services in failure domains;
@@ -89,9 +94,18 @@
 	openFlows    int
 	outstanding  int
 	activity     float64   // average share of the open flows that have a request outstanding
+	later        float64   // average share of the requests that are not the first of their flow
+	laterOutside float64   // average share of these that go to other failure domains
 	lastUsed     time.Time // when it was last updated
 }
 
+// newFlowShare returns the share of new flows that has to go to other failure domains, so that a
+// share of all requests does: the later requests of open flows stay where these are.
+func (serviceState *serviceState) newFlowShare(share float64) float64 {
+	first := max(1-serviceState.later, minFirstShare)
+	return min(max((share-serviceState.later*serviceState.laterOutside)/first, 0), 1)
+}
+
 // movingAverage is an exponential moving average that starts at its first sample.
 type movingAverage struct{ value float64 }
 
@@ -257,8 +271,9 @@
 	service.openFlows = max(service.openFlows-1, 0)
 }
 
-// RequestBegan counts a request as outstanding at a server.
-func (placer *Placer) RequestBegan(backendServer *viewer.BackendServer, now time.Time) {
+// RequestBegan counts a request as outstanding at a server; isFirst says that it is the first of
+// its flow.
+func (placer *Placer) RequestBegan(backendServer *viewer.BackendServer, isFirst bool, now time.Time) {
 	placer.stateOf(backendServer, now).outstanding++
 	service := placer.service(backendServer.Service, now)
 	if service.openFlows > 0 {
@@ -266,9 +281,24 @@
 		service.activity += activitySmoothing * (min(sample, 1) - service.activity)
 	}
 	service.outstanding++
+	service.countLater(isFirst, backendServer.FailureDomain != placer.failureDomain)
 	placer.estimator.RequestBegan(backendServer, now)
 }
 
+// countLater adds a request to the average shares.
+func (serviceState *serviceState) countLater(isFirst, isOutside bool) {
+	if isFirst {
+		serviceState.later -= laterSmoothing * serviceState.later
+		return
+	}
+	serviceState.later += laterSmoothing * (1 - serviceState.later)
+	outside := 0.0
+	if isOutside {
+		outside = 1
+	}
+	serviceState.laterOutside += laterSmoothing * (outside - serviceState.laterOutside)
+}
+
 // RequestEnded reverts one RequestBegan: the request was answered or given up.
 func (placer *Placer) RequestEnded(backendServer *viewer.BackendServer, now time.Time) {
 	state, service := placer.stateOf(backendServer, now), placer.service(backendServer.Service, now)
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -63,7 +63,7 @@
 // recordAttempt notes that the flow's opening is sent to a server.
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
 	steerer.assignServer(flow, server, now)
-	steerer.beginRequest(flow, now)
+	steerer.beginRequest(flow, true, now)
 	flow.openingSentAt = now
 	flow.lastPacketAt = now
 	flow.attempted = append(flow.attempted, server)
@@ -87,10 +87,9 @@
 	}
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
+		steerer.renewRequest(flow, now)
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
 		flow.isRequestPartial = false
-		steerer.endRequest(flow, now)
-		steerer.beginRequest(flow, now)
 		steerer.awaitResponse(flow)
 	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
 		flow.isRetransmitted = true
@@ -119,7 +118,7 @@
 	flow.firstAcknowledgment, flow.lastAcknowledgment = packet.Acknowledgment, packet.Acknowledgment
 	if !server.SameIncarnation(flow.server) {
 		steerer.assignServer(flow, server, now)
-		steerer.beginRequest(flow, now)
+		steerer.beginRequest(flow, true, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
 }
--- a/steerer/load.go
+++ b/steerer/load.go
@@ -31,8 +31,9 @@
 	steerer.placer.FlowOpened(server, now)
 }
 
-// beginRequest counts a request of the flow as outstanding.
-func (steerer *Steerer) beginRequest(flow *flow, now time.Time) {
+// beginRequest counts a request of the flow as outstanding; isFirst says that it is the flow's
+// first one, or its opening.
+func (steerer *Steerer) beginRequest(flow *flow, isFirst bool, now time.Time) {
 	if flow.isOutstanding {
 		return
 	}
@@ -41,7 +42,17 @@
 		flow.isListed = true
 		steerer.outstanding = append(steerer.outstanding, flow)
 	}
-	steerer.placer.RequestBegan(flow.server, now)
+	steerer.placer.RequestBegan(flow.server, isFirst, now)
+}
+
+// renewRequest counts the request that begins now in place of the last one; the first takes the
+// place of the opening.
+func (steerer *Steerer) renewRequest(flow *flow, now time.Time) {
+	isFirst := flow.requestReceivedAt.IsZero()
+	if !isFirst {
+		steerer.endRequest(flow, now)
+	}
+	steerer.beginRequest(flow, isFirst, now)
 }
 
 // endRequest stops counting the flow's request as outstanding, if it has one.
@@ -101,6 +112,6 @@
 	steerer.flows[packet.Flow] = flow
 	steerer.adoptedAt = now
 	steerer.assignServer(flow, server, now)
-	steerer.beginRequest(flow, now)
+	steerer.beginRequest(flow, false, now)
 	return flow
 }
--- a/steerer/loss.go
+++ b/steerer/loss.go
@@ -22,9 +22,13 @@
 	closedFlowLifetime = 2 * time.Second
 )
 
-// awaitResponse notes that a request of the flow has begun.
+// awaitResponse notes that a request of the flow has begun. A flow of another instance can
+// move away again at any time, so its end shows nothing.
 func (steerer *Steerer) awaitResponse(flow *flow) {
 	flow.isRetransmitted = false
+	if flow.isAdopted {
+		return
+	}
 	steerer.awaiting = append(steerer.awaiting, awaitedResponse{flow: flow, since: flow.requestReceivedAt})
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -28,8 +28,8 @@
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
 	// RequestBegan counts an opening or a request as outstanding at a server until
-	// RequestEnded.
-	RequestBegan(server *viewer.BackendServer, now time.Time)
+	// RequestEnded; isFirst says that it is the first of its flow.
+	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
