--- a/estimator/average.go
+++ b/estimator/average.go
@@ -41,3 +41,24 @@
 func (timeAverage *timeAverage) meanWith(unknown float64) float64 {
 	return timeAverage.mean*timeAverage.observed + unknown*(1-timeAverage.observed)
 }
+
+// eventRate is the exponentially weighted average rate of events.
+type eventRate struct {
+	perSecond float64
+	updatedAt time.Time // zero before the first update
+}
+
+// advance accounts for the time from the last update to now; span is the time after which an
+// event counts e times less.
+func (eventRate *eventRate) advance(now time.Time, span time.Duration) {
+	if elapsed := now.Sub(eventRate.updatedAt); !eventRate.updatedAt.IsZero() && elapsed > 0 {
+		eventRate.perSecond *= math.Exp(-elapsed.Seconds() / span.Seconds())
+	}
+	eventRate.updatedAt = now
+}
+
+// add counts an event.
+func (eventRate *eventRate) add(now time.Time, span time.Duration) {
+	eventRate.advance(now, span)
+	eventRate.perSecond += 1 / span.Seconds()
+}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// averagingSpan is the time after which an outstanding request counts e times less. At
-	// seventeen requests a second an instance's average is then right within a third.
-	averagingSpan = time.Second
+	// averagingSpan is the time after which an outstanding request counts e times less.
+	averagingSpan = 500 * time.Millisecond
 	// usualSpan is the same for the demand that is assumed of other failure domains.
 	usualSpan = 30 * time.Second
 	// unknownUtilization is assumed of a service before anything was observed.
@@ -60,6 +59,7 @@
 	domains  map[string]*domainLoad
 	demand   timeAverage // requests of this instance that are outstanding anywhere
 	usual    timeAverage // the same, over a long time
+	began    eventRate   // requests of this instance
 	unloaded sampleAverage
 	capacity capacity
 	lastUsed time.Time
@@ -101,6 +101,9 @@
 	defer estimator.mutex.Unlock()
 	service := estimator.service(server.Service, now)
 	service.demand.add(change, now, averagingSpan)
+	if change > 0 {
+		service.began.add(now, averagingSpan)
+	}
 	service.usual.add(change, now, usualSpan)
 	service.domain(server.FailureDomain).outstanding.add(change, now, averagingSpan)
 }
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -51,6 +51,20 @@
 	return estimator.demand(estimator.service(service, now), now)
 }
 
+// Offered returns how many slots the requests of this failure domain's callers would keep busy
+// if none waited or was rejected: their rate times the response time without load. It is 0 while
+// that is unknown.
+func (estimator *Estimator) Offered(service string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	load := estimator.service(service, now)
+	if load.unloaded.samples < minResponseSamples {
+		return 0
+	}
+	load.began.advance(now, averagingSpan)
+	return float64(estimator.instances().Domain) * load.began.perSecond * load.unloaded.seconds
+}
+
 // Slots returns the slots of a service in a failure domain, of servers that may get new flows.
 func (estimator *Estimator) Slots(service, failureDomain string, now time.Time) int {
 	estimator.mutex.Lock()
--- a/placer/domains.go
+++ b/placer/domains.go
@@ -116,6 +116,9 @@
 		if ownLoad <= spillStart*comfortableLoad(index.own.slots) {
 			return index.own
 		}
+		if ownLoad > comfortableLoad(index.own.slots) {
+			ownLoad = max(ownLoad, placer.estimator.Offered(service, now))
+		}
 		spillable = max(ownLoad*demand/(demand+background), 1)
 	}
 	others := placer.otherLoads(index, attempted, now)
--- a/placer/placement_test.go
+++ b/placer/placement_test.go
@@ -47,6 +47,16 @@
 		return [3]float64{800, 660, 650}[domain] * wave
 	}
 	result["overload"] = overload
+	peak := large
+	peak.work = 50 * time.Millisecond
+	peak.perSecond = func(domain int, at time.Duration) float64 {
+		wave := 1 + 0.55*math.Sin(2*math.Pi*(at.Seconds()/13+0.1+0.08*float64(domain)))
+		if at > 6*time.Second && at < 11*time.Second {
+			wave *= 4
+		}
+		return [3]float64{594, 500, 490}[domain] * wave
+	}
+	result["peak"] = peak
 	gone := large
 	gone.perSecond, gone.lost, gone.lostAt = steady(900, 600, 600), 20, 8*time.Second
 	result["gone"] = gone
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,8 +7,6 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
-var ownLoadWeight = 20.0
-
 const (
 	// responseTimeSmoothing is the weight of a new sample in a moving average of response times.
 	responseTimeSmoothing = 0.15
@@ -21,7 +19,9 @@
 	// coldStartPenalty multiplies the cost of a server that has just started.
 	coldStartPenalty = 1.6
 	// ownLoadWeight is what one of this instance's requests for each slot of a server adds to the
-	// expected time there.
+	// expected time there. Other instances' requests are not known, so a server without own
+	// ones is preferred unless it is far slower.
+	ownLoadWeight = 20
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
 	// maxDraws is how many random candidates of a failure domain are tried before all candidates are
@@ -45,6 +45,9 @@
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	// Demand returns the outstanding requests of the callers of this failure domain.
 	Demand(service string, now time.Time) float64
+	// Offered returns how many slots the requests of these callers would keep busy if none
+	// waited or was rejected; 0 while that is unknown.
+	Offered(service string, now time.Time) float64
 	// Background returns the outstanding requests of other callers in a failure domain.
 	Background(service, failureDomain string, now time.Time) float64
 	Expire(before time.Time)
--- a/placer/play_test.go
+++ b/placer/play_test.go
@@ -388,8 +388,8 @@
 			t.Logf("%-14s %10s %s rej %d  [%.4f %.4f %.4f]", name, label, &sum, sum.rejected, sum.share(0), sum.share(1), sum.share(2))
 		}
 		run("base", true)
-		for _, ownLoadWeight = range []float64{20} {
-			run(fmt.Sprint(ownLoadWeight), false)
-		}
+		run("room", false)
+		load.sharesLoad = true
+		run("shared", false)
 	}
 }
