--- a/director/director.go
+++ b/director/director.go
@@ -142,11 +142,13 @@
 	return created
 }
 
-func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections) *estimator.Estimator {
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, recorder *Recorder) *estimator.Estimator {
 	instances := func() estimator.Instances {
 		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
 	}
-	return estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+	recorder.SetLoadGauge(created)
+	return created
 }
 
 func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -29,6 +29,7 @@
 	handshakeTimes *expvar.Map // histogram, published as opening_ms
 	responseTimes  *expvar.Map // histogram
 	queue          *logger.Queue
+	placements     placementRecorder
 	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
 
 	mutex           sync.Mutex
@@ -53,6 +54,7 @@
 		failingCalls:    map[string]bool{},
 		failureLoggedAt: map[string]time.Time{},
 	}
+	recorder.placements = placementRecorder{failureDomain: settings.FailureDomain, services: map[string]*placementCounts{}, counters: recorder.counters}
 	recorder.SetVerbosity(settings.Log.Verbosity)
 	return recorder
 }
@@ -63,8 +65,9 @@
 }
 
 // Flush starts writing the queued lines. It logs how many lines were dropped since
-// the last call, if any.
-func (recorder *Recorder) Flush(time.Time) {
+// the last call, if any, and where new flows were placed.
+func (recorder *Recorder) Flush(now time.Time) {
+	recorder.logPlacements(now)
 	dropped := recorder.queue.Dropped()
 	recorder.mutex.Lock()
 	newlyDropped := dropped - recorder.reportedDropped
@@ -86,6 +89,7 @@
 	vars.Set("decisions", recorder.counters)
 	vars.Set("opening_ms", recorder.handshakeTimes)
 	vars.Set("response_ms", recorder.responseTimes)
+	vars.Set("utilization_percent", expvar.Func(func() any { return recorder.placements.utilizations(time.Now()) }))
 	vars.Set("log_lines_dropped", expvar.Func(func() any { return recorder.queue.Dropped() }))
 }
 
@@ -142,8 +146,10 @@
 	}
 }
 
-// Decided logs a decision about a flow if lines about single flows are enabled.
+// Decided counts where a new flow is placed, and logs a decision about a flow if lines about
+// single flows are enabled.
 func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
+	recorder.placements.count(verdict)
 	if !recorder.logsFlows.Load() {
 		return
 	}
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -43,6 +43,21 @@
 	return estimator.utilization(estimator.service(service, now), failureDomain, now)
 }
 
+// Utilizations returns the utilization of each service that was used lately, by failure domain.
+func (estimator *Estimator) Utilizations(now time.Time) map[string]map[string]float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	result := map[string]map[string]float64{}
+	for name, service := range estimator.services {
+		estimator.refreshCapacity(name, service, now)
+		result[name] = map[string]float64{}
+		for domain := range service.capacity.byDomain {
+			result[name][domain] = estimator.utilization(service, domain, now)
+		}
+	}
+	return result
+}
+
 // Demand returns the outstanding requests of the callers of this instance's failure domain,
 // wherever they are processed.
 func (estimator *Estimator) Demand(service string, now time.Time) float64 {
@@ -168,11 +183,16 @@
 }
 
 // ApplyShared replaces this instance's own estimate by a shared figure until that is too old.
-// An older figure than the present one has no effect.
+// A figure that is older than the present one, or of a service that has no servers there, has no
+// effect.
 func (estimator *Estimator) ApplyShared(shared Shared, now time.Time) {
 	estimator.mutex.Lock()
 	defer estimator.mutex.Unlock()
-	load := estimator.service(shared.Service, now).domain(shared.FailureDomain)
+	service := estimator.service(shared.Service, now)
+	if service.capacity.byDomain[shared.FailureDomain] == 0 {
+		return
+	}
+	load := service.domain(shared.FailureDomain)
 	if at := now.Add(-shared.Age); at.After(load.sharedAt) {
 		load.shared, load.sharedAt = shared, at
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -265,6 +265,7 @@
 	*placer.Placer
 	openFlows   map[string]int
 	outstanding map[string]int
+	first       []bool // of each request, whether it was the first of its flow
 }
 
 // countLoad makes the harness count what its steerer reports to the placer.
@@ -286,6 +287,7 @@
 
 func (loadCounter *loadCounter) RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time) {
 	loadCounter.outstanding[server.Name]++
+	loadCounter.first = append(loadCounter.first, isFirst)
 	loadCounter.Placer.RequestBegan(server, isFirst, now)
 }
 
