--- a/placer/play_test.go
+++ b/placer/play_test.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
-	"strings"
-	"testing"
 	"time"
 
 	"github.com/pimentowind/pimentowind/estimator"
@@ -17,8 +14,8 @@
 
 // load is what callers of three failure domains ask for and the servers that they find.
 type load struct {
-	instances  []int     // by failure domain
-	servers    []int     // by failure domain
+	instances  [3]int    // by failure domain
+	servers    [3]int    // by failure domain
 	slots      int       // of each server
 	strengths  []float64 // of a domain's servers in turn
 	perSecond  func(domain int, at time.Duration) float64
@@ -58,8 +55,8 @@
 }
 
 func (result *result) String() string {
-	return fmt.Sprintf("in the objective %.4f, worst domain %.4f, crossing %.3f, busiest server %.2f of the mean",
-		result.total(), result.worst(), result.crossing(), result.busiest)
+	return fmt.Sprintf("in the objective %.4f, worst domain %.4f, crossing %.3f, rejected by servers %d, busiest server %.2f of the mean",
+		result.total(), result.worst(), result.crossing(), result.rejected, result.busiest)
 }
 
 // playServer works off requests in its slots and queues eight more.
@@ -369,27 +366,3 @@
 	*events = (*events)[:len(*events)-1]
 	return last
 }
-
-func TestPlayPrint(t *testing.T) {
-	for _, name := range strings.Split(os.Getenv("PLAY"), ",") {
-		load := loads()[name]
-		run := func(label string, isBaseline bool) {
-			var sum result
-			for seed := range uint64(4) {
-				result := newPlay(load, seed, isBaseline).run()
-				for i := range 3 {
-					sum.asked[i] += result.asked[i]
-					sum.inObjective[i] += result.inObjective[i]
-				}
-				sum.crossed += result.crossed
-				sum.rejected += result.rejected
-				sum.busiest += result.busiest / 4
-			}
-			t.Logf("%-14s %10s %s rej %d  [%.4f %.4f %.4f]", name, label, &sum, sum.rejected, sum.share(0), sum.share(1), sum.share(2))
-		}
-		run("base", true)
-		run("room", false)
-		load.sharesLoad = true
-		run("shared", false)
-	}
-}
