Let a domain with few or weak servers be left

The other domains were taken to be as full for each slot as this one usually is, so they had no room; and the planned share takes for granted that requests last as long here as elsewhere. Change: other domains' callers are taken to ask for as many requests as this domain's usually do; and the share that leaves is corrected by how far the own domain's utilization is above the target.

--- a/estimator/room.go
+++ b/estimator/room.go
@@ -87,6 +87,13 @@
 	return estimator.service(service, now).capacity.byDomain[failureDomain]
 }
 
+// Outstanding returns the requests of all callers that are outstanding in a failure domain.
+func (estimator *Estimator) Outstanding(service, failureDomain string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	return estimator.outstanding(estimator.service(service, now), failureDomain, now)
+}
+
 // Background returns the requests that are outstanding in a failure domain but do not come from
 // callers of this instance's failure domain.
 func (estimator *Estimator) Background(service, failureDomain string, now time.Time) float64 {
@@ -128,28 +135,18 @@
 
 // assumed returns the requests that are assumed to be outstanding in a failure domain besides
 // the counted ones: in this one for the time before the first observation, in others for their
-// own callers.
+// own callers, who are taken to ask for as much as those of this domain usually do.
 func (estimator *Estimator) assumed(service *serviceLoad, domain string, now time.Time) float64 {
 	slots := float64(service.capacity.byDomain[domain])
 	if domain != estimator.failureDomain {
-		return slots * estimator.usualUtilization(service, now)
+		service.usual.advance(now, usualSpan)
+		usual := float64(estimator.instances().Domain) * service.usual.meanWith(0)
+		return min(usual+slots*unknownUtilization*(1-service.usual.observed), slots)
 	}
 	service.demand.advance(now, averagingSpan)
 	return slots * unknownUtilization * (1 - service.demand.observed)
 }
 
-// usualUtilization returns the long average of the demand in this instance's failure domain
-// over its slots.
-func (estimator *Estimator) usualUtilization(service *serviceLoad, now time.Time) float64 {
-	service.usual.advance(now, usualSpan)
-	slots := service.capacity.byDomain[estimator.failureDomain]
-	if slots == 0 {
-		return unknownUtilization
-	}
-	counted := float64(estimator.instances().Domain) * service.usual.meanWith(0) / float64(slots)
-	return min(counted+unknownUtilization*(1-service.usual.observed), 1)
-}
-
 // demand returns the outstanding requests of this failure domain's callers.
 func (estimator *Estimator) demand(service *serviceLoad, now time.Time) float64 {
 	service.demand.advance(now, averagingSpan)
--- a/placer/baseline_test.go
+++ b/placer/baseline_test.go
@@ -67,6 +67,7 @@
 func (noEstimate) RecordResponseTime(*viewer.BackendServer, time.Duration, time.Time) {}
 func (noEstimate) Demand(string, time.Time) float64                                   { return 0 }
 func (noEstimate) Offered(string, time.Time) float64                                  { return 0 }
+func (noEstimate) Outstanding(string, string, time.Time) float64                      { return 0 }
 func (noEstimate) Background(string, string, time.Time) float64                       { return 0 }
 func (noEstimate) Expire(time.Time)                                                   {}
 
--- a/placer/domains.go
+++ b/placer/domains.go
@@ -17,6 +17,11 @@
 	// spillStart is the part of the comfortable load from which new flows begin to go to other
 	// failure domains, few at first.
 	spillStart = 0.75
+	// correctionRate is by how much of all requests the part that leaves changes in a second for
+	// each slot's worth of utilization, and maxCorrectionTime the longest time that counts between
+	// two flows.
+	correctionRate    = 1.0
+	maxCorrectionTime = 250 * time.Millisecond
 	// minRoomShare is the smallest room that a failure domain counts with when flows are
 	// divided, as a part of its slots.
 	minRoomShare = 0.02
@@ -110,13 +115,15 @@
 	demand := placer.estimator.Demand(service, now)
 	ownUsable := index.own != nil && placer.isUsable(index.own, attempted, now)
 	ownLoad, spillable := 0.0, 1.0
+	state := placer.service(service, now)
 	if ownUsable {
 		background := placer.estimator.Background(service, index.own.name, now)
 		ownLoad = busySlots(demand+background, index.own.slots)
-		if ownLoad <= spillStart*comfortableLoad(index.own.slots) {
+		comfortable := comfortableLoad(index.own.slots)
+		if ownLoad <= spillStart*comfortable && state.correction == 0 {
 			return index.own
 		}
-		if ownLoad > comfortableLoad(index.own.slots) {
+		if ownLoad > comfortable {
 			ownLoad = max(ownLoad, placer.estimator.Offered(service, now))
 		}
 		spillable = max(ownLoad*demand/(demand+background), 1)
@@ -137,13 +144,25 @@
 	for _, other := range others {
 		room += other.room(even)
 	}
-	spilled := min(ownLoad-kept, room) / spillable
-	if placer.random.Float64() < placer.service(service, now).newFlowShare(spilled) {
+	busy := busySlots(placer.estimator.Outstanding(service, index.own.name, now), index.own.slots)
+	target := max(comfortableLoad(index.own.slots), even*index.own.slots)
+	state.correct((busy-target)/index.own.slots, now)
+	share := min((ownLoad-kept)/spillable+state.correction, room/spillable)
+	if placer.random.Float64() < state.newFlowShare(share) {
 		return placer.drawByRoom(others, even)
 	}
 	return index.own
 }
 
+// correct changes the correction by how far the utilization of the own domain is above the target.
+// The planned share is right only if requests take as long there as elsewhere.
+func (serviceState *serviceState) correct(excess float64, now time.Time) {
+	elapsed := min(max(now.Sub(serviceState.correctedAt), 0), maxCorrectionTime)
+	serviceState.correctedAt = now
+	change := correctionRate * excess * elapsed.Seconds()
+	serviceState.correction = min(max(serviceState.correction+change, 0), 1)
+}
+
 // domainLoad is a failure domain and the requests that others than this domain's callers have
 // outstanding there.
 type domainLoad struct {
--- a/placer/placement_test.go
+++ b/placer/placement_test.go
@@ -92,6 +92,7 @@
 		{"half of a domain's servers go down", withLoss(large(steady(900, 600, 600)), 20), 0.2, 2.5},
 		{"servers of strengths 0.6 to 1.6", withStrengths(large(steady(1100, 1100, 850))), 0.1, 2.1},
 		{"7 instances and 14 servers", small([3]int{5, 5, 4}, uneven, 130), 0.05, 2.2},
+		{"a domain with two weak servers", small([3]int{5, 5, 2}, uneven, 122), 0.3, 2.5},
 		{"domains of one server", small([3]int{2, 1, 1}, []float64{1}, 20), 0.1, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -48,6 +48,8 @@
 	// Offered returns how many slots the requests of these callers would keep busy if none
 	// waited or was rejected; 0 while that is unknown.
 	Offered(service string, now time.Time) float64
+	// Outstanding returns the outstanding requests of all callers in a failure domain.
+	Outstanding(service, failureDomain string, now time.Time) float64
 	// Background returns the outstanding requests of other callers in a failure domain.
 	Background(service, failureDomain string, now time.Time) float64
 	Expire(before time.Time)
@@ -99,6 +101,8 @@
 	activity     float64   // average share of the open flows that have a request outstanding
 	later        float64   // average share of the requests that are not the first of their flow
 	laterOutside float64   // average share of these that go to other failure domains
+	correction   float64   // share of the requests that has to leave besides the planned one
+	correctedAt  time.Time // when the correction was last changed
 	lastUsed     time.Time // when it was last updated
 }
 
