Divide a surge evenly at once

Cause: outstanding requests were turned into busy slots as in a steady queue, also in the first moments of a herd, when they are work that lies there; 24 to 47 % of the flows of a full domain left where 60 % have to. Change: the requests of this moment, less two standard deviations, are the own load as they are, if that is more than the average shows.

--- a/estimator/average.go
+++ b/estimator/average.go
@@ -42,12 +42,11 @@
 	return timeAverage.mean*timeAverage.observed + unknown*(1-timeAverage.observed)
 }
 
-// meanOrSurge returns the average, or the count of this moment less surgeDeviations standard
-// deviations of a Poisson distribution if that is more, as it is long before the average in a
-// surge.
-func (timeAverage *timeAverage) meanOrSurge() float64 {
+// surge returns the count of this moment less surgeDeviations standard deviations of a Poisson
+// distribution. It is above the average long before that has followed a surge.
+func (timeAverage *timeAverage) surge() float64 {
 	level := float64(timeAverage.level)
-	return max(timeAverage.meanWith(0), level-surgeDeviations*math.Sqrt(level))
+	return level - surgeDeviations*math.Sqrt(level)
 }
 
 // eventRate is the exponentially weighted average rate of events.
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -12,7 +12,7 @@
 	averagingSpan = 500 * time.Millisecond
 	// surgeDeviations is by how many standard deviations the requests of this moment exceed
 	// their average in a surge.
-	surgeDeviations = 1.0
+	surgeDeviations = 2.0
 	// usualSpan is the same for the demand that is assumed of other failure domains.
 	usualSpan = 30 * time.Second
 	// unknownUtilization is assumed of a service before anything was observed.
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -59,13 +59,21 @@
 }
 
 // Demand returns the outstanding requests of the callers of this instance's failure domain,
-// wherever they are processed. It follows a surge at once, and so is rather too high than too low.
+// wherever they are processed.
 func (estimator *Estimator) Demand(service string, now time.Time) float64 {
 	estimator.mutex.Lock()
 	defer estimator.mutex.Unlock()
 	return estimator.demand(estimator.service(service, now), now)
 }
 
+// Surge returns the outstanding requests of these callers at this moment, less what chance may
+// add to those of this instance.
+func (estimator *Estimator) Surge(service string, now time.Time) float64 {
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	return float64(estimator.instances().Domain) * estimator.service(service, now).demand.surge()
+}
+
 // Offered returns how many slots the requests of this failure domain's callers would keep busy
 // if none waited or was rejected: their rate times the response time without load. It is 0 while
 // that is unknown.
@@ -150,7 +158,7 @@
 // demand returns the outstanding requests of this failure domain's callers.
 func (estimator *Estimator) demand(service *serviceLoad, now time.Time) float64 {
 	service.demand.advance(now, averagingSpan)
-	counted := float64(estimator.instances().Domain) * service.demand.meanOrSurge()
+	counted := float64(estimator.instances().Domain) * service.demand.meanWith(0)
 	return counted + estimator.assumed(service, estimator.failureDomain, now)
 }
 
--- a/placer/baseline_test.go
+++ b/placer/baseline_test.go
@@ -66,6 +66,7 @@
 func (noEstimate) RequestEnded(*viewer.BackendServer, time.Time)                      {}
 func (noEstimate) RecordResponseTime(*viewer.BackendServer, time.Duration, time.Time) {}
 func (noEstimate) Demand(string, time.Time) float64                                   { return 0 }
+func (noEstimate) Surge(string, time.Time) float64                                    { return 0 }
 func (noEstimate) Offered(string, time.Time) float64                                  { return 0 }
 func (noEstimate) Outstanding(string, string, time.Time) float64                      { return 0 }
 func (noEstimate) Background(string, string, time.Time) float64                       { return 0 }
--- a/placer/domains.go
+++ b/placer/domains.go
@@ -118,7 +118,7 @@
 	state := placer.service(service, now)
 	if ownUsable {
 		background := placer.estimator.Background(service, index.own.name, now)
-		ownLoad = busySlots(demand+background, index.own.slots)
+		ownLoad = max(busySlots(demand+background, index.own.slots), placer.estimator.Surge(service, now))
 		comfortable := comfortableLoad(index.own.slots)
 		if ownLoad <= spillStart*comfortable && state.correction == 0 {
 			return index.own
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -45,6 +45,8 @@
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	// Demand returns the outstanding requests of the callers of this failure domain.
 	Demand(service string, now time.Time) float64
+	// Surge returns the same at this moment, less what chance may add.
+	Surge(service string, now time.Time) float64
 	// Offered returns how many slots the requests of these callers would keep busy if none
 	// waited or was rejected; 0 while that is unknown.
 	Offered(service string, now time.Time) float64
