--- a/relayer/domain_count.go
+++ b/relayer/domain_count.go
@@ -17,11 +17,37 @@
 
 // countDomainMembers counts the members again after they have changed. The mutex must be held.
 func (relayer *Relayer) countDomainMembers() {
+	counts := relayer.countByDomain()
+	relayer.domainCount.members, relayer.domainCount.domains = counts[relayer.self.FailureDomain], len(counts)
+}
+
+// countByDomain returns the numbers of known members by failure domain, this instance
+// included. The mutex must be held.
+func (relayer *Relayer) countByDomain() map[string]int {
 	counts := map[string]int{relayer.self.FailureDomain: 1}
 	for _, member := range relayer.members {
 		counts[member.FailureDomain]++
 	}
-	relayer.domainCount.members, relayer.domainCount.domains = counts[relayer.self.FailureDomain], len(counts)
+	return counts
+}
+
+// recordSavedCounts uses the numbers of instances in the saved snapshot until a leader sends
+// newer ones, so that an instance that starts with many others knows among how many the load is
+// divided.
+func (relayer *Relayer) recordSavedCounts(counts map[string]int) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	total := 0
+	for _, count := range counts {
+		total += max(count, 0)
+	}
+	if relayer.reportedInstances == 0 {
+		relayer.reportedInstances = total
+	}
+	if relayer.domainCount.reported == 0 {
+		relayer.domainCount.reported = max(counts[relayer.self.FailureDomain], 0)
+	}
+	relayer.updateInstanceCount()
 }
 
 // recordDomainCount keeps the number that a leader of this failure domain sent. The mutex must
--- a/relayer/domain_count_test.go
+++ b/relayer/domain_count_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -28,3 +29,19 @@
 func TestInstanceAloneIsItsFailureDomain(t *testing.T) {
 	assert.Equal(t, (&Relayer{}).DomainInstances(), 1)
 }
+
+// After a power loss all instances start at once, and callers come before the leaders know the fleet.
+func TestInstancesThatStartTogetherKnowTheSizeOfTheirFailureDomain(t *testing.T) {
+	runWithFleet(t, 60, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(600)
+		simulation.restart(t, nodes, 2*time.Second, func() {})
+		advance(100 * time.Millisecond)
+		for _, node := range nodes {
+			assert.Equal(t, node.DomainInstances(), 60, "%s", node.member.Name)
+		}
+		advance(5 * time.Second)
+		for _, node := range nodes {
+			assert.Equal(t, node.DomainInstances(), 60, "%s", node.member.Name)
+		}
+	})
+}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -79,6 +79,9 @@
 	Servers       *viewer.Servers       `cbor:"servers"`       // nil when ServersDelta is enough
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
+
+	// InstanceCounts are the numbers of instances by failure domain; only in the saved snapshot.
+	InstanceCounts map[string]int `cbor:"instances,omitempty"`
 }
 
 // encode encodes a message as CBOR. It panics on an error, which the types above cannot cause.
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -125,6 +125,7 @@
 		relayer.observer.FetchFailed("saved snapshot", err)
 		return false, nil
 	}
+	relayer.recordSavedCounts(snapshot.InstanceCounts)
 	relayer.addMembers(snapshot.Members, time.Now())
 	relayer.applyConfiguration(snapshot.Configuration, "saved snapshot")
 	relayer.applyServers(snapshot.Servers, "saved snapshot")
@@ -165,7 +166,7 @@
 		relayer.mutex.Unlock()
 		return
 	}
-	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers()}
+	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers(), InstanceCounts: relayer.countByDomain()}
 	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot.Members)
 	if before.objectRevision != 0 && before.version == view.Configuration.Version && before.digest == digest {
 		relayer.mutex.Unlock()
