--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -57,6 +57,9 @@
 	return &Estimator{failureDomain: failureDomain, instances: instances, currentView: currentView, isEjected: isEjected, services: map[string]*serviceLoad{}}
 }
 
+// FleetInstances returns how many instances there are, this one included.
+func (estimator *Estimator) FleetInstances() int { return estimator.instances().Fleet }
+
 // serviceLoad is the load of a service as this instance knows it.
 type serviceLoad struct {
 	domains  map[string]*domainLoad
--- a/placer/baseline_test.go
+++ b/placer/baseline_test.go
@@ -70,6 +70,7 @@
 func (noEstimate) Offered(string, time.Time) float64                                  { return 0 }
 func (noEstimate) Outstanding(string, string, time.Time) float64                      { return 0 }
 func (noEstimate) Background(string, string, time.Time) float64                       { return 0 }
+func (noEstimate) FleetInstances() int                                                { return 1 }
 func (noEstimate) Expire(time.Time)                                                   {}
 
 func neverFailing(uint32, time.Time) bool { return false }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -16,12 +16,9 @@
 	// fastest servers are about 1.6 times as fast as the average. A server with a
 	// smaller ratio may be failing its requests immediately.
 	minResponseTimeRatio = 0.3
-	// coldStartPenalty multiplies the cost of a server that has just started.
-	coldStartPenalty = 1.6
-	// ownLoadWeight is what one of this instance's requests for each slot of a server adds to the
-	// expected time there. Other instances' requests are not known, so a server without own
-	// ones is preferred unless it is far slower.
-	ownLoadWeight = 20
+	// crossDomainPenalty multiplies the cost of a cold server outside the failure domain that was
+	// drawn.
+	crossDomainPenalty = 1.5
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
 	// maxDraws is how many random candidates of a failure domain are tried before all candidates are
@@ -54,6 +51,8 @@
 	Outstanding(service, failureDomain string, now time.Time) float64
 	// Background returns the outstanding requests of other callers in a failure domain.
 	Background(service, failureDomain string, now time.Time) float64
+	// FleetInstances returns how many instances there are, this one included.
+	FleetInstances() int
 	Expire(before time.Time)
 }
 
@@ -64,6 +63,7 @@
 	estimator       loadEstimator
 	isFailing       func(token uint32, now time.Time) bool // by the server's token
 	random          *rand.Rand
+	pacer           warmUpPacer
 	servers         map[serverKey]*serverState
 	domainEjections map[domainKey]*ejection
 	services        map[string]*serviceState
@@ -134,6 +134,7 @@
 		estimator:       estimator,
 		isFailing:       isFailing,
 		random:          random,
+		pacer:           unpaced{},
 		servers:         map[serverKey]*serverState{},
 		domainEjections: map[domainKey]*ejection{},
 		services:        map[string]*serviceState{},
@@ -142,34 +143,60 @@
 }
 
 // Select returns the server for a new flow: the cheapest of a few random candidates in the
-// failure domain that drawDomain chooses, or nil if there are no candidates. Ejected servers are
-// selected only if there are no others, and servers in attempted, which the flow's opening was
-// sent to before, only if there are no servers outside attempted; servers outside the
-// failure domains of attempted come first. All candidates are examined only where the drawn
-// ones don't serve, so that the usual cost does not grow with their number.
+// failure domain that drawDomain chooses, or nil if there are no candidates that may get one now.
+// Ejected servers are selected only if there are no others, and servers in attempted, which the
+// flow's opening was sent to before, only if there are no servers outside attempted; servers
+// outside the failure domains of attempted come first. All candidates are examined only where the
+// drawn ones don't serve, so that the usual cost does not grow with their number.
 func (placer *Placer) Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	if len(candidates) == 0 {
 		return nil
 	}
 	index := placer.indexOf(candidates, now)
+	var best *viewer.BackendServer
 	if domain := placer.drawDomain(index, attempted, now); domain != nil {
-		if server := placer.cheapest(domain.usable, now); server != nil {
-			return server
-		}
+		best = placer.cheapest(domain.usable, now)
+	}
+	if best == nil {
+		best = placer.drawPreferred(candidates, attempted, now)
+	}
+	if shared := placer.drawShared(candidates, attempted, now); placer.isCheaper(shared, best, now) {
+		return shared
+	}
+	return best
+}
+
+// isCheaper reports whether a cold server that was drawn beside the others is to be taken in place
+// of best, which may be nil.
+func (placer *Placer) isCheaper(shared, best *viewer.BackendServer, now time.Time) bool {
+	if shared == nil || best == nil {
+		return shared != nil
+	}
+	cost := placer.expectedCost(shared, now)
+	if shared.FailureDomain != best.FailureDomain {
+		cost *= crossDomainPenalty
 	}
+	return cost < placer.expectedCost(best, now)
+}
+
+// drawPreferred returns a random one of the preferredCandidates, or nil if there are none.
+func (placer *Placer) drawPreferred(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	preferred := placer.preferredCandidates(candidates, attempted, now)
+	if len(preferred) == 0 {
+		return nil
+	}
 	return preferred[placer.random.IntN(len(preferred))]
 }
 
-// cheapest returns the cheapest of comparedCandidates random candidates that are not ejected, or
-// nil if maxDraws draws find none.
+// cheapest returns the cheapest of comparedCandidates random candidates that may get a flow and are
+// not ejected, or nil if maxDraws draws find none.
 func (placer *Placer) cheapest(candidates []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	var best *viewer.BackendServer
 	bestCost := 0.0
 	compared := 0
 	for range maxDraws {
 		candidate := candidates[placer.random.IntN(len(candidates))]
-		if placer.isEjected(candidate, now) {
+		if placer.isEjected(candidate, now) || !placer.acceptsDraw(candidate, now) {
 			continue
 		}
 		cost := placer.expectedCost(candidate, now)
@@ -186,8 +213,9 @@
 // preferredCandidates returns the first of these groups that is not empty: servers
 // that are not ejected, outside the failure domains of the attempted ones; other
 // servers that are not ejected; ejected servers; all candidates. Only the last
-// contains attempted servers.
+// contains attempted servers, and none those that may get no flow now.
 func (placer *Placer) preferredCandidates(candidates, attempted []*viewer.BackendServer, now time.Time) []*viewer.BackendServer {
+	candidates = placer.withoutDeclined(candidates, now)
 	var otherDomain, sameDomain, ejected []*viewer.BackendServer
 	for _, candidate := range candidates {
 		switch {
@@ -239,17 +267,15 @@
 }
 
 // expectedCost estimates how long a request takes at a server, in multiples of the
-// service's average response time. Of this instance's flows there, one between two requests
-// counts as much as such a flow is active on average.
+// service's average response time. It assumes that each instance that may send flows to the server
+// has as many requests there as this one. Of this instance's flows, one between two requests counts
+// as much as such a flow is active on average.
 func (placer *Placer) expectedCost(candidate *viewer.BackendServer, now time.Time) float64 {
 	state := placer.stateOf(candidate, now)
 	cost := placer.responseTimeRatio(candidate, state)
 	pausing := float64(max(state.openFlows-state.outstanding, 0))
 	load := float64(state.outstanding) + pausing*placer.service(candidate.Service, now).activity
-	cost *= 1 + ownLoadWeight*load/float64(max(candidate.Slots, 1))
-	if now.Before(candidate.ColdUntil) {
-		cost *= coldStartPenalty
-	}
+	cost *= 1 + load*float64(placer.loadFactor(candidate, now))/float64(max(candidate.Slots, 1))
 	return cost
 }
 
@@ -345,6 +371,7 @@
 // ExpireServers deletes the state of servers and of services that were last used before a
 // time.
 func (placer *Placer) ExpireServers(before time.Time) {
+	placer.pacer.Expire(before)
 	for key, state := range placer.servers {
 		if state.lastUsed.Before(before) {
 			delete(placer.servers, key)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -38,6 +38,9 @@
 	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
 	// the sender may not know all.
 	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
+
+	// Evacuations are sent in full in announcements and answers, and left out of reports.
+	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -61,6 +64,9 @@
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
 		}
 	}
+	if err := checkEvacuations(heartbeat.Evacuations); err != nil {
+		return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+	}
 	return nil
 }
 
@@ -79,6 +85,7 @@
 	Servers       *viewer.Servers       `cbor:"servers"`       // nil when ServersDelta is enough
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
+	Evacuations   *viewer.Evacuations   `cbor:"evacuations"`
 
 	// InstanceCounts are the numbers of instances by failure domain; only in the saved snapshot.
 	InstanceCounts map[string]int `cbor:"instances,omitempty"`
--- a/steerer/load.go
+++ b/steerer/load.go
@@ -51,6 +51,7 @@
 	isFirst := flow.requestReceivedAt.IsZero()
 	if !isFirst {
 		steerer.endRequest(flow, now)
+		steerer.placer.RequestSent(flow.server, now)
 	}
 	steerer.beginRequest(flow, isFirst, now)
 }
