--- a/placer/placement_test.go
+++ b/placer/placement_test.go
@@ -208,3 +208,32 @@
 }
 
 var _ loadEstimator = (*estimator.Estimator)(nil)
+
+// The cost of a flow must not grow with the number of servers.
+func BenchmarkSelect(b *testing.B) {
+	for _, perDomain := range []int{5, 40, 5000} {
+		for _, perSecond := range []float64{400, 1400} {
+			b.Run(fmt.Sprintf("%d servers, %v requests a second", 3*perDomain, perSecond), func(b *testing.B) {
+				load := large(steady(perSecond, perSecond, perSecond))
+				load.length = 2 * time.Second
+				play := newPlay(load, 1, false)
+				play.run()
+				selector := play.instances[0][0]
+				servers := serversInThreeDomains(perDomain)
+				for i := range servers {
+					servers[i].FailureDomain = domainName(i / perDomain)
+					servers[i].Service = "s"
+				}
+				b.ResetTimer()
+				for i := range b.N {
+					now := play.now.Add(time.Duration(i) * 10 * time.Millisecond)
+					server := selector.Select(servers, nil, now)
+					selector.FlowOpened(server, now)
+					selector.RequestBegan(server, true, now)
+					selector.RequestEnded(server, now.Add(time.Millisecond))
+					selector.FlowClosed(server, now.Add(time.Millisecond))
+				}
+			})
+		}
+	}
+}
