--- a/logger/logger.go
+++ b/logger/logger.go
@@ -44,6 +44,7 @@
 	EventEvacuationEnded      decider.EventKind = 513
 	EventEvacuationIgnored    decider.EventKind = 514
 	EventWarmUpChanged        decider.EventKind = 515
+	EventFlowsPlacedElsewhere decider.EventKind = 519
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -77,6 +78,7 @@
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
 	EventWarmUpChanged:        "backend server turned cold or warm",
+	EventFlowsPlacedElsewhere: "new flows placed in other failure domains",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
--- a/placer/warm_up.go
+++ b/placer/warm_up.go
@@ -92,10 +92,10 @@
 	return allowed
 }
 
-// loadFactor returns how many instances open flows at a server, this one included.
+// loadFactor returns how many instances may open flows at a server, this one included.
 func (placer *Placer) loadFactor(candidate *viewer.BackendServer, now time.Time) int {
 	if sharers := placer.pacer.Sharers(candidate, now); sharers > 0 {
 		return sharers
 	}
-	return placer.instanceCount()
+	return placer.estimator.FleetInstances()
 }
--- a/placer/warm_up_test.go
+++ b/placer/warm_up_test.go
@@ -94,11 +94,11 @@
 	}
 	servers := candidates(names...)
 	placer, pacer := newPacedPlacer(map[string]float64{})
-	placer.instanceCount = func() int { return 50 }
+	placer.estimator = fiftyInstances{}
 	for _, server := range servers[1:] {
-		placer.FlowOpened(server, start) // 50 at each in all, as each instance has one
+		placer.RequestBegan(server, true, start) // 50 at each in all, as each instance has one
 	}
-	placer.FlowOpened(servers[0], start)
+	placer.RequestBegan(servers[0], true, start)
 	assert.Assert(t, placer.expectedCost(servers[0], start) == placer.expectedCost(servers[1], start))
 	pacer.shared = servers[:1]
 	assert.Assert(t, placer.expectedCost(servers[0], start) < placer.expectedCost(servers[1], start)/10, "no other instance opens flows there")
@@ -111,6 +111,11 @@
 	}
 }
 
+// fiftyInstances is the estimate of an instance among fifty.
+type fiftyInstances struct{ noEstimate }
+
+func (fiftyInstances) FleetInstances() int { return 50 }
+
 func TestOpeningsReachThePacer(t *testing.T) {
 	servers := candidates("a")
 	placer, pacer := newPacedPlacer(nil)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -35,6 +35,10 @@
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 
+	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
+	// the sender may not know all.
+	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
+
 	// Evacuations are sent in full in announcements and answers, and left out of reports.
 	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
 }
@@ -52,8 +56,8 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
-	case heartbeat.InstanceCount < 0:
-		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
@@ -82,6 +86,9 @@
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
 	Evacuations   *viewer.Evacuations   `cbor:"evacuations"`
+
+	// InstanceCounts are the numbers of instances by failure domain; only in the saved snapshot.
+	InstanceCounts map[string]int `cbor:"instances,omitempty"`
 }
 
 // encode encodes a message as CBOR. It panics on an error, which the types above cannot cause.
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -127,6 +127,7 @@
 		relayer.observer.FetchFailed("saved snapshot", err)
 		return false, nil
 	}
+	relayer.recordSavedCounts(snapshot.InstanceCounts)
 	relayer.addMembers(snapshot.Members, time.Now())
 	relayer.applyEvacuations(snapshot.Evacuations, "saved snapshot")
 	relayer.applyConfiguration(snapshot.Configuration, "saved snapshot")
@@ -170,7 +171,7 @@
 		relayer.mutex.Unlock()
 		return
 	}
-	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers(), Evacuations: view.Evacuations}
+	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers(), Evacuations: view.Evacuations, InstanceCounts: relayer.countByDomain()}
 	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot)
 	if before.objectRevision != 0 && before.version == view.Configuration.Version && before.digest == digest {
 		relayer.mutex.Unlock()
