The soak checks the openings of cold servers

Servers that start during a run are cold for 4 s and bear 4 openings a second, 8 at most with the bounds; the checker counts every opening that reaches one, copies included.

--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -32,6 +32,8 @@
 	leavingAt  time.Time // zero while the server accepts new flows
 	stopped    bool
 	resetFlows map[[2]netip.AddrPort]bool // flows that the server itself reset
+	coldUntil  time.Time                  // end of the warm-up; zero if it has none
+	openings   []time.Time                // within the last second of the warm-up
 }
 
 // serverFlow is the server's state of one flow.
@@ -59,6 +61,7 @@
 	entry := viewer.BackendServer{
 		Service: server.service, Address: server.socket.LocalAddr().(*net.UDPAddr).AddrPort(),
 		FailureDomain: "domain-0", Slots: 3, State: state, StartedAt: 1,
+		ColdUntil: viewer.Deadline{Time: server.coldUntil},
 	}
 	server.soak.store.Put(platform.ServersKind, server.name, platform.EncodeServer(&entry))
 }
@@ -114,6 +117,7 @@
 
 // acceptOpening accepts a new flow. A retransmitted SYN receives the same answer.
 func (server *server) acceptOpening(key [2]netip.AddrPort, received packet) {
+	server.checkWarmUp()
 	flow := server.flows[key]
 	if flow == nil {
 		server.soak.checkOpening(server, received)
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -223,7 +223,7 @@
 	} else if soak.extraRouteRemovedAt.IsZero() {
 		soak.extraRouteRemovedAt = time.Now()
 	}
-	configuration := &viewer.Configuration{Version: soak.configurationVersion, Routes: routes}
+	configuration := &viewer.Configuration{Version: soak.configurationVersion, Routes: routes, Services: ratedServices()}
 	soak.store.Put(platform.ConfigurationKind, platform.ConfigurationName, platform.EncodeConfiguration(configuration))
 }
 
@@ -242,6 +242,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start backend server")
 	}
+	if len(soak.instances) > 0 { // not those that the run starts with
+		server.warmUp()
+	}
 	soak.mutex.Lock()
 	soak.servers[server.name] = server
 	soak.mutex.Unlock()
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -102,6 +102,14 @@
 		{"flow to a server of another service", "of service report-desk", func(system *testSystem) forwardFunc {
 			return func(content []byte, _ [2]netip.AddrPort) { system.deliver(content, system.reportServer) }
 		}},
+		{"too many openings of a cold server", "openings in a second", func(system *testSystem) forwardFunc {
+			system.deskServer.warmUp()
+			return func(content []byte, _ [2]netip.AddrPort) {
+				for range warmUpLimit + 1 {
+					system.deliver(content, system.deskServer)
+				}
+			}
+		}},
 		{"changed data", "that no caller sent", func(system *testSystem) forwardFunc {
 			return func(content []byte, _ [2]netip.AddrPort) {
 				content[16] ^= 1
