--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -148,12 +148,11 @@
 	assert.Equal(t, fleet.Room(service, start).Slots, 240)
 	fleet.ejected[uint32('a')<<16+1] = true
 	ejectedAt := start.Add(capacityInterval)
-	assert.Equal(t, fleet.Slots(service, "a", ejectedAt), 78)
+	assert.Equal(t, fleet.Room(service, ejectedAt).Slots, 238)
 	fleet.applyServers(map[string]int{"a": 20, "c": 40})
 	removedAt := ejectedAt.Add(minCapacityInterval)
-	assert.Equal(t, fleet.Slots(service, "a", removedAt), 38)
-	assert.Assert(t, math.IsInf(fleet.Utilization(service, "b", removedAt), 1))
 	assert.Equal(t, fleet.Room(service, removedAt).Slots, 118)
+	assert.Assert(t, math.IsInf(fleet.Utilization(service, "b", removedAt), 1))
 }
 
 func TestInstancesThatJoinShareTheDemand(t *testing.T) {
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -88,13 +88,6 @@
 	return float64(estimator.instances().Domain) * load.began.perSecond * load.unloaded.seconds
 }
 
-// Slots returns the slots of a service in a failure domain, of servers that may get new flows.
-func (estimator *Estimator) Slots(service, failureDomain string, now time.Time) int {
-	estimator.mutex.Lock()
-	defer estimator.mutex.Unlock()
-	return estimator.service(service, now).capacity.byDomain[failureDomain]
-}
-
 // Outstanding returns the requests of all callers that are outstanding in a failure domain.
 func (estimator *Estimator) Outstanding(service, failureDomain string, now time.Time) float64 {
 	estimator.mutex.Lock()
