Reset flows whose server was removed from the store

Ruled out: a reset of the first data without a sign that the server does not answer: an entry also lapses while its server cannot reach the store but serves its flows (srv_cut). Change: an instance follows all established flows that pass it, also those that others opened (server, acknowledgment, unanswered data; about 120 bytes each, 20,000 at most). Data for a server that was removed is reset on its first copy (200 ms), and at once after one flow has shown that the server does not answer; any progress of a flow since the removal stops that for 3 s. Idle flows are reset 0.3 s after the removal, one each 2 ms, so that their callers open a new one with the next request. A removal counts only from the end of the grace period after an outage, 2.5 s after the start of the instance, not when more than half of the servers vanish at once, never while the entry exists but cannot be decoded, and not for a second after a pause.

--- a/director/director.go
+++ b/director/director.go
@@ -95,6 +95,7 @@
 
 	PlatformSettings *configurer.PlatformSettings
 	Recorder         *Recorder
+	Viewer           *viewer.Viewer
 	Reloader         *Reloader
 	Relayer          *relayer.Relayer
 	Network          *Network
@@ -183,6 +184,7 @@
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
+	instance.Viewer.SetChangeHook(instance.Socket.Wake)
 	instance.Relayer.SetPauseDetector(instance.Ticker.JustResumed)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.PlatformSettings.Instance,
 		"failure_domain", instance.PlatformSettings.FailureDomain, "packet_address", instance.PlatformSettings.PacketAddress.String())
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -221,6 +221,15 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
+// ServerGone counts and logs that a server was removed and idleFlows of its flows are reset here, or
+// that it is alive and they are kept.
+func (recorder *Recorder) ServerGone(server *viewer.BackendServer, idleFlows int, isAlive bool) {
+	recorder.counters.Add("servers_gone", 1)
+	if idleFlows > 0 {
+		recorder.Event(logger.EventServerGone, "backend_server", server.Name, "service", server.Service, "idle_flows", idleFlows, "answers", isAlive)
+	}
+}
+
 // LogEjection counts and logs that a server fails its requests or is slow; ejected is
 // whether it gets no new flows for a time because of it. Of servers that are not ejected, as
 // too many are already, it logs one in socketFailureInterval.
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -40,6 +40,7 @@
 	EventServerFailing        decider.EventKind = 509
 	EventServerSlow           decider.EventKind = 510
 	EventHeartbeatInvalid     decider.EventKind = 511
+	EventServerGone           decider.EventKind = 516
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -72,6 +73,7 @@
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
+	EventServerGone:           "backend server has ended, its flows are reset",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -223,7 +223,7 @@
 	case heartbeat.ServersRevision <= own.ServersRevision:
 		return view.Servers
 	case heartbeat.ServersDigest == own.ServersDigest:
-		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List}
+		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List, Unreadable: view.Servers.Unreadable}
 	case heartbeat.ServersDelta != nil:
 		servers = view.Servers.Apply(heartbeat.ServersDelta)
 	}
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -113,7 +113,10 @@
 	relayer.mutex.Lock()
 	everFresh, age := !relayer.schedule.freshAt.IsZero(), relayer.schedule.Age(now)
 	relayer.mutex.Unlock()
-	if everFresh && age >= outageThreshold {
+	switch {
+	case !everFresh: // the store may have been unavailable before this instance started
+		relayer.viewer.DoubtMissingUntil(now.Add(returnGracePeriod))
+	case age >= outageThreshold:
 		relayer.viewer.RetainMissingUntil(now.Add(returnGracePeriod))
 	}
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -48,6 +48,9 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
+	// ServerGone is called when the idle flows of a server that was removed are reset, as
+	// many as idleFlows; unless isAlive: then it has shown that it still serves its flows.
+	ServerGone(server *viewer.BackendServer, idleFlows int, isAlive bool)
 }
 
 // FlowSummary is what an instance measured of one flow.
@@ -66,10 +69,11 @@
 
 // Reasons why a flow ended.
 const (
-	EndClosedByCaller EndReason = "finished"   // the caller sent FIN
-	EndResetByCaller  EndReason = "aborted"    // the caller sent RST
-	EndIdle           EndReason = "fell_quiet" // no packets reached this instance for a time
-	EndPortReused     EndReason = "replaced"   // the caller opened another flow from the same port
+	EndClosedByCaller EndReason = "finished"    // the caller sent FIN
+	EndResetByCaller  EndReason = "aborted"     // the caller sent RST
+	EndIdle           EndReason = "fell_quiet"  // no packets reached this instance for a time
+	EndPortReused     EndReason = "replaced"    // the caller opened another flow from the same port
+	EndServerGone     EndReason = "server_gone" // reset here, since its server has ended
 )
 
 // Steerer decides about the packets of one instance; it is not safe for concurrent use.
@@ -87,12 +91,14 @@
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
+	follower             follower
+	resetter             resetter
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}}
+	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, follower: newFollower()}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -206,12 +212,12 @@
 		return
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
-	flow := steerer.flows[packet.Flow]
-	if flow == nil {
+	if flow := steerer.flows[packet.Flow]; flow == nil {
 		steerer.noticeUntracked(packet.Flow, now)
-		return
+	} else {
+		steerer.observe(flow, packet, server, now)
 	}
-	steerer.observe(flow, packet, server, now)
+	steerer.answerForGone(packet, steerer.follower.observe(packet, now), verdict, now)
 }
 
 // Next returns the next verdict that is due without a packet, or false after expiring idle
@@ -222,6 +228,9 @@
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
+	if verdict, ok := steerer.nextIdleReset(now); ok {
+		return verdict, true
+	}
 	steerer.reportLostRequests(now, drained)
 	steerer.expireFlows(now)
 	return Verdict{}, false
@@ -231,10 +240,11 @@
 // time if it need not be called.
 func (steerer *Steerer) WakeTime() time.Time {
 	steerer.dropAnswered()
-	if len(steerer.unanswered) == 0 {
-		return time.Time{}
+	var retryAt time.Time
+	if len(steerer.unanswered) > 0 {
+		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
-	return steerer.unanswered[0].openingSentAt.Add(answerTimeout)
+	return earliest(retryAt, steerer.resetter.wakeTime())
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -28,6 +29,7 @@
 	decided         []Reason
 	ended           []FlowSummary
 	ejected         []string
+	gone            []string // servers whose end was reported, with the number of idle flows and whether they are alive
 	responseLengths []uint32
 	responseTimes   []time.Duration
 	lost            []string // servers of which a request was reported as lost
@@ -54,6 +56,10 @@
 	harness.ejected = append(harness.ejected, server.Name)
 }
 
+func (harness *harness) ServerGone(server *viewer.BackendServer, idleFlows int, isAlive bool) {
+	harness.gone = append(harness.gone, fmt.Sprintf("%s %d %t", server.Name, idleFlows, isAlive))
+}
+
 func newHarness(names ...string) *harness {
 	harness := &harness{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
--- a/viewer/delta.go
+++ b/viewer/delta.go
@@ -12,6 +12,8 @@
 	Revision uint64          `cbor:"2,keyasint"`           // revision that it results in
 	Changed  []BackendServer `cbor:"3,keyasint,omitempty"` // added or changed
 	Removed  []string        `cbor:"4,keyasint,omitempty"` // names
+
+	Unreadable []string `cbor:"5,keyasint,omitempty"` // the removed servers whose entry exists but cannot be decoded
 }
 
 // Len returns the number of servers that a delta changes or removes.
@@ -35,6 +37,11 @@
 		delta.Removed = append(delta.Removed, name)
 	}
 	slices.Sort(delta.Removed)
+	for _, name := range delta.Removed {
+		if slices.Contains(after.Unreadable, name) {
+			delta.Unreadable = append(delta.Unreadable, name)
+		}
+	}
 	return delta
 }
 
@@ -44,7 +51,7 @@
 		return nil
 	}
 	if delta.Len() == 0 {
-		return &Servers{Revision: delta.Revision, List: servers.List}
+		return &Servers{Revision: delta.Revision, List: servers.List, Unreadable: servers.Unreadable}
 	}
 	replaced := map[string]bool{}
 	for i := range delta.Changed {
@@ -56,7 +63,8 @@
 	list := slices.DeleteFunc(slices.Clone(servers.List), func(server BackendServer) bool { return replaced[server.Name] })
 	list = append(list, delta.Changed...)
 	slices.SortFunc(list, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
-	return &Servers{Revision: delta.Revision, List: list}
+	unreadable := slices.DeleteFunc(slices.Clone(servers.Unreadable), func(name string) bool { return replaced[name] })
+	return &Servers{Revision: delta.Revision, List: list, Unreadable: append(unreadable, delta.Unreadable...)}
 }
 
 // ComposeDeltas returns the delta that has the effect of consecutive deltas, or nil if there
@@ -78,6 +86,9 @@
 			if !decided[name] {
 				decided[name] = true
 				composed.Removed = append(composed.Removed, name)
+				if slices.Contains(delta.Unreadable, name) {
+					composed.Unreadable = append(composed.Unreadable, name)
+				}
 			}
 		}
 		if composed.Len() > limit {
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -35,6 +35,10 @@
 type Servers struct {
 	Revision uint64          // grows with every change in the store
 	List     []BackendServer // sorted by Name
+
+	// Unreadable names the servers that are not listed because their entry cannot be
+	// decoded since it was last read: it exists, so they have not ended.
+	Unreadable []string `cbor:",omitempty"`
 }
 
 // BackendServer is one incarnation of a backend server: a restarted server can
@@ -85,6 +89,7 @@
 	routes    map[netip.AddrPort]*Route
 	byService map[string][]*BackendServer // only servers that accept new flows
 	byToken   map[uint32]*BackendServer
+	removed   []RemovedServer // without those that are listed again or retained
 }
 
 // Complete reports whether the view has both a configuration and a list of servers.
@@ -100,10 +105,14 @@
 // servers that are leaving or were removed recently (see maxFlowAge).
 func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
 
+// Removed returns the servers that were removed recently (see maxFlowAge) and are not
+// listed again; the slice must not be modified.
+func (view *View) Removed() []RemovedServer { return view.removed }
+
 // newView returns a View of a configuration and a list of servers, each of which may be
 // nil. Retained servers are treated as if they were listed; removed ones are only found
 // by their tokens.
-func newView(configuration *Configuration, servers *Servers, retained, removed []*BackendServer) *View {
+func newView(configuration *Configuration, servers *Servers, retained []*BackendServer, removed []RemovedServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
@@ -120,8 +129,9 @@
 		view.indexServers(servers, retained)
 	}
 	for _, server := range removed {
-		if view.byToken[server.Token] == nil {
-			view.byToken[server.Token] = server
+		if view.byToken[server.Server.Token] == nil {
+			view.byToken[server.Server.Token] = server.Server
+			view.removed = append(view.removed, server)
 		}
 	}
 	return view
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -18,19 +18,16 @@
 type Viewer struct {
 	mutex       sync.Mutex
 	current     atomic.Pointer[View]
-	removed     []removedServer  // found by their tokens for maxFlowAge
+	removed     []RemovedServer  // found by their tokens for maxFlowAge
 	retained    []*BackendServer // in use although the newest list lacks them
 	retainUntil time.Time        // until when retained servers get new flows
-}
-
-type removedServer struct {
-	server    *BackendServer
-	removedAt time.Time
+	doubtUntil  time.Time        // until when the absence of a server may not mean its end
+	onChange    func()           // called after each change of the view
 }
 
 // NewViewer returns a Viewer with an empty view.
 func NewViewer() *Viewer {
-	viewer := &Viewer{}
+	viewer := &Viewer{onChange: func() {}}
 	viewer.current.Store(newView(nil, nil, nil, nil))
 	return viewer
 }
@@ -92,13 +89,14 @@
 	return expired
 }
 
+// SetChangeHook sets a function that is called after each change of the view, with a lock
+// held: it must not call the viewer back. It has to be set before the view changes.
+func (viewer *Viewer) SetChangeHook(onChange func()) { viewer.onChange = onChange }
+
 // publish replaces the current view. The mutex must be held.
 func (viewer *Viewer) publish(configuration *Configuration, servers *Servers) {
-	removed := make([]*BackendServer, len(viewer.removed))
-	for i := range viewer.removed {
-		removed[i] = viewer.removed[i].server
-	}
-	viewer.current.Store(newView(configuration, servers, viewer.retained, removed))
+	viewer.current.Store(newView(configuration, servers, viewer.retained, viewer.removed))
+	viewer.onChange()
 }
 
 // retainedServers returns the active servers that the new list lacks, if now is
@@ -127,24 +125,3 @@
 	}
 	return retained
 }
-
-// rememberRemoved adds the servers that the new list lacks to those removed, and
-// drops those removed at least maxFlowAge ago.
-func (viewer *Viewer) rememberRemoved(before, after *Servers, now time.Time) {
-	recent := viewer.removed[:0]
-	for _, removed := range viewer.removed {
-		if now.Sub(removed.removedAt) < maxFlowAge {
-			recent = append(recent, removed)
-		}
-	}
-	viewer.removed = recent
-	present := map[string]bool{}
-	for i := range after.List {
-		present[after.List[i].Name] = true
-	}
-	for i := range before.List {
-		if server := &before.List[i]; !present[server.Name] {
-			viewer.removed = append(viewer.removed, removedServer{server: server, removedAt: now})
-		}
-	}
-}
