--- /dev/null
+++ b/detector/detector.go
@@ -0,0 +1,324 @@
+package detector
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+const (
+	// silenceTime is how long a declaration holds; afterwards openings show whether the
+	// server answers again.
+	silenceTime = 3 * time.Second
+	// lifeMargin is how much later than the last answer of a server a sign of it may arrive.
+	lifeMargin = 100 * time.Millisecond
+	// lifeMemory is how long signs of life are remembered.
+	lifeMemory = 30 * time.Second
+	// reportInterval is the shortest time between two reports of an instance.
+	reportInterval = 200 * time.Millisecond
+	// signMemory is how long a sign of silence counts.
+	signMemory = 3 * time.Second
+	// maxOwnSigns bounds the signs of silence that an instance keeps.
+	maxOwnSigns = 500
+	// maxSilentShare is the largest share of servers that may look silent. If more do, the
+	// network or the load is the cause.
+	maxSilentShare = 0.5
+	// minSilent is the number of silent servers that shows nothing of the kind.
+	minSilent = 3
+)
+
+// Detector holds what one instance knows of the life of backend servers. Its methods may be
+// called concurrently.
+type Detector struct {
+	onChange func()
+	observer Observer
+	silent   atomic.Pointer[Silences] // never modified once stored
+
+	mutex      sync.Mutex
+	lives      map[Server]time.Time // of the last sign of life here, or one that another instance told of
+	own        map[flowSign]waiting // signs of silence of this instance
+	unreported []flowSign
+	reportedAt time.Time
+	refuted    map[Server]time.Time  // last sign of life of servers that were declared silent, to be told
+	candidates map[Server]*candidate // of which this instance, a leader, has signs of silence
+	sweptAt    time.Time
+}
+
+// Observer is notified of decisions for logs and counters.
+type Observer interface {
+	// ServerSilent is called when this instance, a leader, declares a server silent.
+	ServerSilent(token uint32, evidence Evidence)
+	// ServerAlive is called when a declaration is taken back because of a sign of life;
+	// seenHere is whether it was seen at this instance.
+	ServerAlive(token uint32, seenHere bool)
+}
+
+// Evidence is why a server was declared silent.
+type Evidence struct {
+	Flows, Instances int           // flows with unanswered data, and instances that saw it
+	Longest          time.Duration // for which data was unanswered
+	Since            time.Duration // how long ago the oldest of it was sent
+}
+
+// flowSign identifies the unanswered data of one flow.
+type flowSign struct {
+	server Server
+	flow   uint32
+}
+
+// waiting is since when data has been unanswered, and when it was last retransmitted.
+type waiting struct{ since, copiedAt time.Time }
+
+// Silence is a declaration in force.
+type Silence struct {
+	Server
+	Since time.Time // of the oldest unanswered data
+	Until time.Time
+}
+
+// RefutedAfter returns the time after which a sign of life refutes the declaration.
+func (silence *Silence) RefutedAfter() time.Time { return silence.Since.Add(lifeMargin) }
+
+// Silences are the declarations in force, by the server's token.
+type Silences map[uint32]Silence
+
+// NewDetector returns a Detector that knows of no server; onChange is called after each change
+// of what Silences returns.
+func NewDetector(observer Observer) *Detector {
+	detector := &Detector{
+		onChange: func() {}, observer: observer,
+		lives: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{},
+	}
+	detector.silent.Store(&Silences{})
+	return detector
+}
+
+// SetChangeHook sets a function that is called after each change of what Silences returns, with
+// a lock held: it must not call the detector back. It has to be set before the first sign.
+func (detector *Detector) SetChangeHook(onChange func()) { detector.onChange = onChange }
+
+// Silences returns the declarations in force, as a pointer that differs after each change.
+// Some may have ended by time.
+func (detector *Detector) Silences() *Silences { return detector.silent.Load() }
+
+// IsSilent reports whether the server with a token is declared silent.
+func (detector *Detector) IsSilent(token uint32, now time.Time) bool {
+	silence, ok := (*detector.silent.Load())[token]
+	return ok && now.Before(silence.Until)
+}
+
+// RecordLife notes that a caller's packet at this instance shows an answer of a server at a
+// time or later.
+func (detector *Detector) RecordLife(backendServer *viewer.BackendServer, at time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	server := newServer(backendServer)
+	if detector.noteLife(server, at) {
+		detector.refuted[server] = at
+		detector.observer.ServerAlive(server.Token, true)
+	}
+}
+
+// noteLife notes a sign of life, and reports whether it takes back a declaration. The mutex
+// must be held.
+func (detector *Detector) noteLife(server Server, at time.Time) bool {
+	if !at.After(detector.lives[server]) {
+		return false
+	}
+	detector.lives[server] = at
+	silence, ok := (*detector.silent.Load())[server.Token]
+	if !ok || silence.Server != server || !at.After(silence.RefutedAfter()) {
+		return false
+	}
+	changed := maps.Clone(*detector.silent.Load())
+	delete(changed, server.Token)
+	detector.store(changed)
+	return true
+}
+
+// RecordUnanswered notes that a caller has retransmitted data of a flow to this instance, which
+// the server has left unanswered for a time.
+func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	sign := flowSign{server: newServer(backendServer), flow: flow}
+	if _, known := detector.own[sign]; !known && len(detector.own) >= maxOwnSigns {
+		return
+	}
+	detector.own[sign] = waiting{since: now.Add(-waitedFor), copiedAt: now}
+	detector.unreported = append(detector.unreported, sign)
+}
+
+// Sweep forgets what is too old, and reports whether Next may return messages.
+func (detector *Detector) Sweep(now time.Time) bool {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	detector.sweep(now)
+	return len(detector.unreported)+len(detector.refuted)+len(detector.candidates) > 0
+}
+
+// Next returns the messages that are due.
+func (detector *Detector) Next(place Place, now time.Time) []Outgoing {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	var outgoing []Outgoing
+	report := Message{Unanswered: detector.report(now)}
+	for server, at := range detector.refuted {
+		if len(report.Unanswered)+len(report.Alive) >= maxEntries {
+			break // the others are told the next time
+		}
+		report.Alive = append(report.Alive, ServerAge{Server: server, Age: max(now.Sub(at), 0)})
+		delete(detector.refuted, server)
+	}
+	if place.IsLeader {
+		detector.count("", report.Unanswered, now)
+		outgoing = detector.judge(place, now)
+	}
+	if !report.isEmpty() {
+		audience := Leaders
+		if place.IsLeader && len(report.Alive) > 0 {
+			audience = Domain
+		}
+		outgoing = append(outgoing, Outgoing{Audience: audience, Message: report})
+	}
+	return outgoing
+}
+
+// report returns the signs of silence that are to be reported now. The mutex must be held.
+func (detector *Detector) report(now time.Time) []Unanswered {
+	if len(detector.unreported) == 0 || now.Sub(detector.reportedAt) < reportInterval {
+		return nil
+	}
+	signs := detector.unreported
+	detector.unreported, detector.reportedAt = nil, now
+	if detector.isCutOff(now) {
+		return nil
+	}
+	var report []Unanswered
+	for i, sign := range signs {
+		waiting, ok := detector.own[sign]
+		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server.Token, now) {
+			continue
+		}
+		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waiting.copiedAt.Sub(waiting.since)})
+		if len(report) == maxEntries {
+			detector.unreported = signs[i+1:]
+			break
+		}
+	}
+	return report
+}
+
+// counts reports whether a sign of silence since a time is newer than the last known life of
+// its server. The mutex must be held.
+func (detector *Detector) counts(server Server, since time.Time) bool {
+	return !detector.lives[server].After(since.Add(lifeMargin))
+}
+
+// isCutOff reports whether most of the servers that this instance knew alive look silent, so
+// that its own link may be the cause. The mutex must be held.
+func (detector *Detector) isCutOff(now time.Time) bool {
+	silent := map[Server]bool{}
+	for sign, waiting := range detector.own {
+		if detector.counts(sign.server, waiting.since) {
+			silent[sign.server] = true
+		}
+	}
+	return float64(len(silent)) > max(minSilent, maxSilentShare*float64(len(detector.lives)))
+}
+
+// Receive processes a message of another instance and returns the answer, which is empty if none
+// is due. Of other failure domains only questions are answered and signs of life believed.
+func (detector *Detector) Receive(from string, message *Message, sameDomain bool, place Place, now time.Time) Message {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	var answer Message
+	for _, alive := range message.Alive {
+		if at := now.Add(-alive.Age); detector.noteLife(alive.Server, at) {
+			detector.observer.ServerAlive(alive.Token, false)
+			if place.IsLeader {
+				detector.refuted[alive.Server] = at // to be told to the failure domain
+			}
+		}
+	}
+	for _, question := range message.Questions {
+		if !detector.counts(question.Server, now.Add(-question.Age)) {
+			answer.Alive = append(answer.Alive, detector.life(question.Server, now))
+		}
+	}
+	if !sameDomain {
+		return answer
+	}
+	if place.IsLeader {
+		detector.count(from, message.Unanswered, now)
+	}
+	answer.Alive = append(answer.Alive, detector.apply(message.Silent, now)...)
+	return answer
+}
+
+// apply puts declarations in force, except of servers that have shown life here since, which it
+// returns. The mutex must be held.
+func (detector *Detector) apply(silent []ServerAge, now time.Time) []ServerAge {
+	var alive []ServerAge
+	changed := maps.Clone(*detector.silent.Load())
+	applied := false
+	for _, entry := range silent {
+		since := now.Add(-entry.Age)
+		if !detector.counts(entry.Server, since) {
+			alive = append(alive, detector.life(entry.Server, now))
+			continue
+		}
+		if known, ok := changed[entry.Token]; ok && known.Server == entry.Server && now.Before(known.Until) {
+			continue // the other leader has declared the same
+		}
+		changed[entry.Token] = Silence{Server: entry.Server, Since: since, Until: now.Add(silenceTime)}
+		applied = true
+	}
+	if applied {
+		detector.store(changed)
+	}
+	return alive
+}
+
+// life returns the last sign of life of a server. The mutex must be held.
+func (detector *Detector) life(server Server, now time.Time) ServerAge {
+	return ServerAge{Server: server, Age: max(now.Sub(detector.lives[server]), 0)}
+}
+
+// Forget drops all signs of silence and declarations, because this process was paused: what they
+// say may no longer hold.
+func (detector *Detector) Forget() {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	clear(detector.own)
+	clear(detector.candidates)
+	detector.unreported = nil
+	if len(*detector.silent.Load()) > 0 {
+		detector.store(Silences{})
+	}
+}
+
+// store replaces the declarations. The mutex must be held.
+func (detector *Detector) store(silences Silences) {
+	detector.silent.Store(&silences)
+	detector.onChange()
+}
+
+// sweep forgets what is too old, once a second. The mutex must be held.
+func (detector *Detector) sweep(now time.Time) {
+	if now.Sub(detector.sweptAt) < time.Second {
+		return
+	}
+	detector.sweptAt = now
+	maps.DeleteFunc(detector.lives, func(_ Server, at time.Time) bool { return now.Sub(at) > lifeMemory })
+	maps.DeleteFunc(detector.own, func(_ flowSign, waiting waiting) bool { return now.Sub(waiting.copiedAt) > signMemory })
+	maps.DeleteFunc(detector.candidates, func(_ Server, candidate *candidate) bool { return candidate.isOld(now) })
+	changed := maps.Clone(*detector.silent.Load())
+	maps.DeleteFunc(changed, func(_ uint32, silence Silence) bool { return !now.Before(silence.Until) })
+	if len(changed) != len(*detector.silent.Load()) {
+		detector.store(changed)
+	}
+}
--- /dev/null
+++ b/detector/detector_test.go
@@ -0,0 +1,183 @@
+package detector
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// sendRequests makes callers send one request each through some instances in turn, every 100 ms,
+// which server 0 is to answer.
+func (fleet *fleet) sendRequests(instances []int, duration time.Duration) {
+	for i := range int(duration / (100 * time.Millisecond)) {
+		fleet.send(instances[i%len(instances)], 0)
+		fleet.advance(100 * time.Millisecond)
+	}
+}
+
+func TestServerIsDeclaredSilent(t *testing.T) {
+	first, second := []int{0, 1, 2, 3}, []int{4, 5, 6, 7}
+	cases := []struct {
+		name string
+		play func(fleet *fleet)
+		want []int // instances for which it is silent
+	}{
+		{"one that answers nobody, for the failure domain whose callers wait", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 2*time.Second)
+		}, first},
+		{"not one that answers", func(fleet *fleet) { fleet.sendRequests(first, 2*time.Second) }, nil},
+		{"not while callers wait at one instance only", func(fleet *fleet) {
+			fleet.instances[2].cutFromServers = true
+			fleet.sendRequests([]int{2}, 2*time.Second)
+		}, nil},
+		{"not one that answers another instance, whose callers are few", func(fleet *fleet) {
+			fleet.instances[1].cutFromServers, fleet.instances[2].cutFromServers = true, true
+			for range 10 {
+				fleet.sendRequests([]int{1, 2}, 400*time.Millisecond)
+				fleet.sendRequests([]int{3}, 100*time.Millisecond)
+			}
+		}, nil},
+		{"not one that answers the leaders of another domain", func(fleet *fleet) {
+			for _, i := range first {
+				fleet.instances[i].cutFromServers = true
+			}
+			for range 10 {
+				fleet.sendRequests(first, 400*time.Millisecond)
+				fleet.sendRequests([]int{4}, 100*time.Millisecond)
+			}
+		}, nil},
+		{"one behind a cut between the domains, for one side", func(fleet *fleet) {
+			for _, i := range first {
+				fleet.instances[i].cutFromServers, fleet.instances[i].cutFromDomains = true, true
+			}
+			for range 20 {
+				fleet.sendRequests(first, 400*time.Millisecond)
+				fleet.sendRequests(second, 100*time.Millisecond)
+			}
+		}, first},
+		{"not by leaders that are paused", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.instances[0].paused, fleet.instances[1].paused = true, true
+			fleet.sendRequests([]int{2, 3}, 2*time.Second)
+		}, nil},
+		{"one that falls silent while the routers change their set", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			for range 4 {
+				fleet.sendRequests(first, 500*time.Millisecond)
+				fleet.moveFlows()
+			}
+		}, first},
+		{"not one that restarts", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 300*time.Millisecond)
+			fleet.servers[0].down, fleet.servers[0].server.StartedAt = false, 1
+			fleet.sendRequests(first, 2*time.Second)
+		}, nil},
+		{"not when most servers look silent", func(fleet *fleet) {
+			for i := range fleet.servers {
+				fleet.servers[i].down = true
+			}
+			for range 40 {
+				for i := range fleet.servers {
+					fleet.send(first[fleet.random.IntN(4)], i)
+				}
+				fleet.advance(50 * time.Millisecond)
+			}
+		}, nil},
+		{"not once it answers again", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 2*time.Second)
+			fleet.servers[0].down = false
+			fleet.instances[2].detector.RecordLife(&fleet.servers[0].server, fleet.now) // of a flow that was not reset yet
+			fleet.advance(300 * time.Millisecond)
+		}, nil},
+		{"not for longer than callers wait", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 2*time.Second)
+			fleet.advance(silenceTime)
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := newFleet(1)
+			fleet.warmUp()
+			c.play(fleet)
+			var silent []int
+			for i, instance := range fleet.instances {
+				if instance.detector.IsSilent(fleet.servers[0].server.Token, fleet.now) {
+					silent = append(silent, i)
+				}
+			}
+			assert.DeepEqual(t, silent, c.want)
+		})
+	}
+}
+
+func TestServersThatFallSilentAreKnownSoon(t *testing.T) {
+	fleet := newFleet(1)
+	fleet.warmUp()
+	fleet.servers[0].down = true
+	downAt := fleet.now
+	for !fleet.instances[3].detector.IsSilent(1, fleet.now) {
+		fleet.sendRequests([]int{0, 1, 2, 3}, 400*time.Millisecond)
+		assert.Assert(t, fleet.now.Sub(downAt) < 1500*time.Millisecond, "not known after %s", fleet.now.Sub(downAt))
+	}
+}
+
+func TestNothingIsSentWhileAllIsCalm(t *testing.T) {
+	fleet := newFleet(1)
+	fleet.warmUp()
+	fleet.sent = 0
+	fleet.sendRequests([]int{0, 1, 2, 3, 4, 5, 6, 7}, 10*time.Second)
+	assert.Equal(t, fleet.sent, 0)
+}
+
+func TestMessagesAreFewWhileManyServersAreSilent(t *testing.T) {
+	fleet := newFleet(1)
+	fleet.warmUp()
+	fleet.sent = 0
+	for i := range fleet.servers[:4] {
+		fleet.servers[i].down = true
+	}
+	for range 200 {
+		fleet.send(fleet.random.IntN(8), fleet.random.IntN(len(fleet.servers)))
+		fleet.advance(20 * time.Millisecond)
+	}
+	rate := float64(fleet.sent) / 8 / 4
+	assert.Assert(t, rate <= 30, "%.0f datagrams a second and instance", rate)
+}
+
+func TestPausedInstanceForgetsWhatItKnew(t *testing.T) {
+	fleet := newFleet(1)
+	fleet.warmUp()
+	fleet.servers[0].down = true
+	fleet.sendRequests([]int{0, 1, 2, 3}, 2*time.Second)
+	instance := fleet.instances[0].detector
+	assert.Assert(t, instance.IsSilent(1, fleet.now))
+	instance.Forget()
+	assert.Assert(t, !instance.IsSilent(1, fleet.now))
+	assert.Assert(t, !instance.Sweep(fleet.now))
+}
+
+// TestNoServerIsSilentThatHasJustAnswered plays random requests while servers, paths, cuts and
+// instances change, and checks each declaration that an instance puts in force: no other
+// instance of the failure domain that runs has seen the server answer since callers began to wait,
+// up to the last question.
+func TestNoServerIsSilentThatHasJustAnswered(t *testing.T) {
+	declared := 0
+	for seed := range uint64(300) {
+		fleet := newFleet(seed)
+		fleet.warmUp()
+		for range 400 {
+			fleet.change()
+			for range fleet.random.IntN(6) {
+				fleet.send(fleet.random.IntN(len(fleet.instances)), fleet.random.IntN(3))
+			}
+			fleet.advance(20 * time.Millisecond)
+			declared += fleet.checkNewSilences(t, seed)
+		}
+	}
+	assert.Assert(t, declared > 100, "%d declarations show little", declared)
+}
--- /dev/null
+++ b/detector/doc.go
@@ -0,0 +1,27 @@
+// Package detector finds backend servers that have fallen silent before the platform's store
+// says so, from signs that the instances of a failure domain share.
+//
+// # Signs
+//
+// A sign of life is a caller's packet which shows that its server has answered, with the
+// earliest time at which it may have done so. A sign of silence is data that a caller
+// retransmits because its server has left it unanswered since a time. Both hold whichever
+// instance the routers send a flow to: a caller that retransmits is still waiting.
+//
+// # Agreement
+//
+// Each instance remembers when it last saw a sign of life of each server, and sends signs of
+// silence to the leaders of its own failure domain. When a leader has enough of them, from
+// more than one instance and all newer than the last known life, it asks the instances of the
+// domain, and the leaders of the others, who has seen life since the oldest of them. Without
+// such an answer it declares the server silent, for this failure domain only: what
+// its instances cannot reach may still serve others. Any instance that sees life afterwards
+// says so, and the leaders take the declaration back.
+//
+// Nothing is declared while more than half of the servers look silent, since then the network
+// or the load is the cause; and an instance for which most servers look silent reports none,
+// since then its own link is.
+//
+// A Detector is the part of one instance. It opens no sockets: the relayer carries its messages,
+// and the steerer reads which servers are silent.
+package detector
--- /dev/null
+++ b/detector/judge.go
@@ -0,0 +1,166 @@
+package detector
+
+import (
+	"time"
+)
+
+const (
+	// answerTime is how long a leader waits for a sign of life before it declares a server
+	// silent. It asks twice in this time, since datagrams get lost.
+	answerTime = 200 * time.Millisecond
+	// repeatTime is the time between the two questions.
+	repeatTime = 100 * time.Millisecond
+	// minSilence is the shortest time without a sign of life after which a server is declared
+	// silent.
+	minSilence = 600 * time.Millisecond
+	// longWait is from when on unanswered data weighs double: it has been retransmitted
+	// twice.
+	longWait = 550 * time.Millisecond
+	// minWeight is the weight of signs that makes a leader ask for signs of life.
+	minWeight = 3
+	// minWeightAlone is the same for signs of one instance alone, where the failure domain has
+	// no other.
+	minWeightAlone = 6
+	// minFlowsAlone is how many flows these signs must be of.
+	minFlowsAlone = 3
+)
+
+// candidate is a server of which a leader has signs of silence.
+type candidate struct {
+	signs    map[instanceFlow]waiting
+	askedAt  time.Time // of the first question; zero before it
+	since    time.Time // that it asked for life after
+	repeated bool      // the question was asked again
+}
+
+// instanceFlow identifies a flow as one instance sees it.
+type instanceFlow struct {
+	instance string // empty for this one
+	flow     uint32
+}
+
+// count adds signs that an instance reports to the candidates. The mutex must be held.
+func (detector *Detector) count(instance string, signs []Unanswered, now time.Time) {
+	for _, sign := range signs {
+		if detector.IsSilent(sign.Token, now) {
+			continue
+		}
+		found := detector.candidates[sign.Server]
+		if found == nil {
+			found = &candidate{signs: map[instanceFlow]waiting{}}
+			detector.candidates[sign.Server] = found
+		}
+		if len(found.signs) < maxEntries {
+			found.signs[instanceFlow{instance: instance, flow: sign.Flow}] = waiting{since: now.Add(-sign.For), copiedAt: now}
+		}
+	}
+}
+
+// judge returns the questions and the declarations that are due, and puts the latter in force
+// here. The mutex must be held.
+func (detector *Detector) judge(place Place, now time.Time) []Outgoing {
+	if len(detector.candidates) == 0 {
+		return nil
+	}
+	var message Message
+	suspected := len(*detector.silent.Load())
+	for server, candidate := range detector.candidates {
+		if !detector.counts(server, candidate.since) { // an answer: what remains needs another question
+			candidate.askedAt, candidate.repeated = time.Time{}, false
+		}
+		evidence := detector.weigh(server, candidate, now)
+		if !evidence.suffices(place) || !detector.counts(server, now.Add(-minSilence)) {
+			candidate.askedAt, candidate.repeated = time.Time{}, false
+			continue
+		}
+		suspected++
+		if candidate.askedAt.IsZero() {
+			candidate.since = now.Add(-max(evidence.Since, minSilence))
+		}
+		entry := ServerAge{Server: server, Age: now.Sub(candidate.since)}
+		switch asked := now.Sub(candidate.askedAt); {
+		case candidate.askedAt.IsZero():
+			candidate.askedAt = now
+			message.Questions = append(message.Questions, entry)
+		case asked >= answerTime && candidate.repeated:
+			message.Silent = append(message.Silent, entry)
+		case asked >= repeatTime && !candidate.repeated:
+			candidate.repeated = true
+			message.Questions = append(message.Questions, entry)
+		}
+	}
+	if float64(suspected) > max(minSilent, maxSilentShare*float64(place.Servers)) {
+		message.Silent = nil
+	}
+	return detector.declare(message, now)
+}
+
+// declare puts the declarations of a message in force here, and returns the messages that carry
+// it, the questions to everyone and the declarations to this failure domain. The mutex must be
+// held.
+func (detector *Detector) declare(message Message, now time.Time) []Outgoing {
+	for _, entry := range message.Silent {
+		evidence := detector.weigh(entry.Server, detector.candidates[entry.Server], now)
+		detector.observer.ServerSilent(entry.Token, evidence.Evidence)
+		delete(detector.candidates, entry.Server)
+	}
+	detector.apply(message.Silent, now)
+	var outgoing []Outgoing
+	for list := message.Questions; len(list) > 0; list = list[min(maxEntries, len(list)):] {
+		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Questions: list[:min(maxEntries, len(list))]}})
+	}
+	for list := message.Silent; len(list) > 0; list = list[min(maxEntries, len(list)):] {
+		outgoing = append(outgoing, Outgoing{Audience: Domain, Message: Message{Silent: list[:min(maxEntries, len(list))]}})
+	}
+	return outgoing
+}
+
+// weighed is evidence with its weight.
+type weighed struct {
+	Evidence
+	weight int
+}
+
+// weigh returns the evidence against a server, after dropping the signs that are too old or that
+// a sign of life has refuted. The mutex must be held.
+func (detector *Detector) weigh(server Server, candidate *candidate, now time.Time) weighed {
+	var weighed weighed
+	instances := map[string]bool{}
+	for flow, waiting := range candidate.signs {
+		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > signMemory {
+			delete(candidate.signs, flow)
+			continue
+		}
+		if !candidate.askedAt.IsZero() && waiting.since.Before(candidate.since) {
+			continue // nobody was asked for life since then
+		}
+		instances[flow.instance] = true
+		weighed.Flows++
+		weighed.weight++
+		waited := waiting.copiedAt.Sub(waiting.since)
+		if waited >= longWait {
+			weighed.weight++
+		}
+		weighed.Longest = max(weighed.Longest, waited)
+		weighed.Since = max(weighed.Since, now.Sub(waiting.since))
+	}
+	weighed.Instances = len(instances)
+	return weighed
+}
+
+// suffices reports whether the evidence is enough to ask for signs of life.
+func (weighed *weighed) suffices(place Place) bool {
+	if place.DomainInstances == 1 {
+		return weighed.weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
+	}
+	return weighed.weight >= minWeight && weighed.Instances >= 2
+}
+
+func (candidate *candidate) isOld(now time.Time) bool {
+	for _, waiting := range candidate.signs {
+		if now.Sub(waiting.copiedAt) <= signMemory {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/detector/message.go
@@ -0,0 +1,87 @@
+package detector
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// maxEntries limits each list of a message, so that it fits one datagram.
+const maxEntries = 24
+
+// Server identifies one incarnation of a backend server.
+type Server struct {
+	Token     uint32 `cbor:"1,keyasint"`
+	StartedAt int64  `cbor:"2,keyasint"` // Unix milliseconds
+}
+
+func newServer(server *viewer.BackendServer) Server {
+	return Server{Token: server.Token, StartedAt: server.StartedAt}
+}
+
+// Message carries signs between instances. All times are ages, since clocks differ.
+type Message struct {
+	Unanswered []Unanswered `cbor:"1,keyasint,omitempty"` // signs of silence, to the leaders
+	Questions  []ServerAge  `cbor:"2,keyasint,omitempty"` // from a leader: who has seen life of these servers since
+	Alive      []ServerAge  `cbor:"3,keyasint,omitempty"` // the last sign of life, as an answer or because the server was declared silent
+	Silent     []ServerAge  `cbor:"4,keyasint,omitempty"` // from a leader: servers that have been silent since
+}
+
+// Unanswered is data of a flow that a server has left unanswered.
+type Unanswered struct {
+	Server
+	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses
+	For  time.Duration `cbor:"4,keyasint"`
+}
+
+// ServerAge names a server and how long ago something about it happened.
+type ServerAge struct {
+	Server
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+// Check returns an error if a value in the message is impossible.
+func (message *Message) Check() error {
+	for _, unanswered := range message.Unanswered {
+		if unanswered.For < 0 {
+			return errors.Errorf("data is unanswered for %s", unanswered.For)
+		}
+	}
+	for _, list := range [][]ServerAge{message.Questions, message.Alive, message.Silent} {
+		for _, entry := range list {
+			if entry.Age < 0 {
+				return errors.Errorf("a sign of a server has age %s", entry.Age)
+			}
+		}
+	}
+	return nil
+}
+
+func (message *Message) isEmpty() bool {
+	return len(message.Unanswered)+len(message.Questions)+len(message.Alive)+len(message.Silent) == 0
+}
+
+// Audience is the set of instances that a message is for.
+type Audience int
+
+// Audiences of messages.
+const (
+	Leaders  Audience = iota // the leaders of the own failure domain
+	Domain                   // the instances of the own failure domain
+	Everyone                 // these, and the leaders of the other failure domains
+)
+
+// Outgoing is a message with its audience, which does not include the sender.
+type Outgoing struct {
+	Audience Audience
+	Message  Message
+}
+
+// Place is an instance's place in its fleet.
+type Place struct {
+	IsLeader        bool // of its failure domain
+	DomainInstances int  // in its failure domain, itself included
+	Servers         int  // listed
+}
--- a/director/director.go
+++ b/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/placer"
@@ -72,6 +73,7 @@
 		func(recorder *Recorder) *Reloader { return NewReloader(file, settings, recorder) },
 		viewer.NewViewer,
 		examiner.NewEjections,
+		func(recorder *Recorder) *detector.Detector { return detector.NewDetector(recorder) },
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
@@ -96,6 +98,7 @@
 	PlatformSettings *configurer.PlatformSettings
 	Recorder         *Recorder
 	Viewer           *viewer.Viewer
+	Detector         *detector.Detector
 	Reloader         *Reloader
 	Relayer          *relayer.Relayer
 	Network          *Network
@@ -126,7 +129,7 @@
 	return network, nil
 }
 
-func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, recorder *Recorder) *relayer.Relayer {
+func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, detector *detector.Detector, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
 		Name:           settings.Instance,
 		FailureDomain:  settings.FailureDomain,
@@ -138,16 +141,22 @@
 	detectors := relayer.Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
 	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, detectors, observer)
 	created.SetChangeDeadline(settings.ChangeDeadline())
+	created.SetDetector(detector)
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, detector *detector.Detector, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
+	isFailing := func(token uint32, now time.Time) bool {
+		return ejections.IsEjected(token, now) || detector.IsSilent(token, now)
+	}
+	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, isFailing, random)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
-	return steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created.SetDetector(detector)
+	return created
 }
 
 func (builder *builder) newSocket(settings *configurer.PlatformSettings, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
@@ -184,7 +193,9 @@
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
+	instance.Recorder.SetServerNames(instance.Viewer.NameByToken)
 	instance.Viewer.SetChangeHook(instance.Socket.Wake)
+	instance.Detector.SetChangeHook(instance.Socket.Wake)
 	instance.Relayer.SetPauseDetector(instance.Ticker.JustResumed)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.PlatformSettings.Instance,
 		"failure_domain", instance.PlatformSettings.FailureDomain, "packet_address", instance.PlatformSettings.PacketAddress.String())
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
@@ -30,6 +31,7 @@
 	responseTimes  *expvar.Map // histogram
 	queue          *logger.Queue
 	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
+	serverNames    atomic.Pointer[func(token uint32) string]         // nil until SetServerNames
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
@@ -221,15 +223,44 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
-// ServerGone counts and logs that a server was removed and idleFlows of its flows are reset here, or
-// that it is alive and they are kept.
-func (recorder *Recorder) ServerGone(server *viewer.BackendServer, idleFlows int, isAlive bool) {
-	recorder.counters.Add("servers_gone", 1)
-	if idleFlows > 0 {
-		recorder.Event(logger.EventServerGone, "backend_server", server.Name, "service", server.Service, "idle_flows", idleFlows, "answers", isAlive)
+// ServerGone counts and logs that flows of a server are reset although their callers have sent
+// nothing, or that it is alive and they are kept. A server without such flows is only counted.
+func (recorder *Recorder) ServerGone(server *viewer.BackendServer, cause steerer.GoneCause, flows int, isAlive bool) {
+	recorder.counters.Add("servers_gone_"+string(cause), 1)
+	if flows > 0 {
+		recorder.Event(logger.EventServerGone, "backend_server", server.Name, "service", server.Service,
+			"because", string(cause), "flows", flows, "answers", isAlive)
 	}
 }
 
+// ServerSilent counts and logs that this instance declared a server silent for its failure domain.
+func (recorder *Recorder) ServerSilent(token uint32, evidence detector.Evidence) {
+	recorder.counters.Add("silences_declared", 1)
+	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(token), "flows", evidence.Flows,
+		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds())
+}
+
+// ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
+// instance saw the sign of life.
+func (recorder *Recorder) ServerAlive(token uint32, seenHere bool) {
+	recorder.counters.Add("silences_refuted", 1)
+	recorder.Event(logger.EventServerAlive, "backend_server", recorder.serverName(token), "seen_here", seenHere)
+}
+
+// serverName returns the name of the server with a token, or an empty one if it is unknown.
+func (recorder *Recorder) serverName(token uint32) string {
+	names := recorder.serverNames.Load()
+	if names == nil {
+		return ""
+	}
+	return (*names)(token)
+}
+
+// SetServerNames sets the function that returns the name of the server with a token.
+func (recorder *Recorder) SetServerNames(names func(token uint32) string) {
+	recorder.serverNames.Store(&names)
+}
+
 // LogEjection counts and logs that a server fails its requests or is slow; ejected is
 // whether it gets no new flows for a time because of it. Of servers that are not ejected, as
 // too many are already, it logs one in socketFailureInterval.
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -41,6 +41,8 @@
 	EventServerSlow           decider.EventKind = 510
 	EventHeartbeatInvalid     decider.EventKind = 511
 	EventServerGone           decider.EventKind = 516
+	EventServerSilent         decider.EventKind = 517
+	EventServerAlive          decider.EventKind = 518
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -73,7 +75,9 @@
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
-	EventServerGone:           "backend server has ended, its flows are reset",
+	EventServerGone:           "flows of a backend server are reset",
+	EventServerSilent:         "backend server declared silent",
+	EventServerAlive:          "backend server is not silent",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -34,6 +35,9 @@
 	// RouteDelta leads to ConfigurationVersion from the version in the sender's previous
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
+
+	// ServerSigns are signs of life and silence of backend servers.
+	ServerSigns *detector.Message `cbor:"signs,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -52,6 +56,11 @@
 	case heartbeat.InstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
 	}
+	if heartbeat.ServerSigns != nil {
+		if err := heartbeat.ServerSigns.Check(); err != nil {
+			return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+		}
+	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -137,6 +137,8 @@
 	unreported   unreportedEjections
 	relayedUntil map[uint32]time.Time // end of the ejections that were passed on from other failure domains, by token
 
+	signs signExchanger // nil until SetDetector
+
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
 }
@@ -190,6 +192,7 @@
 	}
 	relayer.mutex.Unlock()
 	relayer.reportEjections(now)
+	relayer.sendSigns(now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
@@ -65,6 +66,7 @@
 	lost       []string
 	expired    []string
 	ejected    []uint32 // tokens of the servers it was to eject
+	detector   *detector.Detector
 
 	suspicionCount int
 }
@@ -98,6 +100,8 @@
 		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, seedDomain, 0, 0}), 7720))
 	}
 	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, Detectors{Failures: node, Slowness: examiner.NewSlownessDetector()}, node)
+	node.detector = detector.NewDetector(node)
+	node.SetDetector(node.detector)
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
@@ -112,6 +116,9 @@
 	return node
 }
 
+func (node *node) ServerSilent(uint32, detector.Evidence) {}
+func (node *node) ServerAlive(uint32, bool)               {}
+
 // kill stops an instance without an announcement.
 func (node *node) kill() {
 	node.stop()
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -132,6 +132,9 @@
 		steerer.assignLoad(flow, server, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
+	if server.SameIncarnation(flow.server) {
+		steerer.resetter.recordSign(server, packet, sign{aliveAt: flow.openingSentAt}, now)
+	}
 }
 
 // recordResponse reports the time and the length of the flow's last response to the
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"hash/maphash"
 	"net/netip"
 	"time"
 )
@@ -42,7 +43,7 @@
 
 // sign is what a caller's packet says about the server of its flow.
 type sign struct {
-	answered  bool          // the server has sent or acknowledged something since the caller's last packet here
+	aliveAt   time.Time     // the server has answered at this time or later; zero if the packet does not show it
 	waitedFor time.Duration // by a retransmission: how long the server has left data unanswered; 0 by others
 }
 
@@ -63,50 +64,64 @@
 	}
 }
 
+// hash returns a number that tells the flow from others at this instance.
+func (followKey followKey) hash() uint32 {
+	return uint32(maphash.Comparable(hashSeed, followKey))
+}
+
+var hashSeed = maphash.MakeSeed()
+
 // observe updates the flow of a packet that follows the opening, and returns what the packet
 // says about the server.
 func (follower *follower) observe(packet *Packet, now time.Time) sign {
 	key := newFollowKey(packet.Flow)
-	if packet.Flags.RST || packet.Flags.FIN {
-		delete(follower.flows, key)
-		return sign{}
-	}
 	flow := follower.flows[key]
 	if flow == nil || flow.token != packet.Token {
-		if flow == nil && len(follower.flows) >= maxFollowedFlows {
+		if flow == nil && len(follower.flows) >= maxFollowedFlows || packet.Flags.RST || packet.Flags.FIN {
 			return sign{}
 		}
-		flow = &followedFlow{token: packet.Token, acknowledgment: packet.Acknowledgment}
+		flow = &followedFlow{token: packet.Token, acknowledgment: packet.Acknowledgment, lastPacketAt: now}
 		follower.flows[key] = flow
 	}
+	sign := flow.observe(packet, now)
+	if packet.Flags.RST || packet.Flags.FIN {
+		delete(follower.flows, key)
+	}
+	return sign
+}
+
+// observe is the same for the packet's flow.
+func (flow *followedFlow) observe(packet *Packet, now time.Time) sign {
+	before := flow.lastPacketAt
 	flow.lastPacketAt = now
-	answered := flow.advance(packet)
-	if packet.PayloadLength == 0 {
-		return sign{answered: answered}
+	isAnswered, isPastWindow := int32(packet.Acknowledgment-flow.acknowledgment) > 0, false
+	if isAnswered {
+		flow.acknowledgment, flow.waitingSince = packet.Acknowledgment, time.Time{}
+	}
+	if packet.PayloadLength == 0 && !packet.Flags.FIN {
+		if isAnswered {
+			return sign{aliveAt: now}
+		}
+		return sign{}
 	}
-	switch waited := now.Sub(flow.waitingSince); {
-	case flow.waitingSince.IsZero():
+	waited := now.Sub(flow.waitingSince)
+	if !flow.waitingSince.IsZero() {
+		isPastWindow = int32(packet.Sequence-flow.sequence) >= windowLength
+	}
+	switch {
+	case packet.PayloadLength > 0 && (flow.waitingSince.IsZero() || isPastWindow):
 		flow.waitingSince, flow.sequence, flow.isCopied = now, packet.Sequence, false
-	case packet.Sequence == flow.sequence && waited >= copyTime:
+	case packet.PayloadLength > 0 && packet.Sequence == flow.sequence && waited >= copyTime:
 		flow.isCopied = true
 		return sign{waitedFor: waited}
 	}
-	return sign{answered: answered}
-}
-
-// advance notes what a packet acknowledges, and reports whether it shows that the server has
-// sent or acknowledged more than was known.
-func (flow *followedFlow) advance(packet *Packet) bool {
-	if int32(packet.Acknowledgment-flow.acknowledgment) > 0 {
-		flow.acknowledgment, flow.waitingSince = packet.Acknowledgment, time.Time{}
-		return true
-	}
-	isBeyondWindow := packet.PayloadLength > 0 && int32(packet.Sequence-flow.sequence) >= windowLength
-	if isBeyondWindow && !flow.waitingSince.IsZero() {
-		flow.waitingSince = time.Time{}
-		return true
+	switch {
+	case isPastWindow:
+		return sign{aliveAt: now}
+	case isAnswered: // at any time since the caller's last packet
+		return sign{aliveAt: before}
 	}
-	return false
+	return sign{}
 }
 
 // expire forgets the flows that have been idle for followTime.
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -72,16 +72,18 @@
 
 // Reasons of verdicts.
 const (
-	ReasonNewFlow        Reason = "opened"           // an opening of a new flow was sent to a server
-	ReasonRetransmitted  Reason = "opening_repeated" // a retransmitted opening, sent to the flow's server or, if unanswered, to another one
-	ReasonRetried        Reason = "opening_retried"  // the server did not answer, so the opening is sent to another one
-	ReasonExistingFlow   Reason = "kept"             // a later packet was forwarded by its token
-	ReasonNoRoute        Reason = "no_route"         // the service address belongs to no route
-	ReasonNoServer       Reason = "no_server"        // the service has no active server
-	ReasonJustResumed    Reason = "just_resumed"     // dropped instead of reset, because the process was paused
-	ReasonUnknownToken   Reason = "unknown_token"    // no server has the token of a later packet
-	ReasonServerGone     Reason = "server_gone"      // data was reset, because the flow's server has ended
-	ReasonIdleServerGone Reason = "idle_server_gone" // an idle flow was reset, because its server has ended
-	ReasonNoView         Reason = "no_view"          // configuration or servers not yet known
-	ReasonFromServer     Reason = "not_from_caller"  // SYN with ACK, which only a server sends
+	ReasonNewFlow          Reason = "opened"             // an opening of a new flow was sent to a server
+	ReasonRetransmitted    Reason = "opening_repeated"   // a retransmitted opening, sent to the flow's server or, if unanswered, to another one
+	ReasonRetried          Reason = "opening_retried"    // the server did not answer, so the opening is sent to another one
+	ReasonExistingFlow     Reason = "kept"               // a later packet was forwarded by its token
+	ReasonNoRoute          Reason = "no_route"           // the service address belongs to no route
+	ReasonNoServer         Reason = "no_server"          // the service has no active server
+	ReasonJustResumed      Reason = "just_resumed"       // dropped instead of reset, because the process was paused
+	ReasonUnknownToken     Reason = "unknown_token"      // no server has the token of a later packet
+	ReasonServerGone       Reason = "server_gone"        // data was reset, because the flow's server has ended
+	ReasonFlowServerGone   Reason = "flow_server_gone"   // a flow was reset before its caller sends, because its server has ended
+	ReasonServerSilent     Reason = "server_silent"      // data was reset, because the flow's server has fallen silent
+	ReasonFlowServerSilent Reason = "flow_server_silent" // a flow was reset, because its server has fallen silent
+	ReasonNoView           Reason = "no_view"            // configuration or servers not yet known
+	ReasonFromServer       Reason = "not_from_caller"    // SYN with ACK, which only a server sends
 )
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -11,7 +12,8 @@
 // then shows that it still answers: an entry also expires while its server cannot reach the
 // store. Data is answered by a reset when its caller retransmits it, and at once after another
 // flow's data has shown that the server does not answer. Idle flows are reset before
-// their callers use them again.
+// their callers use them again. All flows of a server that the instances have declared silent
+// are reset at once.
 
 const (
 	// lifeTime is how long after a sign of life a server that is not listed counts as alive.
@@ -19,31 +21,83 @@
 	// idleResetDelay is how long after the removal of a server its idle flows are reset; a
 	// server that still serves its flows is likely to show it before.
 	idleResetDelay = 300 * time.Millisecond
-	// resetInterval is the time between two resets of idle flows.
+	// resetInterval is the time between two resets of flows that are not answers to a packet.
 	resetInterval = 2 * time.Millisecond
 )
 
+// lifeRecorder shares the signs of servers with other instances; detector.Detector
+// implements it.
+type lifeRecorder interface {
+	RecordLife(server *viewer.BackendServer, at time.Time)
+	RecordUnanswered(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time)
+	// Silences returns the servers that are declared silent, as a pointer that differs after
+	// each change.
+	Silences() *detector.Silences
+}
+
+// GoneCause is why the flows of a server are reset.
+type GoneCause string
+
+// Causes of resets of flows.
+const (
+	CauseRemoved GoneCause = "removed" // its entry was removed from the store
+	CauseSilent  GoneCause = "silent"  // the instances have declared it silent
+)
+
 // goneServer is the state of a server that counts as gone if it has given no sign of life.
 type goneServer struct {
 	server     *viewer.BackendServer
-	aliveAt    time.Time // of its last sign of life here; zero if there was none
+	cause      GoneCause
+	since      time.Time // signs of life are newer
+	aliveAt    time.Time // of the last of them here; zero if there was none
 	unanswered bool      // it has left data of a flow unanswered since then
-	idleDueAt  time.Time // when its idle flows are to be reset; zero once that has begun
+	flowsDueAt time.Time // when its other flows are to be reset; zero once that has begun
 }
 
 // resetter decides which flows are reset because their server is gone.
 type resetter struct {
-	checkedView *viewer.View           // whose removed servers are in gone
-	checkAt     time.Time              // when a further removed server counts as gone, or idle flows are due; zero if none
-	gone        map[uint32]*goneServer // by token
-	idle        []followKey            // flows to be reset
-	idleResetAt time.Time              // when the next of them may be reset
+	recorder        lifeRecorder
+	checkedView     *viewer.View           // whose removed servers are in gone
+	checkedSilences *detector.Silences     // that are in gone
+	checkAt         time.Time              // when gone changes by time; zero if it does not
+	gone            map[uint32]*goneServer // by token
+	due             []followKey            // flows to be reset
+	resetAt         time.Time              // when the next of them may be reset
 }
 
+// SetDetector sets the detector that shares the signs of servers with other instances; it has to
+// be set before the first packet.
+func (steerer *Steerer) SetDetector(recorder lifeRecorder) { steerer.resetter.recorder = recorder }
+
 func (goneServer *goneServer) isAlive(now time.Time) bool {
 	return !goneServer.aliveAt.IsZero() && now.Sub(goneServer.aliveAt) < lifeTime
 }
 
+// reason returns the reason of a reset, of data or of another flow.
+func (goneServer *goneServer) reason(ofData bool) Reason {
+	switch {
+	case goneServer.cause == CauseSilent && ofData:
+		return ReasonServerSilent
+	case goneServer.cause == CauseSilent:
+		return ReasonFlowServerSilent
+	case ofData:
+		return ReasonServerGone
+	default:
+		return ReasonFlowServerGone
+	}
+}
+
+// recordSign passes what a packet says about its server on to the other instances.
+func (resetter *resetter) recordSign(server *viewer.BackendServer, packet *Packet, sign sign, now time.Time) {
+	switch {
+	case resetter.recorder == nil:
+	case !sign.aliveAt.IsZero():
+		resetter.recorder.RecordLife(server, sign.aliveAt)
+	case sign.waitedFor > 0:
+		resetter.recorder.RecordUnanswered(server, newFollowKey(packet.Flow).hash(), sign.waitedFor, now)
+	}
+}
+
 // answerForGone makes the verdict on a packet of a flow whose server is gone a reset, if its
 // caller waits for the server.
 func (steerer *Steerer) answerForGone(packet *Packet, sign sign, verdict *Verdict, now time.Time) {
@@ -51,8 +105,8 @@
 	if gone == nil {
 		return
 	}
-	if sign.answered {
-		gone.aliveAt, gone.unanswered = now, false
+	if sign.aliveAt.After(gone.since) {
+		gone.aliveAt, gone.unanswered = sign.aliveAt, false
 	}
 	if gone.isAlive(now) || packet.PayloadLength == 0 || steerer.justResumed(now) {
 		return
@@ -61,7 +115,7 @@
 		gone.unanswered = true
 	}
 	if gone.unanswered {
-		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, ReasonServerGone
+		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, gone.reason(true)
 		steerer.forget(packet.Flow, now)
 	}
 }
@@ -74,23 +128,23 @@
 	}
 }
 
-// nextIdleReset returns the next reset of an idle flow whose server is gone, or false if none
-// is due.
-func (steerer *Steerer) nextIdleReset(now time.Time) (Verdict, bool) {
-	steerer.checkRemoved(now)
+// nextReset returns the next reset of a flow whose server is gone, or false if none is due.
+func (steerer *Steerer) nextReset(now time.Time) (Verdict, bool) {
+	steerer.checkGone(now)
 	resetter := &steerer.resetter
-	for len(resetter.idle) > 0 && !now.Before(resetter.idleResetAt) {
-		key := resetter.idle[0]
-		resetter.idle = resetter.idle[1:]
+	for len(resetter.due) > 0 && !now.Before(resetter.resetAt) {
+		key := resetter.due[0]
+		resetter.due = resetter.due[1:]
 		flow := steerer.follower.flows[key]
-		if flow == nil || !flow.isIdle() {
+		if flow == nil {
 			continue
 		}
-		if gone := resetter.gone[flow.token]; gone == nil || gone.isAlive(now) {
+		gone := resetter.gone[flow.token]
+		if gone == nil || gone.isAlive(now) || !gone.includes(flow) {
 			continue
 		}
-		resetter.idleResetAt = now.Add(resetInterval)
-		verdict := Verdict{Action: Reset, Reason: ReasonIdleServerGone, Flow: key.flowKey(), ResetSequence: flow.acknowledgment}
+		resetter.resetAt = now.Add(resetInterval)
+		verdict := Verdict{Action: Reset, Reason: gone.reason(false), Flow: key.flowKey(), ResetSequence: flow.acknowledgment}
 		steerer.forget(verdict.Flow, now)
 		steerer.observer.Decided(&verdict, steerer.currentView())
 		return verdict, true
@@ -98,78 +152,113 @@
 	return Verdict{}, false
 }
 
-// isIdle reports whether the flow's caller waits for nothing, or in vain.
-func (flow *followedFlow) isIdle() bool { return flow.waitingSince.IsZero() || flow.isCopied }
+// includes reports whether a flow of the server is reset although its caller has sent nothing.
+// Data on its way to a server that was removed may show that the server is alive.
+func (goneServer *goneServer) includes(flow *followedFlow) bool {
+	return goneServer.cause == CauseSilent || flow.waitingSince.IsZero() || flow.isCopied
+}
 
-// checkRemoved brings the servers that count as gone up to date with the view, and collects
-// the idle flows of those that are due.
-func (steerer *Steerer) checkRemoved(now time.Time) {
+// checkGone brings the servers that count as gone up to date with the view and the declarations,
+// and collects the flows that are due.
+func (steerer *Steerer) checkGone(now time.Time) {
 	resetter, view := &steerer.resetter, steerer.currentView()
+	var silences *detector.Silences
+	if resetter.recorder != nil {
+		silences = resetter.recorder.Silences()
+	}
 	isDue := !resetter.checkAt.IsZero() && !now.Before(resetter.checkAt)
-	if view == resetter.checkedView && !isDue {
+	if view == resetter.checkedView && silences == resetter.checkedSilences && !isDue {
 		return
 	}
 	if steerer.justResumed(now) { // the view may be older than it seems
 		resetter.checkedView, resetter.checkAt = nil, now.Add(idleResetDelay)
 		return
 	}
-	resetter.checkedView, resetter.checkAt = view, time.Time{}
+	resetter.checkedView, resetter.checkedSilences, resetter.checkAt = view, silences, time.Time{}
 	before := resetter.gone
 	resetter.gone = map[uint32]*goneServer{}
+	resetter.addRemoved(view, before, now)
+	if silences != nil {
+		resetter.addSilent(*silences, view, before, now)
+	}
 	due := map[uint32]bool{}
-	for _, removed := range view.Removed() {
-		token := removed.Server.Token
-		if removed.GoneAt.IsZero() {
-			continue
+	for token, gone := range resetter.gone {
+		switch {
+		case gone.flowsDueAt.IsZero():
+		case now.Before(gone.flowsDueAt):
+			resetter.checkNotLater(gone.flowsDueAt)
+		default:
+			gone.flowsDueAt, due[token] = time.Time{}, true
 		}
-		if now.Before(removed.GoneAt) {
+	}
+	if len(due) > 0 {
+		steerer.collectFlows(due, now)
+	}
+}
+
+// addRemoved adds the servers that count as gone because they were removed.
+func (resetter *resetter) addRemoved(view *viewer.View, before map[uint32]*goneServer, now time.Time) {
+	for _, removed := range view.Removed() {
+		switch {
+		case removed.GoneAt.IsZero():
+		case now.Before(removed.GoneAt):
 			resetter.checkNotLater(removed.GoneAt)
-			continue
-		}
-		gone := before[token]
-		if gone == nil || !gone.server.SameIncarnation(removed.Server) {
-			gone = &goneServer{server: removed.Server, idleDueAt: now.Add(idleResetDelay)}
+		default:
+			resetter.add(goneServer{server: removed.Server, cause: CauseRemoved, since: removed.GoneAt, flowsDueAt: now.Add(idleResetDelay)}, before)
 		}
-		resetter.gone[token] = gone
-		if !gone.idleDueAt.IsZero() && !now.Before(gone.idleDueAt) {
-			gone.idleDueAt, due[token] = time.Time{}, true
-		} else if !gone.idleDueAt.IsZero() {
-			resetter.checkNotLater(gone.idleDueAt)
+	}
+}
+
+// addSilent adds the servers that count as gone because they are declared silent.
+func (resetter *resetter) addSilent(silences detector.Silences, view *viewer.View, before map[uint32]*goneServer, now time.Time) {
+	for token, silence := range silences {
+		server := view.ServerByToken(token)
+		if server == nil || server.StartedAt != silence.StartedAt || !now.Before(silence.Until) || resetter.gone[token] != nil {
+			continue
 		}
+		resetter.checkNotLater(silence.Until)
+		resetter.add(goneServer{server: server, cause: CauseSilent, since: silence.RefutedAfter(), unanswered: true, flowsDueAt: now}, before)
 	}
-	if len(due) > 0 {
-		steerer.collectIdle(due, now)
+}
+
+// add adds a server that counts as gone, with what is known of it from before.
+func (resetter *resetter) add(gone goneServer, before map[uint32]*goneServer) {
+	token := gone.server.Token
+	if known := before[token]; known != nil && known.cause == gone.cause && known.server.SameIncarnation(gone.server) {
+		resetter.gone[token] = known
+		return
 	}
+	resetter.gone[token] = &gone
 }
 
-// checkNotLater makes checkRemoved look again at a time.
+// checkNotLater makes checkGone look again at a time.
 func (resetter *resetter) checkNotLater(at time.Time) {
 	if resetter.checkAt.IsZero() || at.Before(resetter.checkAt) {
 		resetter.checkAt = at
 	}
 }
 
-// collectIdle queues the idle flows of servers that are due, and reports each server.
-func (steerer *Steerer) collectIdle(due map[uint32]bool, now time.Time) {
+// collectFlows queues the flows of servers that are due, and reports each server.
+func (steerer *Steerer) collectFlows(due map[uint32]bool, now time.Time) {
 	counts := map[uint32]int{}
 	for key, flow := range steerer.follower.flows {
-		if due[flow.token] && flow.isIdle() {
-			steerer.resetter.idle = append(steerer.resetter.idle, key)
+		if due[flow.token] && steerer.resetter.gone[flow.token].includes(flow) {
+			steerer.resetter.due = append(steerer.resetter.due, key)
 			counts[flow.token]++
 		}
 	}
 	for token := range due {
 		gone := steerer.resetter.gone[token]
-		steerer.observer.ServerGone(gone.server, counts[token], gone.isAlive(now))
+		steerer.observer.ServerGone(gone.server, gone.cause, counts[token], gone.isAlive(now))
 	}
 }
 
-// wakeTime returns when nextIdleReset has to be called, or the zero time.
+// wakeTime returns when nextReset has to be called, or the zero time.
 func (resetter *resetter) wakeTime() time.Time {
-	if len(resetter.idle) == 0 {
+	if len(resetter.due) == 0 {
 		return resetter.checkAt
 	}
-	return earliest(resetter.idleResetAt, resetter.checkAt)
+	return earliest(resetter.resetAt, resetter.checkAt)
 }
 
 // earliest returns the earlier of two times that are not zero, or zero if both are.
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/detector"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // data is a packet with data of a flow at server a.
@@ -49,6 +52,7 @@
 		{"not while it serves other flows", nil, []step{
 			{400, data(2, 7, 100), Send}, {450, data(2, 57, 900), Send}, {460, data(1, 7, 100), Send}, {660, data(1, 7, 100), Send},
 		}},
+		{"although a request acknowledges what came long before", nil, []step{{-500, data(2, 7, 100), Send}, {400, data(2, 57, 900), Send}, {460, data(1, 7, 100), Send}, {660, data(1, 7, 100), Reset}}},
 		{"when it has served none for a time", nil, []step{
 			{400, data(2, 7, 100), Send}, {450, data(2, 57, 900), Send}, {4000, data(1, 7, 100), Send}, {4200, data(1, 7, 100), Reset},
 		}},
@@ -97,7 +101,7 @@
 		{"none of a server that still answers", func(harness *harness) {
 			harness.applyServers(2, "b")
 			harness.Next(start, start)
-			harness.Decide(data(3, 7, 900), start)
+			harness.Decide(laterPacket(3, tokenOf("a"), 900, 0, Flags{}), after(10))
 		}, nil},
 		{"none if the entry exists and cannot be read", func(harness *harness) {
 			list := *harness.viewer.Current().Servers
@@ -142,7 +146,7 @@
 	early := len(harness.dueResets(start.Add(idleResetDelay + 100*time.Millisecond)))
 	assert.Assert(t, early > 0 && early <= 100, "%d flows in 0.1 s", early)
 	assert.Equal(t, early+len(harness.dueResets(start.Add(5*time.Second))), 200)
-	assert.DeepEqual(t, harness.gone, []string{"a 200 false"})
+	assert.DeepEqual(t, harness.gone, []string{"a removed 200 false"})
 	assert.Assert(t, harness.WakeTime().IsZero())
 }
 
@@ -155,3 +159,103 @@
 	follower.expire(start.Add(followTime + 1))
 	assert.Equal(t, len(follower.flows), 0)
 }
+
+// signs is a detector that records the signs passed to it and declares what a test sets.
+type signs struct {
+	silences   *detector.Silences
+	alive      []time.Time
+	unanswered []time.Duration
+}
+
+func (signs *signs) RecordLife(_ *viewer.BackendServer, at time.Time) {
+	signs.alive = append(signs.alive, at)
+}
+
+func (signs *signs) RecordUnanswered(_ *viewer.BackendServer, _ uint32, waitedFor time.Duration, _ time.Time) {
+	signs.unanswered = append(signs.unanswered, waitedFor)
+}
+
+func (signs *signs) Silences() *detector.Silences { return signs.silences }
+
+// declare declares server a silent for a time.
+func (signs *signs) declare(startedAt int64, until time.Time) {
+	server := detector.Server{Token: tokenOf("a"), StartedAt: startedAt}
+	signs.silences = &detector.Silences{server.Token: {Server: server, Since: after(-600), Until: until}}
+}
+
+func TestFlowsOfASilentServerAreReset(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(harness *harness, signs *signs)
+		resets int // of flows
+		data   Action
+	}{
+		{"all of them, and further data at once", func(_ *harness, signs *signs) { signs.declare(0, after(3000)) }, 2, Reset},
+		{"none of an earlier incarnation", func(_ *harness, signs *signs) { signs.declare(7, after(3000)) }, 0, Send},
+		{"none after the declaration has ended", func(_ *harness, signs *signs) { signs.declare(0, after(0)) }, 0, Send},
+		{"none after it was taken back", func(harness *harness, signs *signs) {
+			signs.declare(0, after(3000))
+			harness.Next(start, start) // the first of them is reset here
+			signs.silences = &detector.Silences{}
+		}, 0, Send},
+		{"none of a server that answers here", func(harness *harness, signs *signs) {
+			signs.declare(0, after(3000))
+			harness.Next(start, start)
+			harness.Decide(laterPacket(1, tokenOf("a"), 900, 0, Flags{}), start)
+			harness.Decide(laterPacket(2, tokenOf("a"), 1800, 0, Flags{}), start)
+		}, 0, Send},
+		{"none just after a pause", func(harness *harness, signs *signs) {
+			signs.declare(0, after(3000))
+			harness.justResumed = true
+		}, 0, Send},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+			harness.SetDetector(signs)
+			harness.Decide(data(1, 7, 100), after(-600))
+			harness.Decide(laterPacket(2, tokenOf("a"), 900, 0, Flags{}), after(-600))
+			harness.Decide(laterPacket(5, tokenOf("b"), 900, 0, Flags{}), after(-600))
+			c.change(harness, signs)
+			assert.Equal(t, len(harness.dueResets(after(1000))), c.resets)
+			assert.Equal(t, harness.Decide(data(4, 7, 100), after(1000)).Action, c.data)
+		})
+	}
+}
+
+func TestSignsOfServersAreReported(t *testing.T) {
+	cases := []struct {
+		name       string
+		packets    map[int]*Packet // by milliseconds
+		alive      []time.Time
+		unanswered []time.Duration
+	}{
+		{"an answer that its caller acknowledges", map[int]*Packet{0: data(1, 7, 100), 40: laterPacket(1, tokenOf("a"), 900, 0, Flags{})}, []time.Time{after(40)}, nil},
+		{"one acknowledged with the next request may be as old as the last packet", map[int]*Packet{0: data(1, 7, 100), 4000: data(1, 57, 900)}, []time.Time{after(0)}, nil},
+		{"or with the end of the flow", map[int]*Packet{0: data(1, 7, 100), 4000: laterPacket(1, tokenOf("a"), 900, 0, Flags{FIN: true})}, []time.Time{after(0)}, nil},
+		{"retransmissions", map[int]*Packet{0: data(1, 7, 100), 200: data(1, 7, 100), 600: data(1, 7, 100)}, nil, []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}},
+		{"not of what was answered", map[int]*Packet{0: data(1, 7, 100), 40: laterPacket(1, tokenOf("a"), 900, 0, Flags{}), 200: data(1, 7, 900)}, []time.Time{after(40)}, nil},
+		{"not the first packet that arrives here", map[int]*Packet{0: laterPacket(1, tokenOf("a"), 900, 0, Flags{})}, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+			harness.SetDetector(signs)
+			for at := range 5000 {
+				if packet := c.packets[at]; packet != nil {
+					harness.Decide(packet, after(at))
+				}
+			}
+			assert.DeepEqual(t, signs.alive, c.alive)
+			assert.DeepEqual(t, signs.unanswered, c.unanswered)
+		})
+	}
+}
+
+func TestAnsweredOpeningIsASignOfLife(t *testing.T) {
+	harness, signs := newHarness("a"), &signs{silences: &detector.Silences{}}
+	harness.SetDetector(signs)
+	harness.Decide(opening(1), start)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), after(10))
+	assert.DeepEqual(t, signs.alive, []time.Time{start})
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -48,9 +48,9 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
-	// ServerGone is called when the idle flows of a server that was removed are reset, as
-	// many as idleFlows; unless isAlive: then it has shown that it still serves its flows.
-	ServerGone(server *viewer.BackendServer, idleFlows int, isAlive bool)
+	// ServerGone is called when flows of a server are reset although their callers have sent
+	// nothing, unless isAlive: then the server has shown that it still serves them.
+	ServerGone(server *viewer.BackendServer, cause GoneCause, flows int, isAlive bool)
 }
 
 // FlowSummary is what an instance measured of one flow.
@@ -217,7 +217,9 @@
 	} else {
 		steerer.observe(flow, packet, server, now)
 	}
-	steerer.answerForGone(packet, steerer.follower.observe(packet, now), verdict, now)
+	sign := steerer.follower.observe(packet, now)
+	steerer.resetter.recordSign(server, packet, sign, now)
+	steerer.answerForGone(packet, sign, verdict, now)
 }
 
 // Next returns the next verdict that is due without a packet, or false after expiring idle
@@ -228,7 +230,7 @@
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
-	if verdict, ok := steerer.nextIdleReset(now); ok {
+	if verdict, ok := steerer.nextReset(now); ok {
 		return verdict, true
 	}
 	steerer.reportLostRequests(now, drained)
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -35,6 +35,14 @@
 // Current returns the newest view.
 func (viewer *Viewer) Current() *View { return viewer.current.Load() }
 
+// NameByToken returns the name of the server whose flows carry token, or an empty one.
+func (viewer *Viewer) NameByToken(token uint32) string {
+	if server := viewer.Current().ServerByToken(token); server != nil {
+		return server.Name
+	}
+	return ""
+}
+
 // ApplyConfiguration replaces the configuration if the version is newer than the current one, and reports whether it did.
 func (viewer *Viewer) ApplyConfiguration(configuration *Configuration) bool {
 	viewer.mutex.Lock()
