Ask for life before idle flows of removed servers are reset

Cause: entries also lapse while their servers live: the store is up and lost the calls that renew them, or it was away for too short a time to be noticed. Idle flows of such servers were reset 0.3 s after the removal. Ruled out: a longer delay; what lapses comes back at any time, and a dead server's flows are lost meanwhile. Change: a removal alone resets only data that is retransmitted. The leaders ask their failure domain about each removed server, and declare it silent if nobody has seen life for two seconds; all its flows are reset then, as of any silent server. The viewer forgets the removal of a server that comes back, and extends the doubt about those removed shortly before to a mass of removals. Conclusion: removal is a reason to ask, not to act.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // sendRequests makes callers send one request each through some instances in turn, every 100 ms,
@@ -115,6 +117,46 @@
 	}
 }
 
+func TestServerThatWasRemovedIsSilentIfNobodySeesLife(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+	cases := []struct {
+		name string
+		play func(fleet *fleet)
+		want int // instances for which it is silent
+	}{
+		{"without a caller that waits", func(fleet *fleet) {}, 8},
+		{"not while its flows are served", func(fleet *fleet) { fleet.sendRequests(all, 5*time.Second) }, 0},
+		{"when they no longer are", func(fleet *fleet) {
+			fleet.sendRequests(all, 2*time.Second)
+			fleet.advance(3 * time.Second)
+		}, 8},
+		{"not if many are missing", func(fleet *fleet) {
+			for i := range fleet.servers[:7] {
+				fleet.removed = append(fleet.removed, viewer.RemovedServer{Server: &fleet.servers[i].server, GoneAt: fleet.now})
+			}
+		}, 0},
+		{"not if that means nothing", func(fleet *fleet) { fleet.removed[0].GoneAt = time.Time{} }, 0},
+		{"not yet", func(fleet *fleet) { fleet.removed[0].GoneAt = fleet.now.Add(time.Minute) }, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := newFleet(1)
+			fleet.warmUp()
+			fleet.advance(2 * time.Second)
+			fleet.removed = []viewer.RemovedServer{{Server: &fleet.servers[0].server, GoneAt: fleet.now}}
+			c.play(fleet)
+			fleet.advance(600 * time.Millisecond)
+			silent := 0
+			for _, instance := range fleet.instances {
+				if instance.detector.IsSilent(1, fleet.now) {
+					silent++
+				}
+			}
+			assert.Equal(t, silent, c.want)
+		})
+	}
+}
+
 func TestServersThatFallSilentAreKnownSoon(t *testing.T) {
 	fleet := newFleet(1)
 	fleet.warmUp()
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -28,6 +28,7 @@
 	requests  []*request
 	datagrams []datagram
 	sent      int
+	removed   []viewer.RemovedServer // from the list, as all instances have it
 }
 
 type testInstance struct {
@@ -162,7 +163,13 @@
 // tick sends the messages that are due.
 func (fleet *fleet) tick() {
 	for i, instance := range fleet.instances {
-		if instance.paused || !instance.detector.Sweep(fleet.now) {
+		if instance.paused {
+			continue
+		}
+		if fleet.place(i).IsLeader {
+			instance.detector.CheckRemoved(fleet.removed, fleet.now)
+		}
+		if !instance.detector.Sweep(fleet.now) {
 			continue
 		}
 		for _, outgoing := range instance.detector.Next(fleet.place(i), fleet.now) {
@@ -227,8 +234,11 @@
 	case 8:
 		fleet.moveFlows()
 	case 9:
+		fleet.removed = append(fleet.removed, viewer.RemovedServer{Server: &viewer.BackendServer{Name: server.server.Name, Token: server.server.Token, StartedAt: server.server.StartedAt}, GoneAt: fleet.now})
+	case 10:
 		instance.restart()
 		instance.unsettledAt = fleet.now
+		clear(instance.answeredAt) // it no longer knows
 	}
 }
 
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 const (
@@ -13,6 +15,11 @@
 	// minSilence is the shortest time without a sign of life after which a server is declared
 	// silent.
 	minSilence = 600 * time.Millisecond
+	// removedSilence is the same for a server that was removed from the list: no caller needs
+	// to wait for it.
+	removedSilence = 2 * time.Second
+	// removedTime is how long after the removal of a server leaders ask for signs of life.
+	removedTime = 10 * time.Second
 	// longWait is from when on unanswered data weighs double: it has been retransmitted
 	// twice.
 	longWait = 550 * time.Millisecond
@@ -28,6 +35,8 @@
 // candidate is a server of which a leader has signs of silence.
 type candidate struct {
 	signs    map[instanceFlow]waiting
+	removed  bool      // from the list
+	goneAt   time.Time // from when on that counts
 	askedAt  time.Time // of the first question; zero before it
 	since    time.Time // that it asked for life after
 	repeated bool      // the question was asked again
@@ -45,17 +54,39 @@
 		if detector.IsSilent(sign.Token, now) {
 			continue
 		}
-		found := detector.candidates[sign.Server]
-		if found == nil {
-			found = &candidate{signs: map[instanceFlow]waiting{}}
-			detector.candidates[sign.Server] = found
-		}
+		found := detector.candidate(sign.Server)
 		if len(found.signs) < maxEntries {
 			found.signs[instanceFlow{instance: instance, flow: sign.Flow}] = waiting{since: now.Add(-sign.For), copiedAt: now}
 		}
 	}
 }
 
+// candidate returns the candidate for a server, new if there is none. The mutex must be held.
+func (detector *Detector) candidate(server Server) *candidate {
+	found := detector.candidates[server]
+	if found == nil {
+		found = &candidate{signs: map[instanceFlow]waiting{}}
+		detector.candidates[server] = found
+	}
+	return found
+}
+
+// CheckRemoved makes a leader ask for signs of life of servers that were removed from the list,
+// and declare those silent that have none.
+func (detector *Detector) CheckRemoved(removed []viewer.RemovedServer, now time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	for _, removed := range removed {
+		server := newServer(removed.Server)
+		age := now.Sub(removed.GoneAt)
+		if removed.GoneAt.IsZero() || age < 0 || age >= removedTime || detector.IsSilent(server.Token, now) || detector.checked[server].Equal(removed.GoneAt) {
+			continue
+		}
+		candidate := detector.candidate(server)
+		candidate.removed, candidate.goneAt = true, removed.GoneAt
+	}
+}
+
 // judge returns the questions and the declarations that are due, and puts the latter in force
 // here. The mutex must be held.
 func (detector *Detector) judge(place Place, now time.Time) []Outgoing {
@@ -69,13 +100,17 @@
 			candidate.askedAt, candidate.repeated = time.Time{}, false
 		}
 		evidence := detector.weigh(server, candidate, now)
-		if !evidence.suffices(place) || !detector.counts(server, now.Add(-minSilence)) {
+		needed := minSilence
+		if candidate.removed {
+			needed = removedSilence
+		}
+		if !evidence.suffices(place) || !detector.counts(server, now.Add(-needed)) {
 			candidate.askedAt, candidate.repeated = time.Time{}, false
 			continue
 		}
 		suspected++
 		if candidate.askedAt.IsZero() {
-			candidate.since = now.Add(-max(evidence.Since, minSilence))
+			candidate.since = now.Add(-max(evidence.Since, needed))
 		}
 		entry := ServerAge{Server: server, Age: now.Sub(candidate.since)}
 		switch asked := now.Sub(candidate.askedAt); {
@@ -102,6 +137,9 @@
 	for _, entry := range message.Silent {
 		evidence := detector.weigh(entry.Server, detector.candidates[entry.Server], now)
 		detector.observer.ServerSilent(entry.Token, evidence.Evidence)
+		if candidate := detector.candidates[entry.Server]; candidate.removed {
+			detector.checked[entry.Server] = candidate.goneAt
+		}
 		delete(detector.candidates, entry.Server)
 	}
 	detector.apply(message.Silent, now)
@@ -124,7 +162,7 @@
 // weigh returns the evidence against a server, after dropping the signs that are too old or that
 // a sign of life has refuted. The mutex must be held.
 func (detector *Detector) weigh(server Server, candidate *candidate, now time.Time) weighed {
-	var weighed weighed
+	weighed := weighed{Evidence: Evidence{Removed: candidate.removed}}
 	instances := map[string]bool{}
 	for flow, waiting := range candidate.signs {
 		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > signMemory {
@@ -150,6 +188,9 @@
 
 // suffices reports whether the evidence is enough to ask for signs of life.
 func (weighed *weighed) suffices(place Place) bool {
+	if weighed.Removed {
+		return true
+	}
 	if place.DomainInstances == 1 {
 		return weighed.weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
 	}
@@ -157,6 +198,9 @@
 }
 
 func (candidate *candidate) isOld(now time.Time) bool {
+	if candidate.removed && now.Sub(candidate.goneAt) < removedTime {
+		return false
+	}
 	for _, waiting := range candidate.signs {
 		if now.Sub(waiting.copiedAt) <= signMemory {
 			return false
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -223,13 +223,12 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
-// ServerGone counts and logs that flows of a server are reset although their callers have sent
-// nothing, or that it is alive and they are kept. A server without such flows is only counted.
-func (recorder *Recorder) ServerGone(server *viewer.BackendServer, cause steerer.GoneCause, flows int, isAlive bool) {
-	recorder.counters.Add("servers_gone_"+string(cause), 1)
+// FlowsReset counts and logs that the flows of a silent server are reset; a server without flows
+// here is only counted.
+func (recorder *Recorder) FlowsReset(server *viewer.BackendServer, flows int) {
+	recorder.counters.Add("servers_silent", 1)
 	if flows > 0 {
-		recorder.Event(logger.EventServerGone, "backend_server", server.Name, "service", server.Service,
-			"because", string(cause), "flows", flows, "answers", isAlive)
+		recorder.Event(logger.EventFlowsReset, "backend_server", server.Name, "service", server.Service, "flows", flows)
 	}
 }
 
@@ -237,7 +236,7 @@
 func (recorder *Recorder) ServerSilent(token uint32, evidence detector.Evidence) {
 	recorder.counters.Add("silences_declared", 1)
 	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(token), "flows", evidence.Flows,
-		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds())
+		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed)
 }
 
 // ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -40,7 +40,7 @@
 	EventServerFailing        decider.EventKind = 509
 	EventServerSlow           decider.EventKind = 510
 	EventHeartbeatInvalid     decider.EventKind = 511
-	EventServerGone           decider.EventKind = 516
+	EventFlowsReset           decider.EventKind = 516
 	EventServerSilent         decider.EventKind = 517
 	EventServerAlive          decider.EventKind = 518
 	EventFlowDecided          decider.EventKind = 601
@@ -75,7 +75,7 @@
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
-	EventServerGone:           "flows of a backend server are reset",
+	EventFlowsReset:           "flows of a silent backend server are reset",
 	EventServerSilent:         "backend server declared silent",
 	EventServerAlive:          "backend server is not silent",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -4,11 +4,15 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/detector"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // signExchanger decides which servers are silent from signs that it exchanges with the other
 // instances; detector.Detector implements it.
 type signExchanger interface {
+	// CheckRemoved makes a leader declare those servers silent that were removed from the list
+	// and show no life.
+	CheckRemoved(removed []viewer.RemovedServer, now time.Time)
 	// Sweep forgets what is too old, and reports whether Next may return messages.
 	Sweep(now time.Time) bool
 	// Next returns the messages that are due.
@@ -45,6 +49,9 @@
 		relayer.signs.Forget()
 		return
 	}
+	if removed := relayer.viewer.Current().Removed(); len(removed) > 0 && relayer.isLeader() {
+		relayer.signs.CheckRemoved(removed, now)
+	}
 	if !relayer.signs.Sweep(now) {
 		return
 	}
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -80,8 +80,7 @@
 	ReasonNoServer         Reason = "no_server"          // the service has no active server
 	ReasonJustResumed      Reason = "just_resumed"       // dropped instead of reset, because the process was paused
 	ReasonUnknownToken     Reason = "unknown_token"      // no server has the token of a later packet
-	ReasonServerGone       Reason = "server_gone"        // data was reset, because the flow's server has ended
-	ReasonFlowServerGone   Reason = "flow_server_gone"   // a flow was reset before its caller sends, because its server has ended
+	ReasonServerGone       Reason = "server_gone"        // data was reset, because the flow's server was removed and does not answer
 	ReasonServerSilent     Reason = "server_silent"      // data was reset, because the flow's server has fallen silent
 	ReasonFlowServerSilent Reason = "flow_server_silent" // a flow was reset, because its server has fallen silent
 	ReasonNoView           Reason = "no_view"            // configuration or servers not yet known
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -8,19 +8,18 @@
 )
 
 // The caller of a flow whose server has ended waits until its deadline, since nobody answers
-// it. A server counts as gone when its entry in the store has been removed and no packet since
-// then shows that it still answers: an entry also expires while its server cannot reach the
-// store. Data is answered by a reset when its caller retransmits it, and at once after another
-// flow's data has shown that the server does not answer. Idle flows are reset before
-// their callers use them again. All flows of a server that the instances have declared silent
-// are reset at once.
+// it. All flows of a server that the instances have declared silent are reset at once, idle ones
+// before their callers use them again. A server whose entry in the store has been removed is not
+// gone for certain: an entry also expires while its server cannot reach the store. Data of its
+// flows is answered by a reset when a caller retransmits it, and then at once, until a packet
+// shows that the server answers.
 
 const (
 	// lifeTime is how long after a sign of life a server that is not listed counts as alive.
 	lifeTime = 3 * time.Second
-	// idleResetDelay is how long after the removal of a server its idle flows are reset; a
-	// server that still serves its flows is likely to show it before.
-	idleResetDelay = 300 * time.Millisecond
+	// resumeDelay is the time between two looks at the servers that are gone, just after a
+	// pause of the process.
+	resumeDelay = 300 * time.Millisecond
 	// resetInterval is the time between two resets of flows that are not answers to a packet.
 	resetInterval = 2 * time.Millisecond
 )
@@ -35,23 +34,14 @@
 	Silences() *detector.Silences
 }
 
-// GoneCause is why the flows of a server are reset.
-type GoneCause string
-
-// Causes of resets of flows.
-const (
-	CauseRemoved GoneCause = "removed" // its entry was removed from the store
-	CauseSilent  GoneCause = "silent"  // the instances have declared it silent
-)
-
 // goneServer is the state of a server that counts as gone if it has given no sign of life.
 type goneServer struct {
 	server     *viewer.BackendServer
-	cause      GoneCause
+	isSilent   bool      // it is declared silent; otherwise it was removed from the list
+	isReset    bool      // the resets of its flows have begun, if it is silent
 	since      time.Time // signs of life are newer
 	aliveAt    time.Time // of the last of them here; zero if there was none
 	unanswered bool      // it has left data of a flow unanswered since then
-	flowsDueAt time.Time // when its other flows are to be reset; zero once that has begun
 }
 
 // resetter decides which flows are reset because their server is gone.
@@ -73,18 +63,12 @@
 	return !goneServer.aliveAt.IsZero() && now.Sub(goneServer.aliveAt) < lifeTime
 }
 
-// reason returns the reason of a reset, of data or of another flow.
-func (goneServer *goneServer) reason(ofData bool) Reason {
-	switch {
-	case goneServer.cause == CauseSilent && ofData:
+// reason returns the reason of a reset of data.
+func (goneServer *goneServer) reason() Reason {
+	if goneServer.isSilent {
 		return ReasonServerSilent
-	case goneServer.cause == CauseSilent:
-		return ReasonFlowServerSilent
-	case ofData:
-		return ReasonServerGone
-	default:
-		return ReasonFlowServerGone
 	}
+	return ReasonServerGone
 }
 
 // recordSign passes what a packet says about its server on to the other instances.
@@ -115,7 +99,7 @@
 		gone.unanswered = true
 	}
 	if gone.unanswered {
-		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, gone.reason(true)
+		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, gone.reason()
 		steerer.forget(packet.Flow, now)
 	}
 }
@@ -128,7 +112,7 @@
 	}
 }
 
-// nextReset returns the next reset of a flow whose server is gone, or false if none is due.
+// nextReset returns the next reset of a flow whose server is silent, or false if none is due.
 func (steerer *Steerer) nextReset(now time.Time) (Verdict, bool) {
 	steerer.checkGone(now)
 	resetter := &steerer.resetter
@@ -140,11 +124,11 @@
 			continue
 		}
 		gone := resetter.gone[flow.token]
-		if gone == nil || gone.isAlive(now) || !gone.includes(flow) {
+		if gone == nil || !gone.isSilent || gone.isAlive(now) {
 			continue
 		}
 		resetter.resetAt = now.Add(resetInterval)
-		verdict := Verdict{Action: Reset, Reason: gone.reason(false), Flow: key.flowKey(), ResetSequence: flow.acknowledgment}
+		verdict := Verdict{Action: Reset, Reason: ReasonFlowServerSilent, Flow: key.flowKey(), ResetSequence: flow.acknowledgment}
 		steerer.forget(verdict.Flow, now)
 		steerer.observer.Decided(&verdict, steerer.currentView())
 		return verdict, true
@@ -152,14 +136,8 @@
 	return Verdict{}, false
 }
 
-// includes reports whether a flow of the server is reset although its caller has sent nothing.
-// Data on its way to a server that was removed may show that the server is alive.
-func (goneServer *goneServer) includes(flow *followedFlow) bool {
-	return goneServer.cause == CauseSilent || flow.waitingSince.IsZero() || flow.isCopied
-}
-
 // checkGone brings the servers that count as gone up to date with the view and the declarations,
-// and collects the flows that are due.
+// and collects the flows to be reset.
 func (steerer *Steerer) checkGone(now time.Time) {
 	resetter, view := &steerer.resetter, steerer.currentView()
 	var silences *detector.Silences
@@ -171,29 +149,17 @@
 		return
 	}
 	if steerer.justResumed(now) { // the view may be older than it seems
-		resetter.checkedView, resetter.checkAt = nil, now.Add(idleResetDelay)
+		resetter.checkedView, resetter.checkAt = nil, now.Add(resumeDelay)
 		return
 	}
 	resetter.checkedView, resetter.checkedSilences, resetter.checkAt = view, silences, time.Time{}
 	before := resetter.gone
 	resetter.gone = map[uint32]*goneServer{}
-	resetter.addRemoved(view, before, now)
 	if silences != nil {
 		resetter.addSilent(*silences, view, before, now)
 	}
-	due := map[uint32]bool{}
-	for token, gone := range resetter.gone {
-		switch {
-		case gone.flowsDueAt.IsZero():
-		case now.Before(gone.flowsDueAt):
-			resetter.checkNotLater(gone.flowsDueAt)
-		default:
-			gone.flowsDueAt, due[token] = time.Time{}, true
-		}
-	}
-	if len(due) > 0 {
-		steerer.collectFlows(due, now)
-	}
+	resetter.addRemoved(view, before, now)
+	steerer.collectFlows(now)
 }
 
 // addRemoved adds the servers that count as gone because they were removed.
@@ -204,7 +170,9 @@
 		case now.Before(removed.GoneAt):
 			resetter.checkNotLater(removed.GoneAt)
 		default:
-			resetter.add(goneServer{server: removed.Server, cause: CauseRemoved, since: removed.GoneAt, flowsDueAt: now.Add(idleResetDelay)}, before)
+			if resetter.gone[removed.Server.Token] == nil {
+				resetter.add(goneServer{server: removed.Server, since: removed.GoneAt}, before)
+			}
 		}
 	}
 }
@@ -213,18 +181,18 @@
 func (resetter *resetter) addSilent(silences detector.Silences, view *viewer.View, before map[uint32]*goneServer, now time.Time) {
 	for token, silence := range silences {
 		server := view.ServerByToken(token)
-		if server == nil || server.StartedAt != silence.StartedAt || !now.Before(silence.Until) || resetter.gone[token] != nil {
+		if server == nil || server.StartedAt != silence.StartedAt || !now.Before(silence.Until) {
 			continue
 		}
 		resetter.checkNotLater(silence.Until)
-		resetter.add(goneServer{server: server, cause: CauseSilent, since: silence.RefutedAfter(), unanswered: true, flowsDueAt: now}, before)
+		resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter(), unanswered: true}, before)
 	}
 }
 
 // add adds a server that counts as gone, with what is known of it from before.
 func (resetter *resetter) add(gone goneServer, before map[uint32]*goneServer) {
 	token := gone.server.Token
-	if known := before[token]; known != nil && known.cause == gone.cause && known.server.SameIncarnation(gone.server) {
+	if known := before[token]; known != nil && known.isSilent == gone.isSilent && known.server.SameIncarnation(gone.server) {
 		resetter.gone[token] = known
 		return
 	}
@@ -238,18 +206,26 @@
 	}
 }
 
-// collectFlows queues the flows of servers that are due, and reports each server.
-func (steerer *Steerer) collectFlows(due map[uint32]bool, now time.Time) {
+// collectFlows queues the flows of servers that are newly silent, and reports each server.
+func (steerer *Steerer) collectFlows(now time.Time) {
 	counts := map[uint32]int{}
+	for token, gone := range steerer.resetter.gone {
+		if gone.isSilent && !gone.isReset {
+			gone.isReset = true
+			counts[token] = 0
+		}
+	}
+	if len(counts) == 0 {
+		return
+	}
 	for key, flow := range steerer.follower.flows {
-		if due[flow.token] && steerer.resetter.gone[flow.token].includes(flow) {
+		if _, ok := counts[flow.token]; ok {
 			steerer.resetter.due = append(steerer.resetter.due, key)
 			counts[flow.token]++
 		}
 	}
-	for token := range due {
-		gone := steerer.resetter.gone[token]
-		steerer.observer.ServerGone(gone.server, gone.cause, counts[token], gone.isAlive(now))
+	for token, flows := range counts {
+		steerer.observer.FlowsReset(steerer.resetter.gone[token].server, flows)
 	}
 }
 
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -59,16 +59,30 @@
 		{"an upload whose data is acknowledged", nil, []step{
 			{400, data(1, 7, 100), Send}, {500, data(1, 7+windowLength, 100), Send}, {600, data(1, 7, 100), Send},
 		}},
-		{"listed again", func(harness *harness) { harness.applyServers(3, "a", "b") }, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
+		{"not while the store may have lost its entry", func(harness *harness) {
+			harness.viewer.DoubtMissingUntil(start.Add(time.Hour))
+			harness.applyServers(2, "b")
+		}, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
+		{"not if most servers are missing", func(harness *harness) { harness.applyServers(2) }, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
+		{"if most servers are missing for long", func(harness *harness) { harness.applyServers(2) }, []step{{2600, data(1, 7, 100), Send}, {2800, data(1, 7, 100), Reset}}},
+		{"not if its entry exists and cannot be read", func(harness *harness) {
+			list := *harness.viewer.Current().Servers
+			list.Revision, list.List, list.Unreadable = 2, list.List[1:], []string{"a"}
+			harness.viewer.ApplyServers(&list, start)
+		}, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
+		{"listed again", func(harness *harness) {
+			harness.applyServers(2, "b")
+			harness.applyServers(3, "a", "b")
+		}, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
 		{"just after a pause", func(harness *harness) { harness.justResumed = true }, []step{{400, data(1, 7, 100), Send}, {600, data(1, 7, 100), Send}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			harness := newHarness("a", "b")
-			harness.applyServers(2, "b")
 			if c.prepare != nil {
 				c.prepare(harness)
 			}
+			harness.applyServers(2, "b") // has no effect if prepare has removed it
 			for _, step := range c.steps {
 				harness.Next(after(step.at), start)
 				verdict := harness.Decide(step.packet, after(step.at))
@@ -81,72 +95,19 @@
 	}
 }
 
-func TestIdleFlowsOfAServerThatHasEndedAreReset(t *testing.T) {
-	cases := []struct {
-		name   string
-		change func(harness *harness)
-		want   []uint16 // ports of the flows that are reset
-	}{
-		{"those that wait for nothing, or in vain", func(harness *harness) { harness.applyServers(2, "b") }, []uint16{1, 4}},
-		{"none of listed servers", func(*harness) {}, nil},
-		{"none while the store may have lost entries", func(harness *harness) {
-			harness.viewer.DoubtMissingUntil(start.Add(time.Hour))
-			harness.applyServers(2, "b")
-		}, nil},
-		{"none if most servers are missing", func(harness *harness) { harness.applyServers(2) }, nil},
-		{"none of a server that comes back at once", func(harness *harness) {
-			harness.applyServers(2, "b")
-			harness.applyServers(3, "a", "b")
-		}, nil},
-		{"none of a server that still answers", func(harness *harness) {
-			harness.applyServers(2, "b")
-			harness.Next(start, start)
-			harness.Decide(laterPacket(3, tokenOf("a"), 900, 0, Flags{}), after(10))
-		}, nil},
-		{"none if the entry exists and cannot be read", func(harness *harness) {
-			list := *harness.viewer.Current().Servers
-			list.Revision, list.List, list.Unreadable = 2, list.List[1:], []string{"a"}
-			harness.viewer.ApplyServers(&list, start)
-		}, nil},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			harness := newHarness("a", "b")
-			for port, packet := range map[uint16]*Packet{1: data(1, 7, 100), 3: data(3, 7, 100), 4: data(4, 7, 100)} {
-				harness.Decide(packet, after(-800))
-				if port == 1 {
-					harness.Decide(laterPacket(1, packet.Token, 900, 0, Flags{}), after(-700))
-				}
-			}
-			harness.Decide(data(4, 7, 100), after(-600)) // copied, so the server does not answer
-			harness.Decide(laterPacket(5, tokenOf("b"), 900, 0, Flags{}), after(-500))
-			harness.Decide(laterPacket(6, tokenOf("a"), 900, 0, Flags{}), after(-500))
-			harness.Decide(laterPacket(6, tokenOf("a"), 900, 0, Flags{FIN: true}), after(-400))
-			c.change(harness)
-			got := map[uint16]uint32{}
-			for _, verdict := range harness.dueResets(after(1000)) {
-				assert.Equal(t, verdict.Action, Reset)
-				got[verdict.Flow.CallerAddress.Port()] = verdict.ResetSequence
-			}
-			want := map[uint16]uint32{}
-			for _, port := range c.want {
-				want[port] = map[uint16]uint32{1: 900, 4: 100}[port]
-			}
-			assert.DeepEqual(t, got, want)
-		})
-	}
-}
-
 func TestResetsOfIdleFlowsAreSpread(t *testing.T) {
-	harness := newHarness("a", "b")
+	harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+	harness.SetDetector(signs)
 	for port := range uint16(200) {
 		harness.Decide(laterPacket(port, tokenOf("a"), 900, 0, Flags{}), start)
 	}
-	harness.applyServers(2, "b")
-	early := len(harness.dueResets(start.Add(idleResetDelay + 100*time.Millisecond)))
+	signs.declare(0, after(10_000))
+	early := len(harness.dueResets(after(100)))
 	assert.Assert(t, early > 0 && early <= 100, "%d flows in 0.1 s", early)
-	assert.Equal(t, early+len(harness.dueResets(start.Add(5*time.Second))), 200)
-	assert.DeepEqual(t, harness.gone, []string{"a removed 200 false"})
+	assert.Equal(t, early+len(harness.dueResets(after(5000))), 200)
+	assert.DeepEqual(t, harness.reset, []string{"a 200"})
+	assert.Equal(t, harness.WakeTime(), after(10_000), "the end of the declaration")
+	assert.Equal(t, len(harness.dueResets(after(11_000))), 0)
 	assert.Assert(t, harness.WakeTime().IsZero())
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -48,9 +48,8 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
-	// ServerGone is called when flows of a server are reset although their callers have sent
-	// nothing, unless isAlive: then the server has shown that it still serves them.
-	ServerGone(server *viewer.BackendServer, cause GoneCause, flows int, isAlive bool)
+	// FlowsReset is called when all flows of a silent server that pass this instance are reset.
+	FlowsReset(server *viewer.BackendServer, flows int)
 }
 
 // FlowSummary is what an instance measured of one flow.
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -29,7 +29,7 @@
 	decided         []Reason
 	ended           []FlowSummary
 	ejected         []string
-	gone            []string // servers whose end was reported, with the cause, the number of flows and whether they are alive
+	reset           []string // silent servers, with the number of their flows that are reset
 	responseLengths []uint32
 	responseTimes   []time.Duration
 	lost            []string // servers of which a request was reported as lost
@@ -56,8 +56,8 @@
 	harness.ejected = append(harness.ejected, server.Name)
 }
 
-func (harness *harness) ServerGone(server *viewer.BackendServer, cause GoneCause, flows int, isAlive bool) {
-	harness.gone = append(harness.gone, fmt.Sprintf("%s %s %d %t", server.Name, cause, flows, isAlive))
+func (harness *harness) FlowsReset(server *viewer.BackendServer, flows int) {
+	harness.reset = append(harness.reset, fmt.Sprint(server.Name, " ", flows))
 }
 
 func newHarness(names ...string) *harness {
--- a/viewer/removed.go
+++ b/viewer/removed.go
@@ -37,8 +37,9 @@
 func (viewer *Viewer) rememberRemoved(before, after *Servers, now time.Time) {
 	recent := viewer.removed[:0:0]
 	removedLately := 0
+	listed := serversByName(before)
 	for _, removed := range viewer.removed {
-		if now.Sub(removed.RemovedAt) < maxFlowAge {
+		if now.Sub(removed.RemovedAt) < maxFlowAge && listed[removed.Server.Name] == nil { // otherwise it has come back since
 			recent = append(recent, removed)
 		}
 		if now.Sub(removed.RemovedAt) < doubtPeriod {
@@ -56,6 +57,11 @@
 		viewer.doubtUntil = latest(viewer.doubtUntil, now.Add(doubtPeriod))
 	}
 	goneAt := latest(now, viewer.retainUntil, viewer.doubtUntil)
+	for i := range recent {
+		if removed := &recent[i]; !removed.GoneAt.IsZero() && now.Sub(removed.RemovedAt) < doubtPeriod {
+			removed.GoneAt = latest(removed.GoneAt, viewer.doubtUntil)
+		}
+	}
 	for _, server := range missing {
 		removed := RemovedServer{Server: server, RemovedAt: now, GoneAt: goneAt}
 		if slices.Contains(after.Unreadable, server.Name) {
