Take declarations of other failure domains as hints

Ruled out: to act on the declaration itself; behind a cut it holds for one side only. Change: leaders tell their declarations to the leaders of the other domains too, which with one sign of their own ask their instances and the other leaders for life, as before. Found on the way: a question asked while too many servers looked silent was used later; a question now holds 0.4 s.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -63,6 +63,7 @@
 	Longest          time.Duration // for which data was unanswered
 	Since            time.Duration // how long ago the oldest of it was sent
 	Removed          bool          // the server was removed from the list
+	Hinted           bool          // another failure domain has declared it silent
 }
 
 // flowSign identifies the unanswered data of one flow.
@@ -233,7 +234,8 @@
 }
 
 // Receive processes a message of another instance and returns the answer, which is empty if none
-// is due. Of other failure domains only questions are answered and signs of life believed.
+// is due. Of other failure domains questions are answered, signs of life believed, and declarations
+// taken as hints.
 func (detector *Detector) Receive(from string, message *Message, sameDomain bool, place Place, now time.Time) Message {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
@@ -252,6 +254,9 @@
 		}
 	}
 	if !sameDomain {
+		if place.IsLeader {
+			detector.noteHints(message.Silent, now)
+		}
 		return answer
 	}
 	if place.IsLeader {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -59,6 +59,16 @@
 				fleet.sendRequests(second, 100*time.Millisecond)
 			}
 		}, first},
+		{"also for a domain with one caller that waits, after the other has found it", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 900*time.Millisecond)
+			fleet.sendRequests([]int{6}, 100*time.Millisecond)
+			fleet.advance(700 * time.Millisecond)
+		}, append(first, second...)},
+		{"not for a domain without one", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.sendRequests(first, 1900*time.Millisecond)
+		}, first},
 		{"not by leaders that are paused", func(fleet *fleet) {
 			fleet.servers[0].down = true
 			fleet.instances[0].paused, fleet.instances[1].paused = true, true
@@ -212,10 +222,11 @@
 	for seed := range uint64(300) {
 		fleet := newFleet(seed)
 		fleet.warmUp()
+		servers := 3 + 5*int(seed%2) // more than half of all may look silent with 8
 		for range 400 {
-			fleet.change()
-			for range fleet.random.IntN(6) {
-				fleet.send(fleet.random.IntN(len(fleet.instances)), fleet.random.IntN(3))
+			fleet.change(servers)
+			for range fleet.random.IntN(2 * servers) {
+				fleet.send(fleet.random.IntN(len(fleet.instances)), fleet.random.IntN(servers))
 			}
 			fleet.advance(20 * time.Millisecond)
 			declared += fleet.checkNewSilences(t, seed)
--- a/detector/doc.go
+++ b/detector/doc.go
@@ -15,7 +15,8 @@
 // more than one instance and all newer than the last known life, it asks the instances of the
 // domain, and the leaders of the others, who has seen life since the oldest of them. Without
 // such an answer it declares the server silent, for this failure domain only: what
-// its instances cannot reach may still serve others. Any instance that sees life afterwards
+// its instances cannot reach may still serve others. To the leaders of the others it is a hint, with
+// which one sign of their own is enough to ask. Any instance that sees life afterwards
 // says so, and the leaders take the declaration back.
 //
 // Nothing is declared while more than half of the servers look silent, since then the network
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -209,10 +209,11 @@
 	}
 }
 
-// change makes something happen at random: to a server, an instance, the cut or the routers.
-func (fleet *fleet) change() {
+// change makes something happen at random: to one of the first servers, an instance, the cut or the
+// routers.
+func (fleet *fleet) change(servers int) {
 	instance := fleet.instances[fleet.random.IntN(len(fleet.instances))]
-	server := fleet.servers[fleet.random.IntN(3)]
+	server := fleet.servers[fleet.random.IntN(servers)]
 	switch fleet.random.IntN(120) {
 	case 0, 1:
 		server.down = !server.down
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -23,8 +23,13 @@
 	// longWait is from when on unanswered data weighs double: it has been retransmitted
 	// twice.
 	longWait = 550 * time.Millisecond
+	// questionLifetime is how long a question holds. A leader may have been held up since, or
+	// have declared nothing as too many servers looked silent.
+	questionLifetime = 2 * answerTime
 	// minWeight is the weight of signs that makes a leader ask for signs of life.
 	minWeight = 3
+	// hintWeight is the weight of a declaration of another failure domain.
+	hintWeight = 2
 	// minWeightAlone is the same for signs of one instance alone, where the failure domain has
 	// no other.
 	minWeightAlone = 6
@@ -35,6 +40,7 @@
 // candidate is a server of which a leader has signs of silence.
 type candidate struct {
 	signs    map[instanceFlow]waiting
+	hintedAt time.Time // when another failure domain told that it is silent for it; zero if none did
 	removed  bool      // from the list
 	goneAt   time.Time // from when on that counts
 	askedAt  time.Time // of the first question; zero before it
@@ -87,6 +93,16 @@
 	}
 }
 
+// noteHints notes the declarations of another failure domain. They hold only there, but make fewer
+// signs enough here. The mutex must be held.
+func (detector *Detector) noteHints(silent []ServerAge, now time.Time) {
+	for _, entry := range silent {
+		if detector.counts(entry.Server, now.Add(-entry.Age)) && !detector.IsSilent(entry.Token, now) {
+			detector.candidate(entry.Server).hintedAt = now
+		}
+	}
+}
+
 // judge returns the questions and the declarations that are due, and puts the latter in force
 // here. The mutex must be held.
 func (detector *Detector) judge(place Place, now time.Time) []Outgoing {
@@ -96,8 +112,8 @@
 	var message Message
 	suspected := len(*detector.silent.Load())
 	for server, candidate := range detector.candidates {
-		if !detector.counts(server, candidate.since) { // an answer: what remains needs another question
-			candidate.askedAt, candidate.repeated = time.Time{}, false
+		if !detector.counts(server, candidate.since) || now.Sub(candidate.askedAt) > questionLifetime {
+			candidate.askedAt, candidate.repeated = time.Time{}, false // what remains needs another question
 		}
 		evidence := detector.weigh(server, candidate, now)
 		needed := minSilence
@@ -131,8 +147,7 @@
 }
 
 // declare puts the declarations of a message in force here, and returns the messages that carry
-// it, the questions to everyone and the declarations to this failure domain. The mutex must be
-// held.
+// it. The mutex must be held.
 func (detector *Detector) declare(message Message, now time.Time) []Outgoing {
 	for _, entry := range message.Silent {
 		evidence := detector.weigh(entry.Server, detector.candidates[entry.Server], now)
@@ -148,7 +163,7 @@
 		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Questions: list[:min(maxEntries, len(list))]}})
 	}
 	for list := message.Silent; len(list) > 0; list = list[min(maxEntries, len(list)):] {
-		outgoing = append(outgoing, Outgoing{Audience: Domain, Message: Message{Silent: list[:min(maxEntries, len(list))]}})
+		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Silent: list[:min(maxEntries, len(list))]}})
 	}
 	return outgoing
 }
@@ -183,6 +198,7 @@
 		weighed.Since = max(weighed.Since, now.Sub(waiting.since))
 	}
 	weighed.Instances = len(instances)
+	weighed.Hinted = !candidate.hintedAt.IsZero() && now.Sub(candidate.hintedAt) <= signMemory && detector.counts(server, candidate.hintedAt.Add(-minSilence))
 	return weighed
 }
 
@@ -191,6 +207,9 @@
 	if weighed.Removed {
 		return true
 	}
+	if weighed.Hinted && weighed.Flows > 0 {
+		return weighed.weight+hintWeight >= minWeight
+	}
 	if place.DomainInstances == 1 {
 		return weighed.weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
 	}
@@ -198,6 +217,9 @@
 }
 
 func (candidate *candidate) isOld(now time.Time) bool {
+	if now.Sub(candidate.hintedAt) <= signMemory {
+		return false
+	}
 	if candidate.removed && now.Sub(candidate.goneAt) < removedTime {
 		return false
 	}
--- a/detector/message.go
+++ b/detector/message.go
@@ -26,7 +26,7 @@
 	Unanswered []Unanswered `cbor:"1,keyasint,omitempty"` // signs of silence, to the leaders
 	Questions  []ServerAge  `cbor:"2,keyasint,omitempty"` // from a leader: who has seen life of these servers since
 	Alive      []ServerAge  `cbor:"3,keyasint,omitempty"` // the last sign of life, as an answer or because the server was declared silent
-	Silent     []ServerAge  `cbor:"4,keyasint,omitempty"` // from a leader: servers that have been silent since
+	Silent     []ServerAge  `cbor:"4,keyasint,omitempty"` // from a leader: servers that have been silent since, for its failure domain
 }
 
 // Unanswered is data of a flow that a server has left unanswered.
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxFollowedFlows bounds the followed flows, about 120 bytes each.
+	// maxFollowedFlows bounds the followed flows, about 150 bytes each.
 	maxFollowedFlows = 20_000
 	// followTime is how long an idle flow stays followed.
 	followTime = time.Minute
