Follow a new flow from a port that was used before

An opening does not pass the follower, and may have passed another instance. A caller that uses its port again for a flow at the same server had the acknowledgments of both compared: a jump ahead counted as an answer, a jump back hid all later ones. A step of more than 4 MiB now begins another flow. Found by reading; the table in TestSignsOfServersAreReported has the case. Pages of the packages name what follows flows and carries signs.

--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -40,6 +40,11 @@
 // selection for new flows for a time. If the server is in this domain, the leaders of the
 // others are told too, and pass it on.
 //
+// # Signs of servers
+//
+// Heartbeats also carry the messages by which detectors agree on servers that have fallen
+// silent; see package detector.
+//
 // # Members
 //
 // Each instance registers itself in the store when it starts. An instance that reads the
--- a/steerer/doc.go
+++ b/steerer/doc.go
@@ -6,6 +6,7 @@
 // A Steerer takes decoded packets and the current view of routes and servers, and
 // returns verdicts; it opens no sockets. It tracks the flows that were opened
 // through its instance only to measure load and response times, to retry
-// unanswered openings and to report how flows ended. Losing this state interrupts
-// no established flow.
+// unanswered openings and to report how flows ended. It follows all established flows
+// whose packets pass, to notice whether their servers answer and to reset flows whose
+// server is gone. Losing this state interrupts no established flow.
 package steerer
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -14,6 +14,9 @@
 	// windowLength is how far a caller's data may be ahead of the first that its server has
 	// not acknowledged, in bytes.
 	windowLength = 16 * 1200
+	// maxAcknowledgmentStep is the largest difference between the acknowledgments of two packets
+	// of one flow, in bytes; a larger one shows that the caller has used its port again.
+	maxAcknowledgmentStep = 1 << 22
 	// copyTime is the least time after which data that arrives again was retransmitted; a
 	// copy that the network made follows at once.
 	copyTime = 150 * time.Millisecond
@@ -76,7 +79,7 @@
 func (follower *follower) observe(packet *Packet, now time.Time) sign {
 	key := newFollowKey(packet.Flow)
 	flow := follower.flows[key]
-	if flow == nil || flow.token != packet.Token {
+	if flow == nil || !flow.includes(packet) {
 		if flow == nil && len(follower.flows) >= maxFollowedFlows || packet.Flags.RST || packet.Flags.FIN {
 			return sign{}
 		}
@@ -90,6 +93,12 @@
 	return sign
 }
 
+// includes reports whether a packet with the flow's addresses can belong to it.
+func (flow *followedFlow) includes(packet *Packet) bool {
+	step := int64(int32(packet.Acknowledgment - flow.acknowledgment))
+	return flow.token == packet.Token && max(step, -step) <= maxAcknowledgmentStep
+}
+
 // observe is the same for the packet's flow.
 func (flow *followedFlow) observe(packet *Packet, now time.Time) sign {
 	before := flow.lastPacketAt
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -196,6 +196,7 @@
 		{"or with the end of the flow", map[int]*Packet{0: data(1, 7, 100), 4000: laterPacket(1, tokenOf("a"), 900, 0, Flags{FIN: true})}, []time.Time{after(0)}, nil},
 		{"retransmissions", map[int]*Packet{0: data(1, 7, 100), 200: data(1, 7, 100), 600: data(1, 7, 100)}, nil, []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}},
 		{"not of what was answered", map[int]*Packet{0: data(1, 7, 100), 40: laterPacket(1, tokenOf("a"), 900, 0, Flags{}), 200: data(1, 7, 900)}, []time.Time{after(40)}, nil},
+		{"not of another flow from the same port", map[int]*Packet{0: data(1, 7, 100), 4000: laterPacket(1, tokenOf("a"), 1<<30, 0, Flags{}), 4010: data(1, 7, 1<<30)}, nil, nil},
 		{"not the first packet that arrives here", map[int]*Packet{0: laterPacket(1, tokenOf("a"), 900, 0, Flags{})}, nil, nil},
 	}
 	for _, c := range cases {
