Count a removal as one sign of silence, no more

servers whose entries had lapsed were declared silent because nobody had seen life of them for 2 s. A server that is removed gets no new flows, so nobody sees it live; at the end of the play the callers were idle too. Ruled out: a longer time without life, which changes nothing for idle flows. Change: without data that a server leaves unanswered nothing is declared. A removal weighs as one retransmission, for ten seconds.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -44,7 +44,6 @@
 	reportedAt time.Time
 	refuted    map[Server]time.Time  // last sign of life of servers that were declared silent, to be told
 	candidates map[Server]*candidate // that this instance, a leader, may declare silent
-	checked    map[Server]time.Time  // removed servers that were declared silent, with RemovedServer.GoneAt
 	sweptAt    time.Time
 }
 
@@ -62,7 +61,7 @@
 	Flows, Instances int           // flows with unanswered data, and instances that saw it
 	Longest          time.Duration // for which data was unanswered
 	Since            time.Duration // how long ago the oldest of it was sent
-	Removed          bool          // the server was removed from the list
+	Removed          bool          // the server was removed from the list a short time ago
 	Hinted           bool          // another failure domain has declared it silent
 }
 
@@ -93,7 +92,7 @@
 func NewDetector(observer Observer) *Detector {
 	detector := &Detector{
 		onChange: func() {}, observer: observer,
-		lives: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{}, checked: map[Server]time.Time{},
+		lives: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{},
 	}
 	detector.silent.Store(&Silences{})
 	return detector
@@ -322,7 +321,6 @@
 	detector.sweptAt = now
 	maps.DeleteFunc(detector.lives, func(_ Server, at time.Time) bool { return now.Sub(at) > lifeMemory })
 	maps.DeleteFunc(detector.own, func(_ flowSign, waiting waiting) bool { return now.Sub(waiting.copiedAt) > signMemory })
-	maps.DeleteFunc(detector.checked, func(_ Server, at time.Time) bool { return now.Sub(at) > 2*removedTime })
 	maps.DeleteFunc(detector.candidates, func(_ Server, candidate *candidate) bool { return candidate.isOld(now) })
 	changed := maps.Clone(*detector.silent.Load())
 	maps.DeleteFunc(changed, func(_ uint32, silence Silence) bool { return !now.Before(silence.Until) })
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -127,26 +127,42 @@
 	}
 }
 
-func TestServerThatWasRemovedIsSilentIfNobodySeesLife(t *testing.T) {
-	all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+func TestServerThatWasRemovedIsSilentWithFewSigns(t *testing.T) {
+	fewWait := func(fleet *fleet) {
+		fleet.send(2, 0)
+		fleet.send(3, 0)
+		fleet.advance(590 * time.Millisecond) // so that each retransmits once
+	}
 	cases := []struct {
 		name string
 		play func(fleet *fleet)
 		want int // instances for which it is silent
 	}{
-		{"without a caller that waits", func(fleet *fleet) {}, 8},
-		{"not while its flows are served", func(fleet *fleet) { fleet.sendRequests(all, 5*time.Second) }, 0},
-		{"when they no longer are", func(fleet *fleet) {
-			fleet.sendRequests(all, 2*time.Second)
-			fleet.advance(3 * time.Second)
-		}, 8},
-		{"not if many are missing", func(fleet *fleet) {
-			for i := range fleet.servers[:7] {
-				fleet.removed = append(fleet.removed, viewer.RemovedServer{Server: &fleet.servers[i].server, GoneAt: fleet.now})
-			}
+		{"with two callers that wait, in their failure domain", func(fleet *fleet) { fleet.servers[0].down = true; fewWait(fleet) }, domainSize},
+		{"not with one", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.send(2, 0)
+			fleet.advance(1100 * time.Millisecond)
+		}, 0},
+		{"not without one", func(fleet *fleet) { fleet.servers[0].down = true; fleet.advance(5 * time.Second) }, 0},
+		{"not if it lives and nobody uses it", func(fleet *fleet) { fleet.advance(5 * time.Second) }, 0},
+		{"not if it answers others", func(fleet *fleet) {
+			fleet.instances[2].cutFromServers = true
+			fleet.instances[3].cutFromServers = true
+			fleet.send(2, 0)
+			fleet.send(3, 0)
+			fleet.sendRequests([]int{1}, 1100*time.Millisecond)
+		}, 0},
+		{"not if its absence means nothing", func(fleet *fleet) {
+			fleet.removed[0].GoneAt = time.Time{}
+			fleet.servers[0].down = true
+			fewWait(fleet)
+		}, 0},
+		{"not yet", func(fleet *fleet) {
+			fleet.removed[0].GoneAt = fleet.now.Add(time.Minute)
+			fleet.servers[0].down = true
+			fewWait(fleet)
 		}, 0},
-		{"not if that means nothing", func(fleet *fleet) { fleet.removed[0].GoneAt = time.Time{} }, 0},
-		{"not yet", func(fleet *fleet) { fleet.removed[0].GoneAt = fleet.now.Add(time.Minute) }, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -155,7 +171,6 @@
 			fleet.advance(2 * time.Second)
 			fleet.removed = []viewer.RemovedServer{{Server: &fleet.servers[0].server, GoneAt: fleet.now}}
 			c.play(fleet)
-			fleet.advance(600 * time.Millisecond)
 			silent := 0
 			for _, instance := range fleet.instances {
 				if instance.detector.IsSilent(1, fleet.now) {
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -15,10 +15,7 @@
 	// minSilence is the shortest time without a sign of life after which a server is declared
 	// silent.
 	minSilence = 600 * time.Millisecond
-	// removedSilence is the same for a server that was removed from the list: no caller needs
-	// to wait for it.
-	removedSilence = 2 * time.Second
-	// removedTime is how long after the removal of a server leaders ask for signs of life.
+	// removedTime is how long the removal of a server from the list is a hint that it is silent.
 	removedTime = 10 * time.Second
 	// longWait is from when on unanswered data weighs double: it has been retransmitted
 	// twice.
@@ -28,8 +25,10 @@
 	questionLifetime = 2 * answerTime
 	// minWeight is the weight of signs that makes a leader ask for signs of life.
 	minWeight = 3
-	// hintWeight is the weight of a declaration of another failure domain.
-	hintWeight = 2
+	// hintWeight is the weight of the declaration of another failure domain, and removalWeight
+	// that of the removal from the list; living servers are removed too.
+	hintWeight    = 2
+	removalWeight = 1
 	// minWeightAlone is the same for signs of one instance alone, where the failure domain has
 	// no other.
 	minWeightAlone = 6
@@ -41,8 +40,7 @@
 type candidate struct {
 	signs    map[instanceFlow]waiting
 	hintedAt time.Time // when another failure domain told that it is silent for it; zero if none did
-	removed  bool      // from the list
-	goneAt   time.Time // from when on that counts
+	goneAt   time.Time // when its removal from the list began to count; zero if it was not removed
 	askedAt  time.Time // of the first question; zero before it
 	since    time.Time // that it asked for life after
 	repeated bool      // the question was asked again
@@ -77,19 +75,16 @@
 	return found
 }
 
-// CheckRemoved makes a leader ask for signs of life of servers that were removed from the list,
-// and declare those silent that have none.
+// CheckRemoved notes the servers that were removed from the list. Without an unanswered request
+// that says nothing, as they get no new flows whose openings they could answer.
 func (detector *Detector) CheckRemoved(removed []viewer.RemovedServer, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	for _, removed := range removed {
-		server := newServer(removed.Server)
 		age := now.Sub(removed.GoneAt)
-		if removed.GoneAt.IsZero() || age < 0 || age >= removedTime || detector.IsSilent(server.Token, now) || detector.checked[server].Equal(removed.GoneAt) {
-			continue
+		if !removed.GoneAt.IsZero() && age >= 0 && age < removedTime {
+			detector.candidate(newServer(removed.Server)).goneAt = removed.GoneAt
 		}
-		candidate := detector.candidate(server)
-		candidate.removed, candidate.goneAt = true, removed.GoneAt
 	}
 }
 
@@ -116,17 +111,13 @@
 			candidate.askedAt, candidate.repeated = time.Time{}, false // what remains needs another question
 		}
 		evidence := detector.weigh(server, candidate, now)
-		needed := minSilence
-		if candidate.removed {
-			needed = removedSilence
-		}
-		if !evidence.suffices(place) || !detector.counts(server, now.Add(-needed)) {
+		if !evidence.suffices(place) || !detector.counts(server, now.Add(-minSilence)) {
 			candidate.askedAt, candidate.repeated = time.Time{}, false
 			continue
 		}
 		suspected++
 		if candidate.askedAt.IsZero() {
-			candidate.since = now.Add(-max(evidence.Since, needed))
+			candidate.since = now.Add(-max(evidence.Since, minSilence))
 		}
 		entry := ServerAge{Server: server, Age: now.Sub(candidate.since)}
 		switch asked := now.Sub(candidate.askedAt); {
@@ -152,9 +143,6 @@
 	for _, entry := range message.Silent {
 		evidence := detector.weigh(entry.Server, detector.candidates[entry.Server], now)
 		detector.observer.ServerSilent(entry.Token, evidence.Evidence)
-		if candidate := detector.candidates[entry.Server]; candidate.removed {
-			detector.checked[entry.Server] = candidate.goneAt
-		}
 		delete(detector.candidates, entry.Server)
 	}
 	detector.apply(message.Silent, now)
@@ -177,7 +165,7 @@
 // weigh returns the evidence against a server, after dropping the signs that are too old or that
 // a sign of life has refuted. The mutex must be held.
 func (detector *Detector) weigh(server Server, candidate *candidate, now time.Time) weighed {
-	weighed := weighed{Evidence: Evidence{Removed: candidate.removed}}
+	weighed := weighed{Evidence: Evidence{Removed: candidate.isRemoved(now)}}
 	instances := map[string]bool{}
 	for flow, waiting := range candidate.signs {
 		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > signMemory {
@@ -204,23 +192,26 @@
 
 // suffices reports whether the evidence is enough to ask for signs of life.
 func (weighed *weighed) suffices(place Place) bool {
+	weight := weighed.weight
 	if weighed.Removed {
-		return true
+		weight += removalWeight
 	}
-	if weighed.Hinted && weighed.Flows > 0 {
-		return weighed.weight+hintWeight >= minWeight
+	if weighed.Hinted {
+		return weighed.Flows > 0 && weight+hintWeight >= minWeight
 	}
 	if place.DomainInstances == 1 {
-		return weighed.weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
+		return weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
 	}
-	return weighed.weight >= minWeight && weighed.Instances >= 2
+	return weight >= minWeight && weighed.Instances >= 2
+}
+
+// isRemoved reports whether the server was removed from the list a short time ago.
+func (candidate *candidate) isRemoved(now time.Time) bool {
+	return !candidate.goneAt.IsZero() && now.Sub(candidate.goneAt) < removedTime
 }
 
 func (candidate *candidate) isOld(now time.Time) bool {
-	if now.Sub(candidate.hintedAt) <= signMemory {
-		return false
-	}
-	if candidate.removed && now.Sub(candidate.goneAt) < removedTime {
+	if now.Sub(candidate.hintedAt) <= signMemory || candidate.isRemoved(now) {
 		return false
 	}
 	for _, waiting := range candidate.signs {
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -10,8 +10,7 @@
 // signExchanger decides which servers are silent from signs that it exchanges with the other
 // instances; detector.Detector implements it.
 type signExchanger interface {
-	// CheckRemoved makes a leader declare those servers silent that were removed from the list
-	// and show no life.
+	// CheckRemoved notes the servers that were removed from the list, on a leader.
 	CheckRemoved(removed []viewer.RemovedServer, now time.Time)
 	// Sweep forgets what is too old, and reports whether Next may return messages.
 	Sweep(now time.Time) bool
