Count the signs of a flow once, whichever instances see them

Cause: the hash that names a flow in signs had a seed of each instance, so a single flow that the routers moved was taken for several flows at two instances, and was enough for a declaration. Found by reading; the table has the case. Change: the hash is the same everywhere; a declaration needs two flows, or a hint and one. A leader counts the instances of its failure domain without copying its list.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -81,6 +81,15 @@
 				fleet.moveFlows()
 			}
 		}, first},
+		{"not for one caller whose flow the routers move", func(fleet *fleet) {
+			fleet.servers[0].down = true
+			fleet.send(0, 0)
+			for _, next := range []int{2, 3} {
+				fleet.advance(500 * time.Millisecond)
+				fleet.requests[0].instance = next
+			}
+			fleet.advance(time.Second)
+		}, nil},
 		{"not one that restarts", func(fleet *fleet) {
 			fleet.servers[0].down = true
 			fleet.sendRequests(first, 300*time.Millisecond)
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -26,6 +26,7 @@
 	instances []*testInstance
 	servers   []*testServer
 	requests  []*request
+	lastFlow  uint32
 	datagrams []datagram
 	sent      int
 	removed   []viewer.RemovedServer // from the list, as all instances have it
@@ -54,7 +55,8 @@
 	sentAt           time.Time
 	copies           int
 	startedAt        int64 // of the server that it was sent to
-	waits            bool  // not answered
+	flow             uint32
+	waits            bool // not answered
 }
 
 type datagram struct {
@@ -96,7 +98,8 @@
 
 // send makes a caller send a request through an instance, unless it is in a paused one.
 func (fleet *fleet) send(instance, server int) {
-	fleet.requests = append(fleet.requests, &request{instance: instance, server: server, sentAt: fleet.now, startedAt: fleet.servers[server].server.StartedAt, waits: !fleet.reaches(instance, server)})
+	fleet.lastFlow++
+	fleet.requests = append(fleet.requests, &request{flow: fleet.lastFlow, instance: instance, server: server, sentAt: fleet.now, startedAt: fleet.servers[server].server.StartedAt, waits: !fleet.reaches(instance, server)})
 }
 
 func (fleet *fleet) reaches(instance, server int) bool {
@@ -147,7 +150,7 @@
 			if !instance.paused {
 				old := server.server
 				old.StartedAt = request.startedAt
-				instance.detector.RecordUnanswered(&old, uint32(request.sentAt.UnixNano()), waited, fleet.now)
+				instance.detector.RecordUnanswered(&old, request.flow, waited, fleet.now)
 			}
 			request.waits = !fleet.reaches(request.instance, request.server)
 		}
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -58,9 +58,9 @@
 		if detector.IsSilent(sign.Token, now) {
 			continue
 		}
-		found := detector.candidate(sign.Server)
-		if len(found.signs) < maxEntries {
-			found.signs[instanceFlow{instance: instance, flow: sign.Flow}] = waiting{since: now.Add(-sign.For), copiedAt: now}
+		found, flow := detector.candidate(sign.Server), instanceFlow{instance: instance, flow: sign.Flow}
+		if _, known := found.signs[flow]; known || len(found.signs) < maxEntries {
+			found.signs[flow] = waiting{since: now.Add(-sign.For), copiedAt: now}
 		}
 	}
 }
@@ -166,7 +166,7 @@
 // a sign of life has refuted. The mutex must be held.
 func (detector *Detector) weigh(server Server, candidate *candidate, now time.Time) weighed {
 	weighed := weighed{Evidence: Evidence{Removed: candidate.isRemoved(now)}}
-	instances := map[string]bool{}
+	instances, weights := map[string]bool{}, map[uint32]int{} // routers may move a flow to another instance
 	for flow, waiting := range candidate.signs {
 		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > signMemory {
 			delete(candidate.signs, flow)
@@ -176,16 +176,18 @@
 			continue // nobody was asked for life since then
 		}
 		instances[flow.instance] = true
-		weighed.Flows++
-		weighed.weight++
-		waited := waiting.copiedAt.Sub(waiting.since)
+		waited, weight := waiting.copiedAt.Sub(waiting.since), 1
 		if waited >= longWait {
-			weighed.weight++
+			weight = 2
 		}
+		weights[flow.flow] = max(weights[flow.flow], weight)
 		weighed.Longest = max(weighed.Longest, waited)
 		weighed.Since = max(weighed.Since, now.Sub(waiting.since))
 	}
-	weighed.Instances = len(instances)
+	for _, weight := range weights {
+		weighed.weight += weight
+	}
+	weighed.Instances, weighed.Flows = len(instances), len(weights)
 	weighed.Hinted = !candidate.hintedAt.IsZero() && now.Sub(candidate.hintedAt) <= signMemory && detector.counts(server, candidate.hintedAt.Add(-minSilence))
 	return weighed
 }
@@ -202,7 +204,7 @@
 	if place.DomainInstances == 1 {
 		return weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
 	}
-	return weight >= minWeight && weighed.Instances >= 2
+	return weight >= minWeight && weighed.Instances >= 2 && weighed.Flows >= 2
 }
 
 // isRemoved reports whether the server was removed from the list a short time ago.
--- a/detector/message.go
+++ b/detector/message.go
@@ -32,7 +32,7 @@
 // Unanswered is data of a flow that a server has left unanswered.
 type Unanswered struct {
 	Server
-	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses
+	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses, the same at all instances
 	For  time.Duration `cbor:"4,keyasint"`
 }
 
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -27,9 +27,9 @@
 
 // place returns the instance's place in the fleet. The mutex must be held.
 func (relayer *Relayer) place() detector.Place {
-	place := detector.Place{IsLeader: relayer.schedule.isLeader}
-	for _, member := range relayer.activeMembers() {
-		if member.FailureDomain == relayer.self.FailureDomain {
+	place := detector.Place{IsLeader: relayer.schedule.isLeader, DomainInstances: 1}
+	for _, peer := range relayer.members {
+		if !peer.leaving && peer.FailureDomain == relayer.self.FailureDomain {
 			place.DomainInstances++
 		}
 	}
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -1,9 +1,11 @@
 package steerer
 
 import (
-	"hash/maphash"
+	"encoding/binary"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -67,13 +69,16 @@
 	}
 }
 
-// hash returns a number that tells the flow from others at this instance.
-func (followKey followKey) hash() uint32 {
-	return uint32(maphash.Comparable(hashSeed, followKey))
+// hash returns a number that tells the flow from others, the same at all instances.
+func (followKey *followKey) hash() uint32 {
+	var content [36]byte
+	copy(content[:], followKey.callerAddress[:])
+	copy(content[16:], followKey.serviceAddress[:])
+	binary.BigEndian.PutUint16(content[32:], followKey.callerPort)
+	binary.BigEndian.PutUint16(content[34:], followKey.servicePort)
+	return uint32(xxhash.Sum64(content[:]))
 }
 
-var hashSeed = maphash.MakeSeed()
-
 // observe updates the flow of a packet that follows the opening, and returns what the packet
 // says about the server.
 func (follower *follower) observe(packet *Packet, now time.Time) sign {
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -82,7 +82,8 @@
 	case !sign.aliveAt.IsZero():
 		resetter.recorder.RecordLife(server, sign.aliveAt)
 	case sign.waitedFor > 0:
-		resetter.recorder.RecordUnanswered(server, newFollowKey(packet.Flow).hash(), sign.waitedFor, now)
+		key := newFollowKey(packet.Flow)
+		resetter.recorder.RecordUnanswered(server, key.hash(), sign.waitedFor, now)
 	}
 }
 
