Let servers fall silent in the soak

Every third server answers nothing for up to five seconds and keeps its flows; callers acknowledge their answers, as real ones do, so that instances see life. A reset of a flow is a violation unless its server has been silent in the last four seconds.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -147,6 +147,7 @@
 			case received.checksum != received.computeChecksum():
 				soak.recordViolation("flow %s received a packet that no server sent", flow.key)
 			case len(received.data) > 0 && received.sequence == flow.expectedSequence:
+				defer flow.send(packet{flags: flagACK})
 				return flow.acceptAnswer(id, received)
 			}
 		case <-ticker.C:
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -73,6 +73,7 @@
 		soak.store.DropHistory()
 		soak.injectStoreFault(standin.StoreFaults{HangWatches: parameters.choice%2 == 0}, parameters.duration)
 	}},
+	{"servers fall silent", silenceServers},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
@@ -287,6 +288,21 @@
 	return selected
 }
 
+// silenceServers makes every third server answer nothing for a time; it keeps its flows.
+func silenceServers(soak *soak, parameters faultParameters) {
+	soak.mutex.Lock()
+	for i, name := range slices.Sorted(maps.Keys(soak.servers)) {
+		if (i+parameters.choice)%3 == 0 {
+			server := soak.servers[name]
+			server.mutex.Lock()
+			server.silentTo = time.Now().Add(parameters.duration)
+			server.mutex.Unlock()
+		}
+	}
+	soak.mutex.Unlock()
+	time.Sleep(parameters.duration)
+}
+
 func (server *server) acceptsFlows() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -31,6 +31,7 @@
 	flows      map[[2]netip.AddrPort]*serverFlow
 	leavingAt  time.Time // zero while the server accepts new flows
 	stopped    bool
+	silentTo   time.Time                  // until when it answers nothing
 	resetFlows map[[2]netip.AddrPort]bool // flows that the server itself reset
 }
 
@@ -92,6 +93,8 @@
 	key := [2]netip.AddrPort{received.source, received.destination}
 	flow := server.flows[key]
 	switch {
+	case time.Now().Before(server.silentTo):
+		return
 	case received.flags&flagSYN != 0:
 		server.acceptOpening(key, received)
 	case flow == nil:
@@ -168,12 +171,13 @@
 }
 
 // hasOpenFlow reports whether the server is running, has the flow open and has not
-// reset it.
+// reset it, and has not been silent for stabilizationTime.
 func (server *server) hasOpenFlow(key [2]netip.AddrPort) bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	flow := server.flows[key]
-	return flow != nil && flow.open && !server.stopped && !server.resetFlows[key]
+	isDisturbed := time.Since(server.silentTo) < stabilizationTime
+	return flow != nil && flow.open && !server.stopped && !server.resetFlows[key] && !isDisturbed
 }
 
 // answeringServer returns the name of the server that sent an answer.
