--- a/relayer/server_sign_test.go
+++ b/relayer/server_sign_test.go
@@ -23,11 +23,11 @@
 		{"not if a leader of another one has", func(nodes []*node) { nodes[6].RecordLife() }, ""},
 		{"not if its leaders were paused", func(nodes []*node) {
 			for _, node := range nodes[:2] {
-				node.SetPauseDetector(func(time.Time) bool { return true })
+				node.resumed.Store(true)
 			}
 		}, ""},
 		{"not in an instance that was paused", func(nodes []*node) {
-			nodes[5].SetPauseDetector(func(time.Time) bool { return true })
+			nodes[5].resumed.Store(true)
 		}, "0 but lb-0-5"},
 	}
 	for _, c := range cases {
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,7 @@
 	expired    []string
 	ejected    []uint32 // tokens of the servers it was to eject
 	detector   *detector.Detector
+	resumed    atomic.Bool // it counts as just resumed after a pause
 
 	suspicionCount int
 }
@@ -102,6 +104,7 @@
 	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, Detectors{Failures: node, Slowness: examiner.NewSlownessDetector()}, node)
 	node.detector = detector.NewDetector(node)
 	node.SetDetector(node.detector)
+	node.SetPauseDetector(func(time.Time) bool { return node.resumed.Load() })
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
