--- a/director/director.go
+++ b/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
@@ -74,9 +75,11 @@
 		func(recorder *Recorder) *Reloader { return NewReloader(file, settings, recorder) },
 		viewer.NewViewer,
 		examiner.NewEjections,
+		func(recorder *Recorder) *detector.Detector { return detector.NewDetector(recorder) },
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newFailureCheck,
 		newEstimator,
 		newPacer,
 		newSteerer,
@@ -99,6 +102,8 @@
 
 	PlatformSettings *configurer.PlatformSettings
 	Recorder         *Recorder
+	Viewer           *viewer.Viewer
+	Detector         *detector.Detector
 	Reloader         *Reloader
 	Relayer          *relayer.Relayer
 	Network          *Network
@@ -129,7 +134,7 @@
 	return network, nil
 }
 
-func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, recorder *Recorder) *relayer.Relayer {
+func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, detector *detector.Detector, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
 		Name:           settings.Instance,
 		FailureDomain:  settings.FailureDomain,
@@ -141,14 +146,25 @@
 	detectors := relayer.Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
 	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, detectors, observer)
 	created.SetChangeDeadline(settings.ChangeDeadline())
+	created.SetDetector(detector)
 	return created
 }
 
-func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, recorder *Recorder) *estimator.Estimator {
+// failureCheck reports whether the server with a token is ejected because it fails its requests
+// or has fallen silent.
+type failureCheck func(token uint32, now time.Time) bool
+
+func newFailureCheck(ejections *examiner.Ejections, detector *detector.Detector) failureCheck {
+	return func(token uint32, now time.Time) bool {
+		return ejections.IsEjected(token, now) || detector.IsSilent(token, now)
+	}
+}
+
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, isFailing failureCheck, recorder *Recorder) *estimator.Estimator {
 	instances := func() estimator.Instances {
 		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
 	}
-	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, isFailing)
 	recorder.SetLoadGauge(created)
 	return created
 }
@@ -163,14 +179,16 @@
 	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, isFailing failureCheck, detector *detector.Detector, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, estimator, ejections.IsEjected, random)
+	placer := placer.NewPlacer(settings.FailureDomain, estimator, isFailing, random)
 	placer.SetPacer(pacer)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
-	return steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created.SetDetector(detector)
+	return created
 }
 
 func (builder *builder) newSocket(settings *configurer.PlatformSettings, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
@@ -207,6 +225,9 @@
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
+	instance.Recorder.SetServerNames(instance.Viewer.NameByToken)
+	instance.Viewer.SetChangeHook(instance.Socket.Wake)
+	instance.Detector.SetChangeHook(instance.Socket.Wake)
 	instance.Relayer.SetPauseDetector(instance.Ticker.JustResumed)
 	instance.Recorder.Event(logger.EventStarted, "instance", instance.PlatformSettings.Instance,
 		"failure_domain", instance.PlatformSettings.FailureDomain, "packet_address", instance.PlatformSettings.PacketAddress.String())
