Forget the load that old response times of a failure domain showed

Cause, found by reading: a domain whose response times once showed it full got at most its smallest room of new flows, so hardly any response time came to show that it no longer was; with one in two seconds the average took 40 s. Change: the average of a domain is used for 5 s after its last sample, and an earlier sample counts e times less at most after 2 s. Test: red without either.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,11 @@
 	// responseTimeTolerance is how many times as long as without load the average of a few
 	// response times may be without showing a load.
 	responseTimeTolerance = 1.5
+	// responseTimeLifetime is how long the average of a failure domain is used after its last
+	// sample, and responseTimeSpan the time after which an earlier one counts e times less at
+	// most, since a full domain gets few flows that could show that it no longer is.
+	responseTimeLifetime = 5 * time.Second
+	responseTimeSpan     = 2 * time.Second
 	// sharedLifetime is how long a shared figure is used.
 	sharedLifetime = 2 * time.Second
 )
@@ -75,6 +81,7 @@
 type domainLoad struct {
 	outstanding   timeAverage // requests of this instance
 	responseTimes sampleAverage
+	respondedAt   time.Time // when the last of these was added
 	shared        Shared
 	sharedAt      time.Time // when the shared figure was true; zero if there is none
 }
@@ -120,7 +127,7 @@
 	estimator.mutex.Lock()
 	defer estimator.mutex.Unlock()
 	service := estimator.service(server.Service, now)
-	service.domain(server.FailureDomain).responseTimes.add(duration, domainSmoothing)
+	service.domain(server.FailureDomain).addResponseTime(duration, now)
 	if server.FailureDomain != estimator.failureDomain {
 		return
 	}
@@ -131,6 +138,13 @@
 	}
 }
 
+// addResponseTime adds a response time to the average of the failure domain.
+func (domainLoad *domainLoad) addResponseTime(duration time.Duration, now time.Time) {
+	elapsed := now.Sub(domainLoad.respondedAt)
+	domainLoad.respondedAt = now
+	domainLoad.responseTimes.add(duration, max(domainSmoothing, 1-math.Exp(-elapsed.Seconds()/responseTimeSpan.Seconds())))
+}
+
 // Expire deletes what is known of services that were last used before a time.
 func (estimator *Estimator) Expire(before time.Time) {
 	estimator.mutex.Lock()
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -186,6 +186,22 @@
 	assert.Assert(t, fleet.Utilization(service, "b", end) > 0.8)
 }
 
+// A domain that was full gets few flows, so few response times show that it no longer is.
+func TestLoadShownByResponseTimesIsForgotten(t *testing.T) {
+	fleet, random := newFleet(30, 40), rand.New(rand.NewPCG(1, 1))
+	end := start.Add(10 * time.Second)
+	fleet.play(random, "a", 16, start, end)
+	for range 30 {
+		fleet.RecordResponseTime(serverIn("b"), 250*time.Millisecond, end)
+	}
+	assert.Assert(t, fleet.Utilization(service, "b", end.Add(responseTimeLifetime-time.Millisecond)) > 0.8)
+	assert.Assert(t, fleet.Utilization(service, "b", end.Add(responseTimeLifetime)) < 0.5)
+	for i := range 3 {
+		fleet.RecordResponseTime(serverIn("b"), 50*time.Millisecond, end.Add(time.Duration(2*i+2)*time.Second))
+	}
+	assert.Assert(t, fleet.Utilization(service, "b", end.Add(6*time.Second)) < 0.5)
+}
+
 func TestSharedFigureHoldsUntilItIsOld(t *testing.T) {
 	fleet := newFleet(30, 40)
 	fleet.ApplyShared(Shared{Service: service, FailureDomain: "b", Outstanding: 72, Age: 500 * time.Millisecond}, start)
--- a/estimator/room.go
+++ b/estimator/room.go
@@ -26,7 +26,7 @@
 	estimator.mutex.Lock()
 	defer estimator.mutex.Unlock()
 	load := estimator.service(service, now)
-	room := Room{Slots: load.capacity.total, ResponseTimeRatio: load.responseTimeRatio(estimator.failureDomain)}
+	room := Room{Slots: load.capacity.total, ResponseTimeRatio: load.responseTimeRatio(estimator.failureDomain, now)}
 	load.demand.advance(now, averagingSpan)
 	room.Observed = load.demand.observed
 	for domain := range load.capacity.byDomain {
@@ -123,7 +123,7 @@
 	}
 	slots := float64(service.capacity.byDomain[domain])
 	byCount := estimator.counted(service, domain, now) + estimator.assumed(service, domain, now)
-	return max(byCount, slots*utilizationByResponseTime(service.responseTimeRatio(domain)))
+	return max(byCount, slots*utilizationByResponseTime(service.responseTimeRatio(domain, now)))
 }
 
 // counted returns the requests of this failure domain's callers that are outstanding in a
@@ -157,9 +157,12 @@
 
 // responseTimeRatio returns the average response time in a failure domain over that of the
 // service without load, or 1 if either is unknown.
-func (serviceLoad *serviceLoad) responseTimeRatio(domain string) float64 {
+func (serviceLoad *serviceLoad) responseTimeRatio(domain string, now time.Time) float64 {
 	load := serviceLoad.domains[domain]
-	if load == nil || load.responseTimes.samples < minResponseSamples || serviceLoad.unloaded.samples < minResponseSamples {
+	if load == nil || now.Sub(load.respondedAt) >= responseTimeLifetime {
+		return 1
+	}
+	if load.responseTimes.samples < minResponseSamples || serviceLoad.unloaded.samples < minResponseSamples {
 		return 1
 	}
 	return max(load.responseTimes.seconds/serviceLoad.unloaded.seconds, 1)
