Log utilizations in a fixed order

Cause: TestPlacementsAreCountedAndLogged failed once: the line 519 had the failure domains in the random order of a map.

--- a/director/placement.go
+++ b/director/placement.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,6 +123,21 @@
 	utilizations := recorder.placements.utilizations(now)
 	for service, counts := range due {
 		recorder.Event(logger.EventFlowsPlacedElsewhere, "service", service, "own_domain", counts.own, "other_domains", counts.other,
-			"utilization", utilizations[service])
+			"utilization", inOrder(utilizations[service]))
 	}
 }
+
+// domainUtilization is the utilization of a service in a failure domain.
+type domainUtilization struct {
+	FailureDomain string `json:"failure_domain"`
+	Percent       int    `json:"percent"`
+}
+
+// inOrder returns utilizations in the order of the failure domains' names.
+func inOrder(utilizations map[string]int) []domainUtilization {
+	var ordered []domainUtilization
+	for _, domain := range slices.Sorted(maps.Keys(utilizations)) {
+		ordered = append(ordered, domainUtilization{FailureDomain: domain, Percent: utilizations[domain]})
+	}
+	return ordered
+}
--- a/director/placement_test.go
+++ b/director/placement_test.go
@@ -45,5 +45,5 @@
 	assert.Equal(t, recorder.counters.Get("placed_in_own_domain").String(), "190")
 	cleanup()
 	assert.Equal(t, strings.Count(log.String(), `"event":519`), 1, log.String())
-	assert.Assert(t, strings.Contains(log.String(), `"service":"desk-sync","own_domain":90,"other_domains":10,"utilization":{"dakar-1":85,"dakar-2":30}`), log.String())
+	assert.Assert(t, strings.Contains(log.String(), `"service":"desk-sync","own_domain":90,"other_domains":10,"utilization":[{"failure_domain":"dakar-1","percent":85},{"failure_domain":"dakar-2","percent":30}]`), log.String())
 }
