Judge the length of a response by the deviation of its route's lengths

Change: a short response also has to lie three standard deviations of the logarithm below the average. Test: four distributions of lengths, red before with 174 to 1,935 of 20,000 regular responses; error pages among them are found as before.

--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -10,16 +10,19 @@
 
 const (
 	// shortResponseRatio is the fraction of a route's average response length below
-	// which a response is suspicious; about one regular response in a thousand is.
+	// which a response can be suspicious.
 	shortResponseRatio = 0.3
+	// shortResponseDeviations is how many standard deviations below the average logarithm of
+	// the route's lengths a suspicious one lies; about one regular response in a thousand does.
+	shortResponseDeviations = 3.0
 	// minRouteSamples is how many responses of a route are needed before its average is used.
 	minRouteSamples = 20
-	// lengthSmoothing is the weight of a response in the moving average of a route's
-	// response lengths.
-	lengthSmoothing = 0.05
-	// shortLengthSmoothing is the weight of a suspicious response, so that the average
-	// slowly follows a route whose responses have become short.
-	shortLengthSmoothing = 0.01
+	// lengthSmoothing is the weight of a response in the moving averages of a route's
+	// response lengths, once there have been 1/lengthSmoothing.
+	lengthSmoothing = 0.01
+	// shortLengthSmoothing is the weight of a suspicious response, so that the averages
+	// slowly follow a route whose responses have become short.
+	shortLengthSmoothing = 0.002
 	// slowResponseRatio is how many times the route's average response time a response must
 	// take to be suspicious; few regular responses in a thousand do.
 	slowResponseRatio = 4
@@ -65,11 +68,35 @@
 
 // responseAverage holds the moving averages of the responses of a route.
 type responseAverage struct {
-	bytes   float64
-	seconds float64 // from the request to the end of the response
-	samples int
+	bytes       float64
+	logBytes    float64 // average of the natural logarithm of the length
+	logVariance float64 // of that logarithm
+	seconds     float64 // from the request to the end of the response
+	samples     int
 }
 
+// newResponseAverage returns the averages after a first response.
+func newResponseAverage(bytes uint32, duration time.Duration) *responseAverage {
+	return &responseAverage{bytes: float64(bytes), logBytes: logLength(bytes), seconds: duration.Seconds()}
+}
+
+// isShort reports whether a length is implausibly short for the route.
+func (responseAverage *responseAverage) isShort(bytes uint32) bool {
+	shortest := responseAverage.logBytes - shortResponseDeviations*math.Sqrt(responseAverage.logVariance)
+	return float64(bytes) < shortResponseRatio*responseAverage.bytes && logLength(bytes) < shortest
+}
+
+// addLength includes a length in the averages with a weight.
+func (responseAverage *responseAverage) addLength(bytes uint32, weight float64) {
+	responseAverage.bytes += weight * (float64(bytes) - responseAverage.bytes)
+	deviation := logLength(bytes) - responseAverage.logBytes
+	responseAverage.logBytes += weight * deviation
+	responseAverage.logVariance += weight * (deviation*deviation - responseAverage.logVariance)
+}
+
+// logLength returns the natural logarithm of a length, which counts as one byte at least.
+func logLength(bytes uint32) float64 { return math.Log(float64(max(bytes, 1))) }
+
 // sightings counts the recent responses of a server at this instance.
 type sightings struct {
 	count  float64
@@ -90,7 +117,7 @@
 		if len(examiner.averages) >= maxRoutes {
 			clear(examiner.averages)
 		}
-		average = &responseAverage{bytes: float64(bytes), seconds: duration.Seconds()}
+		average = newResponseAverage(bytes, duration)
 		examiner.averages[route] = average
 	}
 	average.samples++
@@ -99,12 +126,12 @@
 		examiner.onSuspicious(server, Slow)
 	}
 	average.seconds += timeSmoothing * (duration.Seconds() - average.seconds)
-	if average.samples > minRouteSamples && float64(bytes) < shortResponseRatio*average.bytes {
-		average.bytes += shortLengthSmoothing * (float64(bytes) - average.bytes)
+	if average.samples > minRouteSamples && average.isShort(bytes) {
+		average.addLength(bytes, shortLengthSmoothing)
 		examiner.onSuspicious(server, Failing)
 		return
 	}
-	average.bytes += lengthSmoothing * (float64(bytes) - average.bytes)
+	average.addLength(bytes, max(lengthSmoothing, 1/float64(average.samples)))
 }
 
 // RecordLostRequest reports a server that did not take a request or an opening.
--- a/examiner/examiner_test.go
+++ b/examiner/examiner_test.go
@@ -52,6 +52,40 @@
 	}
 }
 
+// The load: routes whose responses are pages, readings or files of very different lengths.
+func TestLengthsThatVaryWidelyAreNotSuspicious(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		mean, spread float64 // bytes without the head; standard deviation of the logarithm
+	}{
+		{"short pages", 1000, 0.6},
+		{"readings", 2000, 0.6},
+		{"long readings", 4000, 0.6},
+		{"files", 20000, 0.7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const responses, errorPage = 20_000, 152
+			random, suspected := rand.New(rand.NewPCG(1, 4)), 0
+			examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) { suspected++ })
+			server := servers(1)[0]
+			for range responses {
+				body := c.mean * math.Exp(c.spread*random.NormFloat64()-c.spread*c.spread/2)
+				examiner.RecordResponse(route, server, uint32(150+body), 50*time.Millisecond, start)
+			}
+			assert.Assert(t, suspected <= responses/500, "%d of %d regular responses", suspected, responses)
+			suspected = 0
+			for range 100 {
+				examiner.RecordResponse(route, server, errorPage, 50*time.Millisecond, start)
+				for range 10 { // a route on which one response in eleven fails
+					body := c.mean * math.Exp(c.spread*random.NormFloat64()-c.spread*c.spread/2)
+					examiner.RecordResponse(route, server, uint32(150+body), 50*time.Millisecond, start)
+				}
+			}
+			assert.Assert(t, suspected >= 90, "%d of 100 error pages", suspected)
+		})
+	}
+}
+
 func TestAverageFollowsRouteWhoseResponsesBecomeShort(t *testing.T) {
 	suspected := 0
 	examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) { suspected++ })
