--- a/director/director.go
+++ b/director/director.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/pacer"
@@ -76,6 +77,7 @@
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newEstimator,
 		newPacer,
 		newSteerer,
 		builder.newSocket,
@@ -142,6 +144,15 @@
 	return created
 }
 
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, recorder *Recorder) *estimator.Estimator {
+	instances := func() estimator.Instances {
+		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
+	}
+	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+	recorder.SetLoadGauge(created)
+	return created
+}
+
 func newPacer(settings *configurer.PlatformSettings, current *viewer.Viewer, reloader *Reloader, recorder *Recorder) *pacer.Pacer {
 	created := pacer.NewPacer(settings.Instance, warmUpBounds(settings), current.Current, recorder, time.Now())
 	reloader.Subscribe(func(settings *configurer.PlatformSettings) { created.SetBounds(warmUpBounds(settings)) })
@@ -152,9 +163,9 @@
 	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
+	placer := placer.NewPlacer(settings.FailureDomain, estimator, ejections.IsEjected, random)
 	placer.SetPacer(pacer)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		relayer.ReportSuspicion(server.Token, suspicion)
@@ -177,8 +188,8 @@
 	return created
 }
 
-func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, error) {
-	responder, cleanup, err := NewResponder(settings, current, relayer, recorder)
+func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, error) {
+	responder, cleanup, err := NewResponder(settings, current, relayer, steerer, recorder)
 	if err != nil {
 		return nil, err
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,39 +8,50 @@
 )
 
 const (
-	// responseTimeSmoothing is the weight of a new sample in a moving average of response times.
-	responseTimeSmoothing = 0.15
-	// maxResponseTimeRatio caps a server's average response time relative to its service's.
-	maxResponseTimeRatio = 4.0
-	// minResponseTimeRatio is the smallest ratio that is credited to a server; the
-	// fastest servers are about 1.6 times as fast as the average. A server with a
-	// smaller ratio may be failing its requests immediately.
-	minResponseTimeRatio = 0.3
-	// crossDomainPenalty multiplies the cost of a server outside the instance's failure domain.
+	// crossDomainPenalty multiplies the cost of a cold server outside the failure domain that was
+	// drawn.
 	crossDomainPenalty = 1.5
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
-	// maxDraws is how many random candidates are tried before all candidates are examined.
+	// maxDraws is how many random candidates of a failure domain are tried before all candidates are
+	// examined.
 	maxDraws = 8
 )
 
+// loadEstimator estimates the load of services in failure domains;
+// estimator.Estimator implements it.
+type loadEstimator interface {
+	RequestBegan(server *viewer.BackendServer, now time.Time)
+	RequestEnded(server *viewer.BackendServer, now time.Time)
+	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
+	// Demand returns the outstanding requests of the callers of this failure domain.
+	Demand(service string, now time.Time) float64
+	// Surge returns the same at this moment, less what chance may add.
+	Surge(service string, now time.Time) float64
+	// Offered returns how many slots the requests of these callers would keep busy if none
+	// waited or was rejected; 0 while that is unknown.
+	Offered(service string, now time.Time) float64
+	// Outstanding returns the outstanding requests of all callers in a failure domain.
+	Outstanding(service, failureDomain string, now time.Time) float64
+	// Background returns the outstanding requests of other callers in a failure domain.
+	Background(service, failureDomain string, now time.Time) float64
+	// FleetInstances returns how many instances there are, this one included.
+	FleetInstances() int
+	Expire(before time.Time)
+}
+
 // Placer selects servers for new flows and keeps the load of each server as this
 // instance measures it; it is not safe for concurrent use.
 type Placer struct {
-	failureDomain        string
-	instanceCount        func() int                             // how many instances share the load, this one included
-	isFailing            func(token uint32, now time.Time) bool // by the server's token
-	random               *rand.Rand
-	pacer                warmUpPacer
-	servers              map[serverKey]*serverState
-	domainEjections      map[domainKey]*ejection
-	serviceResponseTimes map[string]*serviceAverage
-}
-
-// serverKey identifies one incarnation of a backend server.
-type serverKey struct {
-	name      string
-	startedAt int64
+	failureDomain   string
+	estimator       loadEstimator
+	isFailing       func(token uint32, now time.Time) bool // by the server's token
+	random          *rand.Rand
+	pacer           warmUpPacer
+	servers         map[serverKey]*serverState
+	domainEjections map[domainKey]*ejection
+	services        map[string]*serviceState
+	indexes         map[string]*domainIndex // by service
 }
 
 // domainKey identifies the servers of a service in one failure domain.
@@ -49,86 +60,88 @@
 	domain  string
 }
 
-// serverState is the state of one incarnation of a backend server.
-type serverState struct {
-	openFlows    int
-	responseTime movingAverage // seconds from a request to the end of its response
-	ejection     ejection
-	lastUsed     time.Time // when the state was last read or updated
-}
-
-// serviceAverage is the average response time of a service in seconds.
-type serviceAverage struct {
-	movingAverage
-	lastUsed time.Time // when it was last updated
+// NewPlacer returns a Placer for an instance in failureDomain; isFailing reports whether
+// the server with a token is ejected because its requests fail.
+func NewPlacer(failureDomain string, estimator loadEstimator, isFailing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
+	return &Placer{
+		failureDomain:   failureDomain,
+		estimator:       estimator,
+		isFailing:       isFailing,
+		random:          random,
+		pacer:           unpaced{},
+		servers:         map[serverKey]*serverState{},
+		domainEjections: map[domainKey]*ejection{},
+		services:        map[string]*serviceState{},
+		indexes:         map[string]*domainIndex{},
+	}
+}
+
+// Select returns the server for a new flow: the cheapest of a few random candidates in the
+// failure domain that drawDomain chooses, or nil if there are no candidates that may get one now.
+// Ejected servers are selected only if there are no others, and servers in attempted, which the
+// flow's opening was sent to before, only if there are no servers outside attempted; servers
+// outside the failure domains of attempted come first. All candidates are examined only where the
+// drawn ones don't serve, so that the usual cost does not grow with their number.
+func (placer *Placer) Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+	if len(candidates) == 0 {
+		return nil
+	}
+	index := placer.indexOf(candidates, now)
+	var best *viewer.BackendServer
+	if domain := placer.drawDomain(index, attempted, now); domain != nil {
+		best = placer.cheapest(domain.usable, now)
+	}
+	if best == nil {
+		best = placer.drawPreferred(candidates, attempted, now)
+	}
+	if shared := placer.drawShared(candidates, attempted, now); placer.isCheaper(shared, best, now) {
+		return shared
+	}
+	return best
 }
 
-// movingAverage is an exponential moving average that starts at its first sample.
-type movingAverage struct{ value float64 }
-
-func (movingAverage *movingAverage) add(sample float64) {
-	if movingAverage.value == 0 {
-		movingAverage.value = sample
-		return
+// isCheaper reports whether a cold server that was drawn beside the others is to be taken in place
+// of best, which may be nil.
+func (placer *Placer) isCheaper(shared, best *viewer.BackendServer, now time.Time) bool {
+	if shared == nil || best == nil {
+		return shared != nil
 	}
-	movingAverage.value += responseTimeSmoothing * (sample - movingAverage.value)
+	cost := placer.expectedCost(shared, now)
+	if shared.FailureDomain != best.FailureDomain {
+		cost *= crossDomainPenalty
+	}
+	return cost < placer.expectedCost(best, now)
 }
 
-// NewPlacer returns a Placer for an instance in failureDomain; instanceCount returns
-// how many instances share the load, and isFailing reports whether the server with a
-// token is ejected because its requests fail.
-func NewPlacer(failureDomain string, instanceCount func() int, isFailing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
-	return &Placer{
-		failureDomain:        failureDomain,
-		instanceCount:        instanceCount,
-		isFailing:            isFailing,
-		random:               random,
-		pacer:                unpaced{},
-		servers:              map[serverKey]*serverState{},
-		domainEjections:      map[domainKey]*ejection{},
-		serviceResponseTimes: map[string]*serviceAverage{},
+// drawPreferred returns a random one of the preferredCandidates, or nil if there are none.
+func (placer *Placer) drawPreferred(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+	preferred := placer.preferredCandidates(candidates, attempted, now)
+	if len(preferred) == 0 {
+		return nil
 	}
+	return preferred[placer.random.IntN(len(preferred))]
 }
 
-// Select returns the server for a new flow: the cheapest of a few random
-// candidates, or nil if there are no candidates that may get one now. Ejected servers are selected only if
-// there are no others, and servers in attempted, which the flow's opening was sent to
-// before, only if there are no servers outside attempted.
-func (placer *Placer) Select(candidates []*viewer.BackendServer, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
+// cheapest returns the cheapest of comparedCandidates random candidates that may get a flow and are
+// not ejected, or nil if maxDraws draws find none.
+func (placer *Placer) cheapest(candidates []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
 	var best *viewer.BackendServer
 	bestCost := 0.0
-	for range comparedCandidates {
-		candidate := placer.drawCandidate(candidates, attempted, now)
-		if candidate == nil {
-			break
+	compared := 0
+	for range maxDraws {
+		candidate := candidates[placer.random.IntN(len(candidates))]
+		if placer.isEjected(candidate, now) || !placer.acceptsDraw(candidate, now) {
+			continue
 		}
 		cost := placer.expectedCost(candidate, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
-	}
-	if shared := placer.drawShared(candidates, attempted, now); shared != nil && placer.expectedCost(shared, now) < bestCost {
-		return shared
-	}
-	return best
-}
-
-// drawCandidate returns a random candidate that is not ejected and lies outside the
-// failure domains of the attempted servers. It examines all candidates only if
-// maxDraws draws find none, so that the usual cost does not grow with their number; then
-// it draws from the preferredCandidates.
-func (placer *Placer) drawCandidate(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer {
-	for range min(maxDraws, len(candidates)) {
-		candidate := candidates[placer.random.IntN(len(candidates))]
-		if !containsDomain(attempted, candidate) && !placer.isEjected(candidate, now) && placer.acceptsDraw(candidate, now) {
-			return candidate
+		if compared++; compared == comparedCandidates {
+			break
 		}
 	}
-	preferred := placer.preferredCandidates(candidates, attempted, now)
-	if len(preferred) == 0 {
-		return nil
-	}
-	return preferred[placer.random.IntN(len(preferred))]
+	return best
 }
 
 // preferredCandidates returns the first of these groups that is not empty: servers
@@ -160,7 +173,8 @@
 // isEjected reports whether a server gets no new flows because it, or its failure
 // domain, does not answer openings, or because its requests fail.
 func (placer *Placer) isEjected(candidate *viewer.BackendServer, now time.Time) bool {
-	unresponsive := placer.stateOf(candidate, now).ejection.active(now) || placer.domainEjection(candidate).active(now)
+	state := placer.servers[keyOf(candidate)]
+	unresponsive := state != nil && state.ejection.active(now) || placer.domainEjection(candidate).active(now)
 	return unresponsive || placer.isFailing(candidate.Token, now)
 }
 
@@ -186,45 +200,6 @@
 	return false
 }
 
-// expectedCost estimates how long a flow takes at a server, in multiples of the
-// service's average response time. It assumes that each instance that
-// opens flows at the server has as many open there as this one.
-func (placer *Placer) expectedCost(candidate *viewer.BackendServer, now time.Time) float64 {
-	state := placer.stateOf(candidate, now)
-	cost := placer.responseTimeRatio(candidate, state)
-	flowsPerSlot := float64(state.openFlows*placer.loadFactor(candidate, now)) / float64(max(candidate.Slots, 1))
-	cost *= 1 + flowsPerSlot
-	if candidate.FailureDomain != placer.failureDomain {
-		cost *= crossDomainPenalty
-	}
-	return cost
-}
-
-// responseTimeRatio returns the server's average response time divided by its
-// service's, or 1 if either is unknown or the ratio is below minResponseTimeRatio.
-func (placer *Placer) responseTimeRatio(candidate *viewer.BackendServer, state *serverState) float64 {
-	average := placer.serviceResponseTimes[candidate.Service]
-	if average == nil || average.value == 0 || state.responseTime.value == 0 {
-		return 1
-	}
-	ratio := state.responseTime.value / average.value
-	if ratio < minResponseTimeRatio {
-		return 1
-	}
-	return min(ratio, maxResponseTimeRatio)
-}
-
-// FlowOpened counts a flow as open at a server.
-func (placer *Placer) FlowOpened(backendServer *viewer.BackendServer, now time.Time) {
-	placer.stateOf(backendServer, now).openFlows++
-}
-
-// FlowClosed reverts one FlowOpened.
-func (placer *Placer) FlowClosed(backendServer *viewer.BackendServer, now time.Time) {
-	state := placer.stateOf(backendServer, now)
-	state.openFlows = max(state.openFlows-1, 0)
-}
-
 // OpeningAnswered records that a server answered an opening, which ends the ejections
 // of the server and its failure domain for unanswered openings.
 func (placer *Placer) OpeningAnswered(backendServer *viewer.BackendServer, now time.Time) {
@@ -238,47 +213,3 @@
 	placer.domainEjection(backendServer).openingUnanswered(domainUnansweredLimit, now)
 	return placer.stateOf(backendServer, now).ejection.openingUnanswered(serverUnansweredLimit, now)
 }
-
-// RecordResponseTime adds the time from a request to the end of its response to the
-// averages of the server and its service. A time that is implausibly short for the
-// service is left out of the service's average.
-func (placer *Placer) RecordResponseTime(backendServer *viewer.BackendServer, duration time.Duration, now time.Time) {
-	placer.stateOf(backendServer, now).responseTime.add(duration.Seconds())
-	average := placer.serviceResponseTimes[backendServer.Service]
-	if average == nil {
-		average = &serviceAverage{}
-		placer.serviceResponseTimes[backendServer.Service] = average
-	}
-	average.lastUsed = now
-	if duration.Seconds() >= minResponseTimeRatio*average.value {
-		average.add(duration.Seconds())
-	}
-}
-
-// ExpireServers deletes the state of servers, and the averages of services, that were last
-// used before a time.
-func (placer *Placer) ExpireServers(before time.Time) {
-	placer.pacer.Expire(before)
-	for key, state := range placer.servers {
-		if state.lastUsed.Before(before) {
-			delete(placer.servers, key)
-		}
-	}
-	for service, average := range placer.serviceResponseTimes {
-		if average.lastUsed.Before(before) {
-			delete(placer.serviceResponseTimes, service)
-		}
-	}
-}
-
-// stateOf returns the state of a server, created if necessary, and marks it as used.
-func (placer *Placer) stateOf(backendServer *viewer.BackendServer, now time.Time) *serverState {
-	key := serverKey{name: backendServer.Name, startedAt: backendServer.StartedAt}
-	state := placer.servers[key]
-	if state == nil {
-		state = &serverState{}
-		placer.servers[key] = state
-	}
-	state.lastUsed = now
-	return state
-}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -97,9 +97,10 @@
 // answers and reports. The mutex must be held.
 func (relayer *Relayer) newHeartbeat(now time.Time, isAnswer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now)}
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
+		heartbeat.DomainInstanceCount = relayer.domainCount.members
 	}
 	if view.Configuration != nil {
 		heartbeat.ConfigurationVersion = view.Configuration.Version
@@ -136,6 +137,7 @@
 	}
 	now := time.Now()
 	relayer.recordSender(heartbeat, now)
+	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	return nil
@@ -154,6 +156,7 @@
 	if heartbeat.InstanceCount > 0 {
 		relayer.reportedInstances = heartbeat.InstanceCount
 	}
+	relayer.recordDomainCount(heartbeat)
 	member.Member, member.receivedAt, member.leaving = heartbeat.Sender, now, heartbeat.Leaving
 	if changed {
 		relayer.updateRank()
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -34,6 +34,13 @@
 	// RouteDelta leads to ConfigurationVersion from the version in the sender's previous
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
+
+	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
+	// the sender may not know all.
+	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
+
+	// Evacuations are sent in full in announcements and answers, and left out of reports.
+	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -49,14 +56,17 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
-	case heartbeat.InstanceCount < 0:
-		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
 		}
 	}
+	if err := checkEvacuations(heartbeat.Evacuations); err != nil {
+		return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+	}
 	return nil
 }
 
@@ -75,6 +85,10 @@
 	Servers       *viewer.Servers       `cbor:"servers"`       // nil when ServersDelta is enough
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
+	Evacuations   *viewer.Evacuations   `cbor:"evacuations"`
+
+	// InstanceCounts are the numbers of instances by failure domain; only in the saved snapshot.
+	InstanceCounts map[string]int `cbor:"instances,omitempty"`
 }
 
 // encode encodes a message as CBOR. It panics on an error, which the types above cannot cause.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -51,8 +51,9 @@
 
 // Source reads the platform's store and edits the list of members in it.
 type Source interface {
-	// Revision returns a number that grows with every change in the store.
-	Revision(ctx context.Context) (uint64, error)
+	// Evacuations returns the evacuated failure domains and the revision of the store, which
+	// grows with every change in it.
+	Evacuations(ctx context.Context) (*viewer.Evacuations, error)
 	// Servers returns the list of backend servers. It may read only the changes since
 	// base, the relayer's own list, which is nil when the relayer has none.
 	Servers(ctx context.Context, base *viewer.Servers) (*viewer.Servers, error)
@@ -88,6 +89,11 @@
 type Observer interface {
 	ConfigurationApplied(version uint64, from string)
 	ServersApplied(before, after *viewer.Servers, from string)
+	// EvacuationsApplied reports that other failure domains are evacuated than before, which is
+	// nil if none were known.
+	EvacuationsApplied(before, after *viewer.Evacuations, from string)
+	// EvacuationsIgnored reports failure domains that are too many to be evacuated.
+	EvacuationsIgnored(domains []string)
 	// ServerExpired reports a server that did not come back after an outage of the store.
 	ServerExpired(server *viewer.BackendServer)
 	SourceCallFailed(call string, err error)
@@ -117,6 +123,7 @@
 	members           map[string]*peer
 	reportedInstances int          // size of the fleet that a leader last sent; 0 before the first
 	instanceCount     atomic.Int64 // what Instances returns
+	domainCount       domainCount
 	leaving           bool
 	running           map[string]bool // names of the background calls in progress
 	membersReadAt     time.Time       // when the members were last read from the store; at first the start time
@@ -255,6 +262,7 @@
 		count = 1 + len(relayer.members)
 	}
 	relayer.instanceCount.Store(int64(count))
+	relayer.updateDomainCount(count)
 }
 
 // isLeader reports whether this instance is a leader of its failure domain.
@@ -293,6 +301,7 @@
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
 	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.countDomainMembers()
 	relayer.updateInstanceCount()
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -30,8 +30,13 @@
 	OpeningSent(server *viewer.BackendServer, now time.Time)
 	// RequestSent is called for each request on an open flow but the first.
 	RequestSent(server *viewer.BackendServer, now time.Time)
+	// FlowOpened counts a flow as open at a server until FlowClosed.
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
+	// RequestBegan counts an opening or a request as outstanding at a server until
+	// RequestEnded; isFirst says that it is the first of its flow.
+	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
+	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
@@ -90,9 +95,13 @@
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
 	lastSweepAt          time.Time
+	outstanding          []*flow // flows with an outstanding request; may contain others
+	outstandingCheckedAt time.Time
+	adoptedAt            time.Time             // when the last flow of another instance was adopted
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
+	silence              silence
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
@@ -115,7 +124,7 @@
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
-	if verdict.Reason != ReasonExistingFlow {
+	if verdict.Reason != ReasonExistingFlow && verdict.Reason != ReasonEvacuatedFlow {
 		steerer.observer.Decided(&verdict, view)
 	}
 	return verdict
@@ -176,11 +185,14 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	candidates := view.ActiveServers(steerer.drawService(route))
+	service := steerer.drawService(route)
+	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
 	switch {
 	case server != nil:
+	case view.IsEvacuated(service):
+		steerer.refuse(verdict, ReasonEvacuated, now)
 	case len(candidates) == 0:
 		steerer.refuse(verdict, ReasonNoServer, now)
 	case len(attempted) > 0: // a server may have accepted the flow
@@ -230,9 +242,15 @@
 		return
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
+	if view.Evacuations.Contains(server.FailureDomain) {
+		verdict.Reason = ReasonEvacuatedFlow
+	}
 	flow := steerer.flows[packet.Flow]
-	if flow == nil {
+	if flow == nil || flow.isAdopted {
 		steerer.noticeUntracked(packet.Flow, now)
+	}
+	if flow == nil {
+		steerer.adopt(packet, server, now)
 		return
 	}
 	steerer.observe(flow, packet, server, now)
@@ -247,6 +265,7 @@
 		return verdict, true
 	}
 	steerer.reportLostRequests(now, drained)
+	steerer.expireRequests(now)
 	steerer.expireFlows(now)
 	return Verdict{}, false
 }
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/placer"
 	"github.com/pimentowind/pimentowind/viewer"
@@ -57,7 +58,11 @@
 func newHarness(names ...string) *harness {
 	harness := &harness{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
-	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer.NewPlacer("dakar-1", func() int { return 1 }, func(uint32, time.Time) bool { return false }, random), harness, harness, random)
+	neverFailing := func(uint32, time.Time) bool { return false }
+	oneInstance := func() estimator.Instances { return estimator.Instances{Fleet: 1, Domain: 1} }
+	estimator := estimator.NewEstimator("dakar-1", oneInstance, harness.viewer.Current, neverFailing)
+	placer := placer.NewPlacer("dakar-1", estimator, neverFailing, random)
+	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer, harness, harness, random)
 	harness.viewer.ApplyConfiguration(&viewer.Configuration{Version: 1, Routes: []viewer.Route{{
 		Name: "r", Address: address, Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}},
 	}}})
@@ -143,6 +148,64 @@
 	assert.Equal(t, harness.Decide(unknownRoute, start).Action, Drop)
 }
 
+// evacuate evacuates the failure domains; applyServers leaves all servers in the one without a name.
+func (harness *harness) evacuate(revision uint64, domains ...string) {
+	harness.viewer.ApplyEvacuations(&viewer.Evacuations{Revision: revision, Domains: domains})
+}
+
+func TestOpeningIsResetWhenAllServersAreEvacuated(t *testing.T) {
+	for _, justResumed := range []bool{false, true} {
+		harness := newHarness("a", "b")
+		first := harness.Decide(opening(1), start)
+		harness.evacuate(2, "")
+		harness.justResumed = justResumed
+		action, reason := Reset, ReasonEvacuated
+		if justResumed {
+			action, reason = Drop, ReasonJustResumed
+		}
+		for port := range uint16(2) { // the first is a retransmission
+			verdict := harness.Decide(opening(1+port), start.Add(200*time.Millisecond))
+			assert.Equal(t, verdict.Action, action)
+			assert.Equal(t, verdict.Reason, reason)
+		}
+		now := start.Add(time.Second)
+		_, retried := harness.Next(now, now)
+		assert.Assert(t, !retried, "the opening must not be retried at another evacuated server")
+		kept := harness.Decide(laterPacket(1, tokenOf(first.Server.Name), 1, 0, Flags{}), now)
+		assert.Equal(t, kept.Action, Send)
+		assert.Equal(t, kept.Reason, ReasonEvacuatedFlow)
+		harness.justResumed = false
+		harness.evacuate(3)
+		assert.Equal(t, harness.Decide(opening(3), now).Action, Send)
+		assert.Equal(t, harness.Decide(laterPacket(1, tokenOf(first.Server.Name), 1, 0, Flags{}), now).Reason, ReasonExistingFlow)
+	}
+}
+
+func TestOpeningsOfEvacuatedServersGoElsewhere(t *testing.T) {
+	harness := newHarness()
+	servers := &viewer.Servers{Revision: 5}
+	for _, name := range []string{"a", "b", "c"} {
+		servers.List = append(servers.List, viewer.BackendServer{
+			Name: name, Token: tokenOf(name), Service: "desk-sync", Slots: 3, State: parser.Active, FailureDomain: name,
+		})
+	}
+	harness.viewer.ApplyServers(servers, start)
+	harness.evacuate(6, "a", "b")
+	for port := range uint16(20) {
+		assert.Equal(t, harness.Decide(opening(port), start).Server.Name, "c")
+	}
+	retransmitted := harness.Decide(opening(1), start.Add(200*time.Millisecond))
+	assert.Equal(t, retransmitted.Server.Name, "c", "not to a server that gets no new flows, although c did not answer")
+	now := start.Add(time.Second)
+	for verdict, ok := harness.Next(now, now); ok; verdict, ok = harness.Next(now, now) {
+		assert.Equal(t, verdict.Server.Name, "c")
+	}
+	harness.evacuate(7, "c")
+	for range 3 {
+		assert.Assert(t, harness.Decide(opening(2), start.Add(600*time.Millisecond)).Server.Name != "c")
+	}
+}
+
 func TestNoResetWithoutView(t *testing.T) {
 	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, nil, &harness{}, nil)
 	verdict := empty.Decide(opening(1), start)
@@ -255,10 +318,19 @@
 	assert.DeepEqual(t, harness.responseLengths, []uint32{200})
 }
 
-// loadCounter counts the flows that the steerer reports to the placer as open, by server.
+// loadCounter counts the flows and the requests that the steerer reports to the placer, by server.
 type loadCounter struct {
 	*placer.Placer
-	openFlows map[string]int
+	openFlows   map[string]int
+	outstanding map[string]int
+	first       []bool // of each request, whether it was the first of its flow
+}
+
+// countLoad makes the harness count what its steerer reports to the placer.
+func (harness *harness) countLoad() *loadCounter {
+	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}, outstanding: map[string]int{}}
+	harness.placer = loadCounter
+	return loadCounter
 }
 
 func (loadCounter *loadCounter) FlowOpened(server *viewer.BackendServer, now time.Time) {
@@ -271,21 +343,33 @@
 	loadCounter.Placer.FlowClosed(server, now)
 }
 
+func (loadCounter *loadCounter) RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time) {
+	loadCounter.outstanding[server.Name]++
+	loadCounter.first = append(loadCounter.first, isFirst)
+	loadCounter.Placer.RequestBegan(server, isFirst, now)
+}
+
+func (loadCounter *loadCounter) RequestEnded(server *viewer.BackendServer, now time.Time) {
+	loadCounter.outstanding[server.Name]--
+	loadCounter.Placer.RequestEnded(server, now)
+}
+
 func TestIdleFlowIsNotCountedAsLoad(t *testing.T) {
 	harness := newHarness("a")
-	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}}
-	harness.placer = loadCounter
+	loadCounter := harness.countLoad()
 	token := tokenOf("a")
 	harness.Decide(opening(1), start)
 	harness.Decide(opening(1), start.Add(200*time.Millisecond))
 	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start.Add(300*time.Millisecond))
-	assert.Equal(t, loadCounter.openFlows["a"], 1)
+	assert.Equal(t, loadCounter.outstanding["a"], 1)
 	afterIdle := start.Add(5 * time.Second)
 	harness.Next(afterIdle, start)
-	assert.Equal(t, loadCounter.openFlows["a"], 0)
-	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 1)
+	harness.Decide(laterPacket(1, token, 1100, 50, Flags{}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 1)
 	harness.Decide(laterPacket(1, token, 2100, 0, Flags{FIN: true}), afterIdle)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
 }
 
@@ -351,8 +435,7 @@
 
 func TestFlowsBeyondTheLimitAreNotCountedAsLoad(t *testing.T) {
 	harness := newHarness("a")
-	loadCounter := &loadCounter{Placer: harness.placer.(*placer.Placer), openFlows: map[string]int{}}
-	harness.placer = loadCounter
+	loadCounter := harness.countLoad()
 	for port := range uint16(maxFlows + 10) {
 		assert.Equal(t, harness.Decide(opening(port), start).Action, Send)
 	}
@@ -361,6 +444,7 @@
 	}
 	assert.Equal(t, len(harness.flows), 0)
 	assert.Equal(t, loadCounter.openFlows["a"], 0)
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
 }
 
 func TestRequestsThatServersLoseAreReported(t *testing.T) {
@@ -410,6 +494,22 @@
 	assert.Assert(t, harness.foreignAt.IsZero())
 }
 
+func TestSilenceLastsFromTheFirstOpeningToAnAnswer(t *testing.T) {
+	harness := newHarness("a", "b")
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	for port := range uint16(minSilentOpenings) {
+		assert.Equal(t, harness.Answers(at(90)).SilentFor, time.Duration(0))
+		harness.Decide(opening(1+port), at(10*int(port)))
+		harness.Decide(opening(1+port), at(10*int(port)+1))                     // a retransmission is no other flow
+		harness.Decide(laterPacket(99, tokenOf("a"), 100, 50, Flags{}), at(40)) // of another instance's flow
+	}
+	assert.Equal(t, harness.Answers(at(100)).SilentFor, 100*time.Millisecond)
+	assert.Assert(t, harness.Answers(at(100)).SinceLast > time.Hour)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), at(110))
+	harness.Decide(laterPacket(1, tokenOf("a"), 900, 50, Flags{}), at(150))
+	assert.Equal(t, harness.Answers(at(160)), Answers{SinceLast: 50 * time.Millisecond})
+}
+
 func TestUnansweredOpeningIsReportedAsLost(t *testing.T) {
 	harness := newHarness("a", "b")
 	first := harness.Decide(opening(1), start)
