Servers of a domain that is taken back wait until they can have said that they are cold

Cause: an entry is up to a heartbeat old, and the end of an evacuation is applied and announced before the list of servers is read; a server that turned cold just before can count as warm when its domain returns, and gets its usual load. Change: where a rate is stated, the pacer gives servers of a domain whose evacuation ended less than 2 s ago nothing, unless they are known to be cold and have a budget.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -43,6 +43,9 @@
 	startedAt   time.Time
 	budgets     map[incarnation]*budget
 
+	observed   *viewer.View         // whose evacuations were observed last
+	returnedAt map[string]time.Time // when evacuations ended, by failure domain
+
 	view   *viewer.View                       // that shared belongs to
 	shared map[string][]*viewer.BackendServer // by service: active servers whose rate this instance shares
 }
@@ -65,7 +68,7 @@
 func NewPacer(instance string, bounds Bounds, currentView func() *viewer.View, counter Counter, now time.Time) *Pacer {
 	pacer := &Pacer{
 		instance: viewer.InstanceHash(instance), currentView: currentView, counter: counter, startedAt: now,
-		budgets: map[incarnation]*budget{},
+		budgets: map[incarnation]*budget{}, returnedAt: map[string]time.Time{},
 	}
 	pacer.SetBounds(bounds)
 	return pacer
@@ -77,14 +80,17 @@
 // Share returns the share of new flows that a server may get from this instance now, from 0 to
 // 1 for a warm server; 0 means that none may be sent.
 func (pacer *Pacer) Share(server *viewer.BackendServer, now time.Time) float64 {
-	if !mayBeCold(server, now) {
+	view := pacer.currentView()
+	pacer.observeReturns(view, now)
+	isCold := mayBeCold(server, now)
+	if !isCold && !pacer.hasJustReturned(server.FailureDomain, now) {
 		return 1
 	}
-	service := pacer.currentView().Service(server.Service)
+	service := view.Service(server.Service)
 	if service.WarmUpRate <= 0 {
 		return rampedShare(server, service.WarmUp, now)
 	}
-	if pacer.hasBudget(server, service, now) {
+	if isCold && pacer.hasBudget(server, service, now) {
 		return 1
 	}
 	pacer.counter.WarmUpDeclined()
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -195,3 +195,28 @@
 	pacer.RequestSent(&warm, now)
 	assert.Equal(t, len(pacer.budgets), 1)
 }
+
+func TestServersOfADomainThatIsTakenBackWaitUntilTheyCanHaveSaidThatTheyAreCold(t *testing.T) {
+	warm := viewer.BackendServer{Name: "a", Service: "desk-sync", FailureDomain: "dakar-1", State: parser.Active, Token: 1}
+	cold := coldServer("lb-0")
+	cold.FailureDomain = "dakar-1"
+	for _, rate := range []float64{0, 20} {
+		current := viewer.NewViewer()
+		current.ApplyConfiguration(&viewer.Configuration{Version: 1, Services: []viewer.Service{{Name: "desk-sync", WarmUpRate: rate}}})
+		current.ApplyServers(&viewer.Servers{Revision: 1, List: []viewer.BackendServer{warm}}, start)
+		pacer := NewPacer("lb-0", Bounds{}, current.Current, &counts{}, start.Add(-time.Minute))
+		assert.Equal(t, pacer.Share(&warm, start), 1.0)
+		current.ApplyEvacuations(&viewer.Evacuations{Revision: 2, Domains: []string{"dakar-1"}})
+		assert.Equal(t, pacer.Share(&warm, start), 1.0, "the view leaves it out")
+		current.ApplyEvacuations(&viewer.Evacuations{Revision: 3})
+		held := 1.0
+		if rate > 0 {
+			held = 0
+			assert.Equal(t, pacer.Share(&cold, start), 1.0, "a cold server that is known has a budget")
+		}
+		assert.Equal(t, pacer.Share(&warm, start), held)
+		current.ApplyEvacuations(&viewer.Evacuations{Revision: 4})
+		assert.Equal(t, pacer.Share(&warm, start.Add(returnHold-1)), held)
+		assert.Equal(t, pacer.Share(&warm, start.Add(returnHold)), 1.0)
+	}
+}
