Cold servers that few instances open flows at are no room of their domain

Cause: with placement by room a domain that is taken back has all its room at once while its servers may get few flows; instances there drew it, found no server and fell back to a random one of all domains, without comparison or regard to room. Change: servers that only sharers open flows at (or none, just after a return) are not among the usable ones of a domain; where no rate is stated the slots of a cold server count by its share. A shared cold server in the own domain is compared with a remote one at the same price for distance as everywhere.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -97,6 +97,14 @@
 	return 0
 }
 
+// Reserved reports whether only the sharers may open flows at a server now, if it has any.
+func (pacer *Pacer) Reserved(server *viewer.BackendServer, now time.Time) bool {
+	view := pacer.currentView()
+	pacer.observeReturns(view, now)
+	mayBeCold := mayBeCold(server, now) || pacer.hasJustReturned(server.FailureDomain, now)
+	return mayBeCold && view.Service(server.Service).WarmUpRate > 0
+}
+
 // OpeningSent counts an opening against the budget, if the server has one.
 func (pacer *Pacer) OpeningSent(server *viewer.BackendServer, now time.Time) {
 	if pacer.isPaced(server, now) {
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -155,6 +155,8 @@
 			pacer, counts := newPacer("lb-0", Bounds{}, viewOf(c.service, c.server))
 			assert.Equal(t, pacer.Share(&c.server, start), c.want)
 			assert.Equal(t, counts.declined > 0, c.want == 0)
+			reserved := c.want == 0 || c.name == "shared by this instance"
+			assert.Equal(t, pacer.Reserved(&c.server, start), reserved)
 		})
 	}
 }
@@ -215,6 +217,7 @@
 			assert.Equal(t, pacer.Share(&cold, start), 1.0, "a cold server that is known has a budget")
 		}
 		assert.Equal(t, pacer.Share(&warm, start), held)
+		assert.Equal(t, pacer.Reserved(&warm, start), rate > 0)
 		current.ApplyEvacuations(&viewer.Evacuations{Revision: 4})
 		assert.Equal(t, pacer.Share(&warm, start.Add(returnHold-1)), held)
 		assert.Equal(t, pacer.Share(&warm, start.Add(returnHold)), 1.0)
--- a/placer/domains.go
+++ b/placer/domains.go
@@ -23,8 +23,8 @@
 type domain struct {
 	name       string
 	candidates []*viewer.BackendServer
-	usable     []*viewer.BackendServer // those that were not ejected when they were last examined
-	slots      float64                 // of the usable servers
+	usable     []*viewer.BackendServer // those that all instances could open flows at, and were not ejected, when they were last examined
+	slots      float64                 // of the usable servers, those of cold ones in part
 	examineAt  time.Time               // when the candidates have to be examined again
 }
 
@@ -62,9 +62,12 @@
 	}
 	domain.usable, domain.slots, domain.examineAt = domain.usable[:0], 0, now.Add(usableInterval)
 	for _, candidate := range domain.candidates {
+		if placer.pacer.Reserved(candidate, now) {
+			continue // drawShared finds those that this instance opens flows at
+		}
 		if !placer.isEjected(candidate, now) {
 			domain.usable = append(domain.usable, candidate)
-			domain.slots += float64(max(candidate.Slots, 1))
+			domain.slots += float64(max(candidate.Slots, 1)) * placer.pacer.Share(candidate, now)
 			continue
 		}
 		if end := placer.ejectionEnd(candidate); end.After(now) && end.Before(domain.examineAt) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// crossDomainPenalty multiplies the cost of a cold server outside the failure domain that was
-	// drawn.
+	// crossDomainPenalty multiplies the cost of a server outside the instance's failure domain
+	// when a cold server is compared with another.
 	crossDomainPenalty = 1.5
 	// comparedCandidates is how many random candidates are compared for one flow.
 	comparedCandidates = 3
@@ -106,11 +106,15 @@
 	if shared == nil || best == nil {
 		return shared != nil
 	}
-	cost := placer.expectedCost(shared, now)
-	if shared.FailureDomain != best.FailureDomain {
-		cost *= crossDomainPenalty
+	return placer.expectedCost(shared, now)*placer.distancePenalty(shared) < placer.expectedCost(best, now)*placer.distancePenalty(best)
+}
+
+// distancePenalty returns what the cost of a server is multiplied by for its failure domain.
+func (placer *Placer) distancePenalty(candidate *viewer.BackendServer) float64 {
+	if candidate.FailureDomain == placer.failureDomain {
+		return 1
 	}
-	return cost < placer.expectedCost(best, now)
+	return crossDomainPenalty
 }
 
 // drawPreferred returns a random one of the preferredCandidates, or nil if there are none.
--- a/placer/warm_up.go
+++ b/placer/warm_up.go
@@ -12,6 +12,8 @@
 	// Share returns the share of new flows that a server may get now in proportion to a warm
 	// one, 0 for none.
 	Share(server *viewer.BackendServer, now time.Time) float64
+	// Reserved reports whether only few instances, or none, open flows at a server now.
+	Reserved(server *viewer.BackendServer, now time.Time) bool
 	// Shared returns servers of a service that only few instances, of which this is one, open
 	// flows at while they are cold.
 	Shared(service string) []*viewer.BackendServer
@@ -26,6 +28,7 @@
 type unpaced struct{}
 
 func (unpaced) Share(*viewer.BackendServer, time.Time) float64 { return 1 }
+func (unpaced) Reserved(*viewer.BackendServer, time.Time) bool { return false }
 func (unpaced) Shared(string) []*viewer.BackendServer          { return nil }
 func (unpaced) Sharers(*viewer.BackendServer, time.Time) int   { return 0 }
 func (unpaced) OpeningSent(*viewer.BackendServer, time.Time)   {}
--- a/placer/warm_up_test.go
+++ b/placer/warm_up_test.go
@@ -14,9 +14,14 @@
 	unpaced
 	shares   map[string]float64
 	shared   []*viewer.BackendServer // servers that one instance opens flows at
+	reserved map[string]bool         // servers that only few instances open flows at
 	openings map[string]int
 }
 
+func (stubPacer *stubPacer) Reserved(server *viewer.BackendServer, _ time.Time) bool {
+	return stubPacer.reserved[server.Name]
+}
+
 func (stubPacer *stubPacer) Share(server *viewer.BackendServer, _ time.Time) float64 {
 	if share, ok := stubPacer.shares[server.Name]; ok {
 		return share
@@ -116,6 +121,31 @@
 
 func (fiftyInstances) FleetInstances() int { return 50 }
 
+func TestDomainOfReservedServersCountsAsNone(t *testing.T) {
+	servers := candidates("cold", "colder", "b", "c")
+	servers[2].FailureDomain, servers[3].FailureDomain = "dakar-2", "dakar-3"
+	placer, pacer := newPacedPlacer(map[string]float64{"cold": 0, "colder": 0})
+	pacer.reserved = map[string]bool{"cold": true, "colder": true}
+	counts := map[string]int{}
+	for range 1000 {
+		counts[placer.Select(servers, nil, start).Name]++
+	}
+	assert.Assert(t, counts["b"] > 400 && counts["c"] > 400, "the other domains share its callers by their room: %v", counts)
+	assert.Equal(t, len(placer.indexes["desk-sync"].own.usable), 0)
+	delete(pacer.shares, "cold") // this instance opens flows there
+	pacer.shared = servers[:1]
+	for range 100 {
+		assert.Equal(t, placer.Select(servers, nil, start).Name, "cold")
+	}
+}
+
+func TestRoomOfColdServersGrowsWithTheirShare(t *testing.T) {
+	servers := candidates("cold", "warm")
+	placer, _ := newPacedPlacer(map[string]float64{"cold": 0.5})
+	placer.Select(servers, nil, start)
+	assert.Equal(t, placer.indexes["desk-sync"].own.slots, 4.5)
+}
+
 func TestOpeningsReachThePacer(t *testing.T) {
 	servers := candidates("a")
 	placer, pacer := newPacedPlacer(nil)
--- a/steerer/warm_up_test.go
+++ b/steerer/warm_up_test.go
@@ -32,9 +32,10 @@
 func (pacer *countingPacer) RequestSent(server *viewer.BackendServer, _ time.Time) {
 	pacer.requests[server.Name]++
 }
-func (pacer *countingPacer) Shared(string) []*viewer.BackendServer        { return nil }
-func (pacer *countingPacer) Sharers(*viewer.BackendServer, time.Time) int { return 0 }
-func (pacer *countingPacer) Expire(time.Time)                             {}
+func (pacer *countingPacer) Reserved(*viewer.BackendServer, time.Time) bool { return false }
+func (pacer *countingPacer) Shared(string) []*viewer.BackendServer          { return nil }
+func (pacer *countingPacer) Sharers(*viewer.BackendServer, time.Time) int   { return 0 }
+func (pacer *countingPacer) Expire(time.Time)                               {}
 
 func newPacedHarness(allowed map[string]int, names ...string) (*harness, *countingPacer) {
 	harness, pacer := newHarness(names...), &countingPacer{allowed: allowed, sent: map[string]int{}, requests: map[string]int{}}
