--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -139,6 +139,7 @@
 	relayer.recordSender(heartbeat, now)
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
+	relayer.receiveSigns(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	return nil
 }
@@ -226,7 +227,7 @@
 	case heartbeat.ServersRevision <= own.ServersRevision:
 		return view.Servers
 	case heartbeat.ServersDigest == own.ServersDigest:
-		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List}
+		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List, Unreadable: view.Servers.Unreadable}
 	case heartbeat.ServersDelta != nil:
 		servers = view.Servers.Apply(heartbeat.ServersDelta)
 	}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -41,6 +42,8 @@
 
 	// Evacuations are sent in full in announcements and answers, and left out of reports.
 	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
+	// ServerSigns are signs of life and silence of backend servers.
+	ServerSigns *detector.Message `cbor:"signs,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -59,6 +62,11 @@
 	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
+	if heartbeat.ServerSigns != nil {
+		if err := heartbeat.ServerSigns.Check(); err != nil {
+			return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+		}
+	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
@@ -78,6 +79,8 @@
 	ignored    []string // evacuated failure domains that were too many
 
 	evacuationChanges atomic.Int64
+	detector          *detector.Detector
+	resumed           atomic.Bool // it counts as just resumed after a pause
 
 	suspicionCount int
 }
@@ -111,6 +114,9 @@
 		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, seedDomain, 0, 0}), 7720))
 	}
 	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, Detectors{Failures: node, Slowness: examiner.NewSlownessDetector()}, node)
+	node.detector = detector.NewDetector(node)
+	node.SetDetector(node.detector)
+	node.SetPauseDetector(func(time.Time) bool { return node.resumed.Load() })
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
@@ -125,6 +131,9 @@
 	return node
 }
 
+func (node *node) ServerSilent(uint32, detector.Evidence) {}
+func (node *node) ServerAlive(uint32, bool)               {}
+
 // kill stops an instance without an announcement.
 func (node *node) kill() {
 	node.stop()
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -29,6 +30,7 @@
 	decided         []Reason
 	ended           []FlowSummary
 	ejected         []string
+	reset           []string // silent servers, with the number of their flows that are reset
 	responseLengths []uint32
 	responseTimes   []time.Duration
 	lost            []string // servers of which a request was reported as lost
@@ -55,6 +57,10 @@
 	harness.ejected = append(harness.ejected, server.Name)
 }
 
+func (harness *harness) FlowsReset(server *viewer.BackendServer, flows int) {
+	harness.reset = append(harness.reset, fmt.Sprint(server.Name, " ", flows))
+}
+
 func newHarness(names ...string) *harness {
 	harness := &harness{viewer: viewer.NewViewer()}
 	random := rand.New(rand.NewPCG(1, 2))
