Send heartbeats inside a large failure domain through relays

Change: from 16 recipients on, the sender shuffles them for each heartbeat, sends it to about the square root of them, and names to each of these the addresses to pass it on to. A relay that must fetch first passes the announcement on after it has, and its group fetches from it. Reports go the same way. An instance that hears no announcement for 1.2 to 1.4 s asks the leaders, which answer if their view is fresher, and leave the relay out until it is heard of.

Ruled out: asking a relay for acknowledgements (as many datagrams as before); relays that stay for longer (their death would cost a series).

FuzzReceive handed the fuzzer's buffer to a fetch in the background, which still read it when the fuzzer changed it (index out of range in cbor, three runs of six); the test clones it now.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -43,6 +43,7 @@
 	EventEvacuated            decider.EventKind = 512
 	EventEvacuationEnded      decider.EventKind = 513
 	EventEvacuationIgnored    decider.EventKind = 514
+	EventAnnouncementMissed   decider.EventKind = 520
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -79,6 +80,7 @@
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
 	EventEvacuationIgnored:    "evacuation has no effect",
+	EventAnnouncementMissed:   "no announcement received, leaders asked for their view",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -32,7 +32,7 @@
 func (relayer *Relayer) announce(selects func(member Member, position int) bool) {
 	now := time.Now()
 	relayer.mutex.Lock()
-	content := relayer.encodeAnnouncement(now)
+	heartbeat := relayer.newAnnouncement(now)
 	sorted, positions := rankMembers(relayer.allMembers())
 	var recipients []Member
 	for _, member := range sorted {
@@ -41,36 +41,34 @@
 			relayer.members[member.Name].markSent(now)
 		}
 	}
+	datagrams := relayer.distribute(heartbeat, recipients, positions, now)
 	relayer.mutex.Unlock()
-	for _, member := range recipients {
-		relayer.network.Send(member.PeerAddress, content)
-	}
+	relayer.send(datagrams)
 }
 
-// encodeAnnouncement returns an announcement with the changes of the routes and of the
+// newAnnouncement returns an announcement with the changes of the routes and of the
 // servers since the previous one, each only if it fits. The mutex must be held.
-func (relayer *Relayer) encodeAnnouncement(now time.Time) []byte {
+func (relayer *Relayer) newAnnouncement(now time.Time) Heartbeat {
 	heartbeat := relayer.newHeartbeat(now, false)
-	content := encode(heartbeat)
 	if delta := relayer.routeDelta; delta != nil && delta.Base == relayer.announcedVersion && delta.Len() <= maxHeartbeatChanges {
-		content, heartbeat = extendIfFits(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.RouteDelta = delta })
+		heartbeat = extendIfFits(heartbeat, func(heartbeat *Heartbeat) { heartbeat.RouteDelta = delta })
 	}
 	if delta := viewer.ComposeDeltas(relayer.history.after(relayer.announcedRevision), maxHeartbeatChanges); delta != nil {
-		content, heartbeat = extendIfFits(content, heartbeat, func(heartbeat *Heartbeat) { heartbeat.ServersDelta = delta })
+		heartbeat = extendIfFits(heartbeat, func(heartbeat *Heartbeat) { heartbeat.ServersDelta = delta })
 	}
 	relayer.announcedRevision, relayer.announcedVersion = heartbeat.ServersRevision, heartbeat.ConfigurationVersion
-	return content
+	return heartbeat
 }
 
-// extendIfFits applies add to a heartbeat and its encoding if the result still fits one
-// datagram, and returns them unchanged otherwise.
-func extendIfFits(content []byte, heartbeat Heartbeat, add func(*Heartbeat)) ([]byte, Heartbeat) {
+// extendIfFits applies add to a heartbeat if the result still fits one datagram, with the
+// addresses to which a relay passes it on, and returns it unchanged otherwise.
+func extendIfFits(heartbeat Heartbeat, add func(*Heartbeat)) Heartbeat {
 	extended := heartbeat
 	add(&extended)
-	if longer := encode(extended); len(longer) <= maxHeartbeatSize {
-		return longer, extended
+	if len(encode(extended)) <= maxHeartbeatSize-passOnSize {
+		return extended
 	}
-	return content, heartbeat
+	return heartbeat
 }
 
 // markSent records that an announcement was sent to the peer, unless an earlier one is
@@ -139,6 +137,8 @@
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
+	relayer.answerMiss(heartbeat, now)
+	relayer.relay(heartbeat, now)
 	return nil
 }
 
@@ -192,7 +192,7 @@
 	}
 	configuration, servers := heartbeat.updatedConfiguration(own, view), heartbeat.updatedServers(own, view)
 	if configuration == nil || servers == nil {
-		relayer.startUnlessRunning("fetch", func() { relayer.fetch(ctx, heartbeat.Sender) })
+		relayer.startUnlessRunning("fetch", func() { relayer.fetchAnnounced(ctx, heartbeat) })
 		return
 	}
 	relayer.applyConfiguration(configuration, heartbeat.Sender.Name)
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -1,8 +1,10 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -65,8 +67,10 @@
 		ServersDelta: &viewer.ServerDelta{Base: 1, Revision: 2, Changed: []viewer.BackendServer{server}, Removed: []string{"a"}},
 		RouteDelta:   &viewer.RouteDelta{Base: 1, Version: 2, Removed: []netip.AddrPort{sender.PeerAddress}},
 	}), []byte{0xa0})
+	f.Add(encode(Heartbeat{Sender: sender, ServersRevision: 9, PassOn: []netip.AddrPort{sender.PeerAddress, {}}, Asks: true}), snapshot)
+	f.Add(encode(Heartbeat{Sender: sender, ServersRevision: 9, Relay: &sender.ControlAddress}), snapshot)
 	f.Fuzz(func(_ *testing.T, content, fetched []byte) {
-		relayer := newMuteRelayer(fetched)
+		relayer := newMuteRelayer(bytes.Clone(fetched)) // a fetch in the background outlives this call
 		if relayer.Receive(context.Background(), content) != nil {
 			return
 		}
@@ -104,6 +108,9 @@
 				heartbeat.Evacuations.Domains = append(heartbeat.Evacuations.Domains, string(rune('0'+i)))
 			}
 		},
+		"too many to pass it on to": func(heartbeat *Heartbeat) {
+			heartbeat.PassOn = slices.Repeat([]netip.AddrPort{heartbeat.Sender.PeerAddress}, maxPassOnCount+1)
+		},
 		"ejection without an end": func(heartbeat *Heartbeat) { heartbeat.Ejections = []Ejection{{Token: 7, Duration: time.Hour}} },
 	}
 	for name, change := range cases {
--- a/relayer/history_test.go
+++ b/relayer/history_test.go
@@ -43,7 +43,7 @@
 		for range b.N {
 			relayer.mutex.Lock()
 			relayer.announcedRevision = 1
-			content := relayer.encodeAnnouncement(time.Now())
+			content := encode(relayer.newAnnouncement(time.Now()))
 			relayer.mutex.Unlock()
 			assert.Assert(b, len(content) <= maxHeartbeatSize)
 		}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +38,14 @@
 
 	// Evacuations are sent in full in announcements and answers, and left out of reports.
 	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
+
+	// PassOn are the peer addresses to which the receiver has to pass the heartbeat on.
+	PassOn []netip.AddrPort `cbor:"pass_on,omitempty"`
+	// Relay is set in heartbeats that were passed on: the control address of the instance that
+	// did, or the zero address if its view is older than the sender's.
+	Relay *netip.AddrPort `cbor:"relay,omitempty"`
+	// Asks is true when the sender missed an announcement and asks for an answer.
+	Asks bool `cbor:"asks,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -52,6 +61,8 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
+	case len(heartbeat.PassOn) > maxPassOnCount:
+		return errors.Errorf("heartbeat of %q is to be passed on to %d instances", sender.Name, len(heartbeat.PassOn))
 	case heartbeat.InstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
 	}
--- /dev/null
+++ b/relayer/missed.go
@@ -0,0 +1,65 @@
+package relayer
+
+import "time"
+
+// An instance that gets its announcements through relays and hears none for missedAfter asks the
+// leaders of its failure domain, which answer if their views are fresher. So a dead relay does
+// not make its group read the store.
+
+const (
+	// missedAfter is the silence after which an announcement counts as missed: longer than it
+	// takes until another leader reads the store, and short enough for an answer before this
+	// instance does.
+	missedAfter = ReadInterval + 400*time.Millisecond
+	// missedSpread is the additional silence of the last instance.
+	missedSpread = 200 * time.Millisecond
+)
+
+// askAfterMiss asks the leaders if an announcement was missed, once per ReadInterval.
+func (relayer *Relayer) askAfterMiss(now time.Time) {
+	relayer.mutex.Lock()
+	silence := now.Sub(relayer.tree.heardAt)
+	patience := missedAfter + time.Duration(relayer.schedule.spread*float64(missedSpread))
+	mayAsk := relayer.tree.used && !relayer.schedule.isLeader && !relayer.leaving
+	if !mayAsk || silence < patience || now.Sub(relayer.tree.askedAt) < ReadInterval {
+		relayer.mutex.Unlock()
+		return
+	}
+	relayer.tree.askedAt = now
+	heartbeat := relayer.newHeartbeat(now, false)
+	heartbeat.Asks = true
+	content := encode(heartbeat)
+	sorted, positions := rankMembers(relayer.activeMembers())
+	relayer.mutex.Unlock()
+	relayer.observer.AnnouncementMissed(silence)
+	for _, member := range sorted {
+		if member.Name != relayer.self.Name && member.FailureDomain == relayer.self.FailureDomain && positions[member.Name] < leadersPerDomain {
+			relayer.network.Send(member.PeerAddress, content)
+		}
+	}
+}
+
+// answerMiss answers an instance that missed an announcement if this instance's view is fresher.
+func (relayer *Relayer) answerMiss(heartbeat Heartbeat, now time.Time) {
+	if !heartbeat.Asks {
+		return
+	}
+	relayer.doubtRelay(heartbeat.Sender.Name, now)
+	if relayer.Age(now) < heartbeat.Age {
+		relayer.answer(heartbeat.Sender, minAnswerInterval, now)
+	}
+}
+
+// doubtRelay excludes the relay that had to pass the last announcement on to a member, unless it
+// was heard of since.
+func (relayer *Relayer) doubtRelay(name string, now time.Time) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	member := relayer.members[name]
+	if member == nil {
+		return
+	}
+	if relay := relayer.members[member.relay]; relay != nil && relay.receivedAt.Before(member.relayedAt) {
+		relay.doubtedAt = now
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -103,6 +103,12 @@
 	// MemberLost reports an instance that was removed because it was unresponsive.
 	MemberLost(member Member, unresponsiveFor time.Duration)
 	FetchFailed(from string, err error)
+	// HeartbeatPassedOn reports that this instance was a relay and passed a heartbeat on to a
+	// number of instances.
+	HeartbeatPassedOn(recipients int)
+	// AnnouncementMissed reports that no announcement arrived through a relay for a time, and that
+	// this instance has asked the leaders for their view.
+	AnnouncementMissed(silence time.Duration)
 	// EjectServer requests that a server get no new flows for a time; the observer may
 	// decline.
 	EjectServer(ejection Ejection)
@@ -145,6 +151,8 @@
 
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
+
+	tree relayTree
 }
 
 // peer is another instance as this one sees it.
@@ -155,6 +163,9 @@
 	unansweredCount int       // announcements sent to it since then
 	answeredAt      time.Time // when the last answer was sent to it
 	leaving         bool
+	relay           string    // the relay by which the last heartbeat was sent to it
+	relayedAt       time.Time // when that was
+	doubtedAt       time.Time // when an instance missed an announcement of which this one was the relay
 }
 
 // Detectors find the servers to eject from the suspicions that a leader receives.
@@ -169,8 +180,8 @@
 	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
-		suspicionSender: newSuspicionSender(),
-		members:         map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
+		suspicionSender: newSuspicionSender(), tree: newRelayTree(self.Name),
+		members: map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
@@ -191,11 +202,16 @@
 func (relayer *Relayer) Tick(ctx context.Context, now time.Time) {
 	relayer.mutex.Lock()
 	due := !relayer.leaving && relayer.schedule.Due(now)
+	fetching := relayer.running["fetch"]
 	if due {
 		relayer.schedule.RecordAttempt(now)
 	}
 	relayer.mutex.Unlock()
 	relayer.reportEjections(now)
+	relayer.askAfterMiss(now)
+	if !fetching {
+		relayer.passOnWaiting(now)
+	}
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -45,6 +45,7 @@
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
 	cutOff           map[string]bool // names of instances cut off from all others, but not from the store
+	refusesFetch     map[string]bool // names of instances whose fetches fail
 	partitioned      map[string]bool // failure domains cut off from the store and the other domains
 	nodes            map[netip.AddrPort]*node
 	started          []*node
@@ -73,12 +74,17 @@
 	evacuationChanges atomic.Int64
 
 	suspicionCount int
+
+	sentDatagrams, sentBytes     int // heartbeats
+	servedSnapshots, servedBytes int
+	askedCount                   int // announcements that it missed
+	storeCalls                   int
 }
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
 		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
-		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
+		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
 
@@ -94,8 +100,13 @@
 }
 
 // startNode starts an instance in a failure domain; number makes its address unique there.
-func (simulation *fleetSimulation) startNode(t *testing.T, name string, domain int, number byte) *node {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(domain), 0, number}), 7720)
+func (simulation *fleetSimulation) startNode(_ *testing.T, name string, domain int, number byte) *node {
+	return simulation.startNodeAt(netip.AddrFrom4([4]byte{10, byte(domain), 0, number}), name, domain)
+}
+
+// startNodeAt starts an instance in a failure domain at an address.
+func (simulation *fleetSimulation) startNodeAt(ip netip.Addr, name string, domain int) *node {
+	address := netip.AddrPortFrom(ip, 7720)
 	member := Member{Name: name, FailureDomain: fmt.Sprintf("dakar-%d", domain), PeerAddress: address, ControlAddress: address}
 	node := &node{simulation: simulation, viewer: viewer.NewViewer(), member: member}
 	node.ctx, node.stop = context.WithCancel(context.Background())
@@ -154,6 +165,7 @@
 	simulation.mutex.Lock()
 	defer simulation.mutex.Unlock()
 	simulation.storeCalls++
+	node.storeCalls++
 	if simulation.storeDown || simulation.rejectedByStore[node.member.Name] || simulation.partitioned[node.member.FailureDomain] {
 		return errUnreachable
 	}
@@ -255,6 +267,8 @@
 	node.simulation.mutex.Lock()
 	node.simulation.longestHeartbeat = max(node.simulation.longestHeartbeat, len(content))
 	node.simulation.heartbeatBytes += len(content)
+	node.sentDatagrams++
+	node.sentBytes += len(content)
 	node.simulation.mutex.Unlock()
 	go func() {
 		time.Sleep(networkDelay)
@@ -267,13 +281,15 @@
 func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error) {
 	ticker.Sleep(ctx, 2*networkDelay)
 	other := node.reachableNode(control)
-	if other == nil {
+	if other == nil || node.isRefused() {
 		return nil, errUnreachable
 	}
 	content := other.Snapshot(version, revision)
 	node.simulation.mutex.Lock()
 	defer node.simulation.mutex.Unlock()
 	node.simulation.fetchedBytes += len(content)
+	other.servedSnapshots++
+	other.servedBytes += len(content)
 	return content, nil
 }
 
@@ -293,6 +309,7 @@
 	node.lost = append(node.lost, member.Name)
 }
 func (node *node) FetchFailed(string, error) {}
+
 func (node *node) ServerExpired(server *viewer.BackendServer) {
 	node.expired = append(node.expired, server.Name)
 }
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -80,6 +80,21 @@
 	return snapshot, envelope.Age, checkEvacuations(snapshot.Evacuations)
 }
 
+// fetchAnnounced fetches the snapshot that an announcement or an answer tells of, from the relay
+// that passed it on if it has the view, and from its sender otherwise. Announcements that this
+// instance has to pass on wait for it.
+func (relayer *Relayer) fetchAnnounced(ctx context.Context, heartbeat Heartbeat) {
+	defer func() { relayer.passOnWaiting(time.Now()) }()
+	if heartbeat.Relay != nil && heartbeat.Relay.IsValid() {
+		relay := Member{Name: heartbeat.Relay.String(), FailureDomain: relayer.self.FailureDomain, ControlAddress: *heartbeat.Relay}
+		relayer.fetch(ctx, relay)
+		if relayer.isCurrent(heartbeat) {
+			return
+		}
+	}
+	relayer.fetch(ctx, heartbeat.Sender)
+}
+
 // fetch requests a snapshot from another instance and applies what is newer in it.
 func (relayer *Relayer) fetch(ctx context.Context, from Member) {
 	var version, revision uint64
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -123,12 +123,14 @@
 	heartbeat := relayer.newHeartbeat(now, true)
 	heartbeat.Evacuations = nil // announcements carry them, and the report needs the room
 	modify(&heartbeat)
-	content := encode(heartbeat)
 	sorted, positions := rankMembers(relayer.activeMembers())
-	relayer.mutex.Unlock()
+	var recipients []Member
 	for _, member := range sorted {
 		if member.Name != relayer.self.Name && selects(member, positions[member.Name]) {
-			relayer.network.Send(member.PeerAddress, content)
+			recipients = append(recipients, member)
 		}
 	}
+	datagrams := relayer.distribute(heartbeat, recipients, positions, now)
+	relayer.mutex.Unlock()
+	relayer.send(datagrams)
 }
