An unconfirmed view confirms no other, and a start keeps no departed servers

Cause: an instance whose view no read has confirmed sent the greatest possible age. Receivers subtracted it from the time and got the year 1734, which is not zero: so their views counted as confirmed, and as having lived through an outage, after which servers that the store no longer lists are kept for 2.5 s.

Change: such an age confirms nothing; instances that are not confirmed get an answer from those that are, also when one was sent in the last 20 s (a process that restarts got none).

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -137,7 +137,7 @@
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
-	relayer.answerMiss(heartbeat, now)
+	relayer.answerIfFresher(heartbeat, now)
 	relayer.relay(heartbeat, now)
 	return nil
 }
@@ -248,7 +248,7 @@
 // keepalive answer when one is due.
 func (relayer *Relayer) confirmFreshness(heartbeat Heartbeat, now time.Time) {
 	previousAge := relayer.Age(now)
-	if !relayer.justResumed(now) { // otherwise the heartbeat may have waited in the socket
+	if heartbeat.Age < unknownAge && !relayer.justResumed(now) { // otherwise the heartbeat may have waited in the socket
 		relayer.markFresh(now.Add(-heartbeat.Age))
 	}
 	isFresher := previousAge-relayer.Age(now) > ReadInterval/2
--- a/relayer/missed.go
+++ b/relayer/missed.go
@@ -39,13 +39,14 @@
 	}
 }
 
-// answerMiss answers an instance that missed an announcement if this instance's view is fresher.
-func (relayer *Relayer) answerMiss(heartbeat Heartbeat, now time.Time) {
-	if !heartbeat.Asks {
-		return
+// answerIfFresher answers an instance that missed an announcement, or whose view is not confirmed
+// yet, if this instance's view is fresher.
+func (relayer *Relayer) answerIfFresher(heartbeat Heartbeat, now time.Time) {
+	if heartbeat.Asks {
+		relayer.doubtRelay(heartbeat.Sender.Name, now)
 	}
-	relayer.doubtRelay(heartbeat.Sender.Name, now)
-	if relayer.Age(now) < heartbeat.Age {
+	isStarting := heartbeat.Age == unknownAge && !heartbeat.IsAnswer
+	if (heartbeat.Asks || isStarting) && relayer.Age(now) < heartbeat.Age {
 		relayer.answer(heartbeat.Sender, minAnswerInterval, now)
 	}
 }
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -67,8 +67,17 @@
 	return now.Sub(schedule.freshAt) >= ReadInterval+schedule.takeoverDelay()
 }
 
-// Age returns the time since the store last confirmed the view.
-func (schedule *ReadSchedule) Age(now time.Time) time.Duration { return now.Sub(schedule.freshAt) }
+// unknownAge is the age of a view that the store has not confirmed yet.
+const unknownAge = time.Duration(math.MaxInt64)
+
+// Age returns the time since the store last confirmed the view, unknownAge before the first
+// time.
+func (schedule *ReadSchedule) Age(now time.Time) time.Duration {
+	if schedule.freshAt.IsZero() {
+		return unknownAge
+	}
+	return now.Sub(schedule.freshAt)
+}
 
 // attemptInterval returns the shortest time between two reads. Leaders do not back off, so
 // that the end of an outage is detected; the other instances receive their
