--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -26,10 +26,14 @@
 //     sender from time to time to show that the receiver is alive.
 //   - A report carries suspicions or ejections, see below.
 //
+// Inside a large failure domain, announcements and reports go through relays: the sender gives
+// each of a few instances, drawn anew for each heartbeat, the addresses of others to pass it on
+// to. An instance that hears no announcement for longer than it should asks the leaders.
+//
 // An announcement carries the changes since the sender's previous one as deltas, if
 // they are few. A receiver with an older view applies the deltas. If they do not lead
-// to the sender's view, it fetches a snapshot from the sender over HTTP, which holds
-// deltas since the receiver's own versions, or the full data.
+// to the sender's view, it fetches a snapshot over HTTP from the relay, or from the sender,
+// which holds deltas since the receiver's own versions, or the full data.
 //
 // # Evacuations
 //
