Let the next instances lead while the leaders of a failure domain do not answer

Change: leaders answer every question of an instance that missed an announcement; one that answers none for 1.6 s is left out of the ranking of those that have read the members, until it is heard of (they ask it again each 10 s), so that the next two lead. Only two are left out, so an instance that is cut off does not become a leader in place of all. Only announcements of leaders count as heard. Relays pass on only for senders of their own domain; few relays get larger groups.

--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -28,7 +28,8 @@
 //
 // Inside a large failure domain, announcements and reports go through relays: the sender gives
 // each of a few instances, drawn anew for each heartbeat, the addresses of others to pass it on
-// to. An instance that hears no announcement for longer than it should asks the leaders.
+// to. An instance that hears no announcement for longer than it should asks the leaders; if they do
+// not answer, the next two instances take their place until they are heard of.
 //
 // An announcement carries the changes since the sender's previous one as deltas, if
 // they are few. A receiver with an older view applies the deltas. If they do not lead
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -137,7 +137,7 @@
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
-	relayer.answerIfFresher(heartbeat, now)
+	relayer.answerIfNeeded(heartbeat, now)
 	relayer.relay(heartbeat, now)
 	return nil
 }
@@ -151,11 +151,11 @@
 		member = &peer{}
 		relayer.members[heartbeat.Sender.Name] = member
 	}
-	changed := isNew || member.leaving != heartbeat.Leaving
+	changed := isNew || member.leaving != heartbeat.Leaving || member.absent
 	if heartbeat.InstanceCount > 0 {
 		relayer.reportedInstances = heartbeat.InstanceCount
 	}
-	member.Member, member.receivedAt, member.leaving = heartbeat.Sender, now, heartbeat.Leaving
+	member.Member, member.receivedAt, member.leaving, member.absent = heartbeat.Sender, now, heartbeat.Leaving, false
 	if changed {
 		relayer.updateRank()
 	}
--- a/relayer/missed.go
+++ b/relayer/missed.go
@@ -3,8 +3,8 @@
 import "time"
 
 // An instance that gets its announcements through relays and hears none for missedAfter asks the
-// leaders of its failure domain, which answer if their views are fresher. So a dead relay does
-// not make its group read the store.
+// leaders of its failure domain, which answer. So a dead relay does not make its group read the
+// store.
 
 const (
 	// missedAfter is the silence after which an announcement counts as missed: longer than it
@@ -26,27 +26,49 @@
 		return
 	}
 	relayer.tree.askedAt = now
+	leaders := relayer.domainLeaders()
+	questions := relayer.ask(leaders, now)
+	relayer.recordQuestion(leaders, now)
+	relayer.mutex.Unlock()
+	relayer.observer.AnnouncementMissed(silence)
+	relayer.send(questions)
+}
+
+// ask returns the datagrams that ask members for an answer. The mutex must be held.
+func (relayer *Relayer) ask(members []Member, now time.Time) []datagram {
+	if len(members) == 0 {
+		return nil
+	}
 	heartbeat := relayer.newHeartbeat(now, false)
 	heartbeat.Asks = true
 	content := encode(heartbeat)
+	datagrams := make([]datagram, 0, len(members))
+	for _, member := range members {
+		datagrams = append(datagrams, datagram{to: member.PeerAddress, content: content})
+	}
+	return datagrams
+}
+
+// domainLeaders returns the other leaders of this failure domain. The mutex must be held.
+func (relayer *Relayer) domainLeaders() []Member {
+	var leaders []Member
 	sorted, positions := rankMembers(relayer.activeMembers())
-	relayer.mutex.Unlock()
-	relayer.observer.AnnouncementMissed(silence)
 	for _, member := range sorted {
 		if member.Name != relayer.self.Name && member.FailureDomain == relayer.self.FailureDomain && positions[member.Name] < leadersPerDomain {
-			relayer.network.Send(member.PeerAddress, content)
+			leaders = append(leaders, member)
 		}
 	}
+	return leaders
 }
 
-// answerIfFresher answers an instance that missed an announcement, or whose view is not confirmed
-// yet, if this instance's view is fresher.
-func (relayer *Relayer) answerIfFresher(heartbeat Heartbeat, now time.Time) {
+// answerIfNeeded answers an instance that missed an announcement, or whose view is not confirmed
+// yet if this instance's view is.
+func (relayer *Relayer) answerIfNeeded(heartbeat Heartbeat, now time.Time) {
 	if heartbeat.Asks {
 		relayer.doubtRelay(heartbeat.Sender.Name, now)
 	}
 	isStarting := heartbeat.Age == unknownAge && !heartbeat.IsAnswer
-	if (heartbeat.Asks || isStarting) && relayer.Age(now) < heartbeat.Age {
+	if heartbeat.Asks || isStarting && relayer.Age(now) < heartbeat.Age {
 		relayer.answer(heartbeat.Sender, minAnswerInterval, now)
 	}
 }
--- a/relayer/relay_tree.go
+++ b/relayer/relay_tree.go
@@ -39,8 +39,10 @@
 	random  *rand.Rand
 	waiting []waitingAnnouncement // to be passed on after the fetch that is running
 	used    bool                  // whether announcements reached this instance through relays
-	heardAt time.Time             // when the last announcement of an instance of this failure domain was received
+	heardAt time.Time             // when the last announcement of a leader of this failure domain was received
 	askedAt time.Time             // when this instance last asked for a missed announcement
+
+	askedAbsentAt time.Time // when it last asked the absent leaders
 }
 
 // waitingAnnouncement is an announcement to be passed on, and when it was received.
@@ -100,13 +102,14 @@
 // groups in a small failure domain, and none without room for their addresses in the heartbeat.
 func (relayer *Relayer) chooseRelays(candidates []Member, others *[]Member, room int) ([]Member, int) {
 	total := len(candidates) + len(*others)
-	if total < minTreeSize {
+	if total < minTreeSize || len(candidates) == 0 {
 		return candidates, 0
 	}
 	relayer.tree.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	groupSize := int(math.Ceil(math.Sqrt(float64(total)))) - 1
+	count := min(int(math.Ceil(math.Sqrt(float64(total)))), len(candidates))
+	groupSize := (total - 1) / count // rounded up, and without the relay
 	groupSize = max(min(groupSize, maxPassOnCount, (room-passOnOverhead)/addressSize(candidates, *others)), 0)
-	count := min((total+groupSize)/(groupSize+1), len(candidates))
+	count = min((total+groupSize)/(groupSize+1), len(candidates))
 	*others = append(*others, candidates[count:]...)
 	relayer.tree.random.Shuffle(len(*others), func(i, j int) { (*others)[i], (*others)[j] = (*others)[j], (*others)[i] })
 	return candidates[:count], groupSize
@@ -154,7 +157,8 @@
 // follow only with the running fetch waits for it, so that the others can fetch from here.
 func (relayer *Relayer) relay(heartbeat Heartbeat, now time.Time) {
 	relayer.recordTree(heartbeat, now)
-	if len(heartbeat.PassOn) == 0 || relayer.justResumed(now) { // the heartbeat may have waited in the socket
+	isForeign := heartbeat.Sender.FailureDomain != relayer.self.FailureDomain
+	if len(heartbeat.PassOn) == 0 || isForeign || relayer.justResumed(now) { // after a pause it may have waited in the socket
 		return
 	}
 	if !heartbeat.IsAnswer && !relayer.isCurrent(heartbeat) && relayer.wait(heartbeat, now) {
@@ -163,10 +167,10 @@
 	relayer.passOn(heartbeat, 0)
 }
 
-// recordTree notes that an announcement of this failure domain has arrived, and whether it came
-// through relays.
+// recordTree notes that an announcement of a leader of this failure domain has arrived, and
+// whether it came through relays.
 func (relayer *Relayer) recordTree(heartbeat Heartbeat, now time.Time) {
-	if heartbeat.IsAnswer || heartbeat.Sender.FailureDomain != relayer.self.FailureDomain {
+	if heartbeat.IsAnswer || heartbeat.InstanceCount == 0 || heartbeat.Sender.FailureDomain != relayer.self.FailureDomain {
 		return
 	}
 	relayer.mutex.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -163,6 +163,8 @@
 	unansweredCount int       // announcements sent to it since then
 	answeredAt      time.Time // when the last answer was sent to it
 	leaving         bool
+	askedAt         time.Time // when this instance first asked it for an answer since receivedAt
+	absent          bool      // it is a leader that gave none for absenceTimeout
 	relay           string    // the relay by which the last heartbeat was sent to it
 	relayedAt       time.Time // when that was
 	doubtedAt       time.Time // when an instance missed an announcement of which this one was the relay
@@ -209,6 +211,7 @@
 	relayer.mutex.Unlock()
 	relayer.reportEjections(now)
 	relayer.askAfterMiss(now)
+	relayer.askAbsent(now)
 	if !fetching {
 		relayer.passOnWaiting(now)
 	}
@@ -318,11 +321,11 @@
 	relayer.updateInstanceCount()
 }
 
-// activeMembers returns all members that are not leaving, this instance included. The mutex must be held.
+// activeMembers returns all members that are not leaving or absent, this instance included. The mutex must be held.
 func (relayer *Relayer) activeMembers() []Member {
 	members := []Member{relayer.self}
 	for _, peer := range relayer.members {
-		if !peer.leaving {
+		if !peer.leaving && !peer.absent {
 			members = append(members, peer.Member)
 		}
 	}
