--- a/director/recorder.go
+++ b/director/recorder.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
@@ -29,7 +30,10 @@
 	handshakeTimes *expvar.Map // histogram, published as opening_ms
 	responseTimes  *expvar.Map // histogram
 	queue          *logger.Queue
+	placements     placementRecorder
+	instance       uint32                                            // hash of this instance's name
 	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
+	serverNames    atomic.Pointer[func(token uint32) string]         // nil until SetServerNames
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
@@ -50,9 +54,11 @@
 		handshakeTimes:  &expvar.Map{},
 		responseTimes:   &expvar.Map{},
 		queue:           queue,
+		instance:        viewer.InstanceHash(settings.Instance),
 		failingCalls:    map[string]bool{},
 		failureLoggedAt: map[string]time.Time{},
 	}
+	recorder.placements = placementRecorder{failureDomain: settings.FailureDomain, services: map[string]*placementCounts{}, counters: recorder.counters}
 	recorder.SetVerbosity(settings.Log.Verbosity)
 	return recorder
 }
@@ -63,8 +69,9 @@
 }
 
 // Flush starts writing the queued lines. It logs how many lines were dropped since
-// the last call, if any.
-func (recorder *Recorder) Flush(time.Time) {
+// the last call, if any, and where new flows were placed.
+func (recorder *Recorder) Flush(now time.Time) {
+	recorder.logPlacements(now)
 	dropped := recorder.queue.Dropped()
 	recorder.mutex.Lock()
 	newlyDropped := dropped - recorder.reportedDropped
@@ -86,6 +93,7 @@
 	vars.Set("decisions", recorder.counters)
 	vars.Set("opening_ms", recorder.handshakeTimes)
 	vars.Set("response_ms", recorder.responseTimes)
+	vars.Set("utilization_percent", expvar.Func(func() any { return recorder.placements.utilizations(time.Now()) }))
 	vars.Set("log_lines_dropped", expvar.Func(func() any { return recorder.queue.Dropped() }))
 }
 
@@ -98,6 +106,13 @@
 // Count counts a verdict under its reason.
 func (recorder *Recorder) Count(reason steerer.Reason) { recorder.counters.Add(string(reason), 1) }
 
+// WarmUpOpening counts an opening that was sent to a cold server whose service states a rate.
+func (recorder *Recorder) WarmUpOpening() { recorder.counters.Add("warm_up_openings", 1) }
+
+// WarmUpDeclined counts a cold server that was passed over because this instance may send it no
+// opening now.
+func (recorder *Recorder) WarmUpDeclined() { recorder.counters.Add("warm_up_declined", 1) }
+
 // PacketMalformed counts a datagram that cannot be decoded as a packet, by the kind of error.
 func (recorder *Recorder) PacketMalformed(err error) {
 	if errors.Is(err, platform.ErrTooShort) {
@@ -142,8 +157,10 @@
 	}
 }
 
-// Decided logs a decision about a flow if lines about single flows are enabled.
+// Decided counts where a new flow is placed, and logs a decision about a flow if lines about
+// single flows are enabled.
 func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
+	recorder.placements.count(verdict)
 	if !recorder.logsFlows.Load() {
 		return
 	}
@@ -221,6 +238,43 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
+// FlowsReset counts and logs that the flows of a silent server are reset; a server without flows
+// here is only counted.
+func (recorder *Recorder) FlowsReset(server *viewer.BackendServer, flows int) {
+	recorder.counters.Add("servers_silent", 1)
+	if flows > 0 {
+		recorder.Event(logger.EventFlowsReset, "backend_server", server.Name, "service", server.Service, "flows", flows)
+	}
+}
+
+// ServerSilent counts and logs that this instance declared a server silent for its failure domain.
+func (recorder *Recorder) ServerSilent(token uint32, evidence detector.Evidence) {
+	recorder.counters.Add("silences_declared", 1)
+	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(token), "flows", evidence.Flows,
+		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed, "hinted", evidence.Hinted)
+}
+
+// ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
+// instance saw the sign of life.
+func (recorder *Recorder) ServerAlive(token uint32, seenHere bool) {
+	recorder.counters.Add("silences_refuted", 1)
+	recorder.Event(logger.EventServerAlive, "backend_server", recorder.serverName(token), "seen_here", seenHere)
+}
+
+// serverName returns the name of the server with a token, or an empty one if it is unknown.
+func (recorder *Recorder) serverName(token uint32) string {
+	names := recorder.serverNames.Load()
+	if names == nil {
+		return ""
+	}
+	return (*names)(token)
+}
+
+// SetServerNames sets the function that returns the name of the server with a token.
+func (recorder *Recorder) SetServerNames(names func(token uint32) string) {
+	recorder.serverNames.Store(&names)
+}
+
 // LogEjection counts and logs that a server fails its requests or is slow; ejected is
 // whether it gets no new flows for a time because of it. Of servers that are not ejected, as
 // too many are already, it logs one in socketFailureInterval.
@@ -261,6 +315,7 @@
 // with counts by state when more than maxChangeLines did; from names where the list
 // was received from.
 func (recorder *Recorder) ServersApplied(before, after *viewer.Servers, from string) {
+	recorder.logWarmUps(before, after)
 	changes := viewer.ServerChanges(before, after)
 	if len(changes) > maxChangeLines {
 		counts := map[string]int{}
@@ -276,6 +331,29 @@
 	}
 }
 
+// logWarmUps logs one line for each server that turned cold or is warm again, or a single
+// line with counts when more than maxChangeLines did.
+func (recorder *Recorder) logWarmUps(before, after *viewer.Servers) {
+	changes := viewer.WarmUpChanges(before, after)
+	if len(changes) > maxChangeLines {
+		cold := 0
+		for _, change := range changes {
+			if change.IsCold {
+				cold++
+			}
+		}
+		recorder.Event(logger.EventWarmUpChanged, "cold", cold, "warm", len(changes)-cold, "revision", after.Revision)
+		return
+	}
+	for _, change := range changes {
+		fields := []any{"backend_server", change.Server.Name, "service", change.Server.Service, "cold", change.IsCold}
+		if change.IsCold {
+			fields = append(fields, "for_ms", time.Until(change.Server.ColdUntil.Time).Milliseconds(), "shared", change.Server.Sharers.Contains(recorder.instance))
+		}
+		recorder.Event(logger.EventWarmUpChanged, fields...)
+	}
+}
+
 // ServerExpired logs that a server was removed from the view because it was not listed
 // again after an outage of the store.
 func (recorder *Recorder) ServerExpired(server *viewer.BackendServer) {
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -77,6 +77,7 @@
 	{"evacuation begins or ends", func(soak *soak, parameters faultParameters) {
 		soak.toggleEvacuation(domainName(parameters.choice % failureDomainCount))
 	}},
+	{"servers fall silent", silenceServers},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
@@ -292,6 +293,21 @@
 	return selected
 }
 
+// silenceServers makes every third server answer nothing for a time; it keeps its flows.
+func silenceServers(soak *soak, parameters faultParameters) {
+	soak.mutex.Lock()
+	for i, name := range slices.Sorted(maps.Keys(soak.servers)) {
+		if (i+parameters.choice)%3 == 0 {
+			server := soak.servers[name]
+			server.mutex.Lock()
+			server.silentTo = time.Now().Add(parameters.duration)
+			server.mutex.Unlock()
+		}
+	}
+	soak.mutex.Unlock()
+	time.Sleep(parameters.duration)
+}
+
 func (server *server) acceptsFlows() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -43,6 +43,11 @@
 	EventEvacuated            decider.EventKind = 512
 	EventEvacuationEnded      decider.EventKind = 513
 	EventEvacuationIgnored    decider.EventKind = 514
+	EventWarmUpChanged        decider.EventKind = 515
+	EventFlowsPlacedElsewhere decider.EventKind = 519
+	EventFlowsReset           decider.EventKind = 516
+	EventServerSilent         decider.EventKind = 517
+	EventServerAlive          decider.EventKind = 518
 	EventAnnouncementMissed   decider.EventKind = 520
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
@@ -76,6 +81,11 @@
 	EventServerFailing:        "backend server is failing requests",
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
+	EventWarmUpChanged:        "backend server turned cold or warm",
+	EventFlowsPlacedElsewhere: "new flows placed in other failure domains",
+	EventFlowsReset:           "flows of a silent backend server are reset",
+	EventServerSilent:         "backend server declared silent",
+	EventServerAlive:          "backend server is not silent",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -98,6 +98,7 @@
 	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
+		heartbeat.DomainInstanceCount = relayer.domainCount.members
 	}
 	if view.Configuration != nil {
 		heartbeat.ConfigurationVersion = view.Configuration.Version
@@ -136,6 +137,7 @@
 	relayer.recordSender(heartbeat, now)
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
+	relayer.receiveSigns(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	relayer.answerIfNeeded(heartbeat, now)
 	relayer.relay(heartbeat, now)
@@ -155,6 +157,7 @@
 	if heartbeat.InstanceCount > 0 {
 		relayer.reportedInstances = heartbeat.InstanceCount
 	}
+	relayer.recordDomainCount(heartbeat)
 	member.Member, member.receivedAt, member.leaving, member.absent = heartbeat.Sender, now, heartbeat.Leaving, false
 	if changed {
 		relayer.updateRank()
@@ -224,7 +227,7 @@
 	case heartbeat.ServersRevision <= own.ServersRevision:
 		return view.Servers
 	case heartbeat.ServersDigest == own.ServersDigest:
-		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List}
+		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List, Unreadable: view.Servers.Unreadable}
 	case heartbeat.ServersDelta != nil:
 		servers = view.Servers.Apply(heartbeat.ServersDelta)
 	}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -36,8 +37,14 @@
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 
+	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
+	// the sender may not know all.
+	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
+
 	// Evacuations are sent in full in announcements and answers, and left out of reports.
 	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
+	// ServerSigns are signs of life and silence of backend servers.
+	ServerSigns *detector.Message `cbor:"signs,omitempty"`
 
 	// PassOn are the peer addresses to which the receiver has to pass the heartbeat on.
 	PassOn []netip.AddrPort `cbor:"pass_on,omitempty"`
@@ -63,8 +70,13 @@
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
 	case len(heartbeat.PassOn) > maxPassOnCount:
 		return errors.Errorf("heartbeat of %q is to be passed on to %d instances", sender.Name, len(heartbeat.PassOn))
-	case heartbeat.InstanceCount < 0:
-		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
+	}
+	if heartbeat.ServerSigns != nil {
+		if err := heartbeat.ServerSigns.Check(); err != nil {
+			return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+		}
 	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
@@ -93,6 +105,9 @@
 	ServersDelta  *viewer.ServerDelta   `cbor:"delta"`         // since the requester's revision
 	Members       []Member              `cbor:"members"`       // only for a requester without a list of servers
 	Evacuations   *viewer.Evacuations   `cbor:"evacuations"`
+
+	// InstanceCounts are the numbers of instances by failure domain; only in the saved snapshot.
+	InstanceCounts map[string]int `cbor:"instances,omitempty"`
 }
 
 // encode encodes a message as CBOR. It panics on an error, which the types above cannot cause.
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -89,7 +89,7 @@
 	if configuration != nil {
 		relayer.applyConfiguration(configuration, "store")
 	}
-	relayer.applyServers(servers, "store")
+	relayer.applyServers(relayer.continueWarmUps(servers), "store")
 	return nil
 }
 
@@ -121,7 +121,10 @@
 	relayer.mutex.Lock()
 	everFresh, age := !relayer.schedule.freshAt.IsZero(), relayer.schedule.Age(now)
 	relayer.mutex.Unlock()
-	if everFresh && age >= outageThreshold {
+	switch {
+	case !everFresh: // the store may have been unavailable before this instance started
+		relayer.viewer.DoubtMissingUntil(now.Add(returnGracePeriod))
+	case age >= outageThreshold:
 		relayer.viewer.RetainMissingUntil(now.Add(returnGracePeriod))
 	}
 }
--- a/relayer/relay_fault_test.go
+++ b/relayer/relay_fault_test.go
@@ -27,13 +27,6 @@
 	node.askedCount++
 }
 
-// isRefused reports whether the node's fetches fail.
-func (node *node) isRefused() bool {
-	node.simulation.mutex.Lock()
-	defer node.simulation.mutex.Unlock()
-	return node.simulation.refusesFetch[node.member.Name]
-}
-
 // calls returns the calls of the store by these nodes, and the announcements that they missed,
 // since the last resetTraffic.
 func (simulation *fleetSimulation) calls(nodes []*node) (calls, missed int) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -129,6 +129,7 @@
 	members           map[string]*peer
 	reportedInstances int          // size of the fleet that a leader last sent; 0 before the first
 	instanceCount     atomic.Int64 // what Instances returns
+	domainCount       domainCount
 	leaving           bool
 	running           map[string]bool // names of the background calls in progress
 	membersReadAt     time.Time       // when the members were last read from the store; at first the start time
@@ -149,6 +150,8 @@
 	unreported   unreportedEjections
 	relayedUntil map[uint32]time.Time // end of the ejections that were passed on from other failure domains, by token
 
+	signs signExchanger // nil until SetDetector
+
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
 	announcedVersion uint64             // configuration version in the last announcement
 
@@ -215,6 +218,7 @@
 	if !fetching {
 		relayer.passOnWaiting(now)
 	}
+	relayer.sendSigns(now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
@@ -280,6 +284,7 @@
 		count = 1 + len(relayer.members)
 	}
 	relayer.instanceCount.Store(int64(count))
+	relayer.updateDomainCount(count)
 }
 
 // isLeader reports whether this instance is a leader of its failure domain.
@@ -318,6 +323,7 @@
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
 	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.countDomainMembers()
 	relayer.updateInstanceCount()
 }
 
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
@@ -37,6 +38,7 @@
 	revision         uint64
 	configuration    *viewer.Configuration
 	servers          []viewer.BackendServer
+	coldEntries      map[string]coldEntry // by server
 	members          map[string]Member
 	saved            SavedSnapshot
 	evacuated        []string // failure domains, sorted
@@ -57,6 +59,12 @@
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
 }
 
+// coldEntry is what a cold server has written into the store.
+type coldEntry struct {
+	revision  uint64
+	remaining time.Duration
+}
+
 // node is one instance in the simulation, with its source, network, observer and suspicion
 // counter.
 type node struct {
@@ -72,6 +80,8 @@
 	ignored    []string // evacuated failure domains that were too many
 
 	evacuationChanges atomic.Int64
+	detector          *detector.Detector
+	resumed           atomic.Bool // it counts as just resumed after a pause
 
 	suspicionCount int
 
@@ -83,7 +93,7 @@
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
 		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
@@ -115,6 +125,9 @@
 		seeds = append(seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, seedDomain, 0, 0}), 7720))
 	}
 	node.Relayer = NewRelayer(member, seeds, node.viewer, node, node, Detectors{Failures: node, Slowness: examiner.NewSlownessDetector()}, node)
+	node.detector = detector.NewDetector(node)
+	node.SetDetector(node.detector)
+	node.SetPauseDetector(func(time.Time) bool { return node.resumed.Load() })
 	simulation.mutex.Lock()
 	simulation.nodes[address] = node
 	simulation.started = append(simulation.started, node)
@@ -129,6 +142,9 @@
 	return node
 }
 
+func (node *node) ServerSilent(uint32, detector.Evidence) {}
+func (node *node) ServerAlive(uint32, bool)               {}
+
 // kill stops an instance without an announcement.
 func (node *node) kill() {
 	node.stop()
@@ -191,6 +207,11 @@
 	ticker.Sleep(ctx, readTime)
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		servers = &viewer.Servers{Revision: simulation.revision, List: slices.Clone(simulation.servers)}
+		for i := range servers.List {
+			if entry, isCold := simulation.coldEntries[servers.List[i].Name]; isCold {
+				servers.List[i].ColdSince, servers.List[i].ColdUntil = entry.revision, viewer.DeadlineAfter(time.Now(), entry.remaining)
+			}
+		}
 	})
 	return servers, err
 }
@@ -242,57 +263,6 @@
 	})
 }
 
-// reachableNode returns the node at an address, or nil when there is none or a partition
-// separates the two.
-func (node *node) reachableNode(address netip.AddrPort) *node {
-	node.simulation.mutex.Lock()
-	defer node.simulation.mutex.Unlock()
-	other := node.simulation.nodes[address]
-	if other == nil || node.simulation.cutOff[node.member.Name] || node.simulation.cutOff[other.member.Name] {
-		return nil
-	}
-	crossesDomains := other.member.FailureDomain != node.member.FailureDomain
-	if crossesDomains && (node.simulation.partitioned[node.member.FailureDomain] || node.simulation.partitioned[other.member.FailureDomain]) {
-		return nil
-	}
-	return other
-}
-
-func (node *node) Send(to netip.AddrPort, content []byte) {
-	other := node.reachableNode(to)
-	if other == nil {
-		return
-	}
-	copied := append([]byte(nil), content...)
-	node.simulation.mutex.Lock()
-	node.simulation.longestHeartbeat = max(node.simulation.longestHeartbeat, len(content))
-	node.simulation.heartbeatBytes += len(content)
-	node.sentDatagrams++
-	node.sentBytes += len(content)
-	node.simulation.mutex.Unlock()
-	go func() {
-		time.Sleep(networkDelay)
-		if err := other.Receive(other.ctx, copied); err != nil {
-			panic(err)
-		}
-	}()
-}
-
-func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error) {
-	ticker.Sleep(ctx, 2*networkDelay)
-	other := node.reachableNode(control)
-	if other == nil || node.isRefused() {
-		return nil, errUnreachable
-	}
-	content := other.Snapshot(version, revision)
-	node.simulation.mutex.Lock()
-	defer node.simulation.mutex.Unlock()
-	node.simulation.fetchedBytes += len(content)
-	other.servedSnapshots++
-	other.servedBytes += len(content)
-	return content, nil
-}
-
 func (node *node) ConfigurationApplied(uint64, string)           {}
 func (node *node) ServersApplied(_, _ *viewer.Servers, _ string) {}
 func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string) {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,8 +24,19 @@
 // placer.Placer implements it.
 type serverSelector interface {
 	Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer
+	// MayOpen reports whether an opening may be sent to a server now.
+	MayOpen(server *viewer.BackendServer, now time.Time) bool
+	// OpeningSent is called for each opening, and each copy of one, that is sent to a server.
+	OpeningSent(server *viewer.BackendServer, now time.Time)
+	// RequestSent is called for each request on an open flow but the first.
+	RequestSent(server *viewer.BackendServer, now time.Time)
+	// FlowOpened counts a flow as open at a server until FlowClosed.
 	FlowOpened(server *viewer.BackendServer, now time.Time)
 	FlowClosed(server *viewer.BackendServer, now time.Time)
+	// RequestBegan counts an opening or a request as outstanding at a server until
+	// RequestEnded; isFirst says that it is the first of its flow.
+	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
+	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
@@ -48,6 +59,8 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
+	// FlowsReset is called when all flows of a silent server that pass this instance are reset.
+	FlowsReset(server *viewer.BackendServer, flows int)
 }
 
 // FlowSummary is what an instance measured of one flow.
@@ -66,10 +79,11 @@
 
 // Reasons why a flow ended.
 const (
-	EndClosedByCaller EndReason = "finished"   // the caller sent FIN
-	EndResetByCaller  EndReason = "aborted"    // the caller sent RST
-	EndIdle           EndReason = "fell_quiet" // no packets reached this instance for a time
-	EndPortReused     EndReason = "replaced"   // the caller opened another flow from the same port
+	EndClosedByCaller EndReason = "finished"    // the caller sent FIN
+	EndResetByCaller  EndReason = "aborted"     // the caller sent RST
+	EndIdle           EndReason = "fell_quiet"  // no packets reached this instance for a time
+	EndPortReused     EndReason = "replaced"    // the caller opened another flow from the same port
+	EndServerGone     EndReason = "server_gone" // reset here, since its server has ended
 )
 
 // Steerer decides about the packets of one instance; it is not safe for concurrent use.
@@ -84,16 +98,21 @@
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
 	lastSweepAt          time.Time
+	outstanding          []*flow // flows with an outstanding request; may contain others
+	outstandingCheckedAt time.Time
+	adoptedAt            time.Time             // when the last flow of another instance was adopted
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
 	silence              silence
+	follower             follower
+	resetter             resetter
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}}
+	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, follower: newFollower()}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -128,7 +147,7 @@
 		flow = nil
 	}
 	if flow != nil && flow.established {
-		verdict.Action, verdict.Server, verdict.Reason = Send, flow.server, ReasonRetransmitted
+		steerer.repeatOpening(flow, verdict, now)
 		return
 	}
 	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
@@ -142,11 +161,23 @@
 	} else {
 		steerer.recordUnanswered(flow.server, now)
 	}
+	steerer.placer.OpeningSent(server, now)
 	if flow != nil {
 		steerer.recordAttempt(flow, server, now)
 	}
 }
 
+// repeatOpening sends a late copy of an established flow's opening to its server, if that may
+// get an opening now; otherwise it is dropped, as the flow does not need it.
+func (steerer *Steerer) repeatOpening(flow *flow, verdict *Verdict, now time.Time) {
+	if !steerer.placer.MayOpen(flow.server, now) {
+		verdict.Reason = ReasonWarmingUp
+		return
+	}
+	steerer.placer.OpeningSent(flow.server, now)
+	verdict.Action, verdict.Server, verdict.Reason = Send, flow.server, ReasonRetransmitted
+}
+
 // selectServer returns the server for an opening, or nil after setting the refusal
 // in verdict; flow is nil if the flow is not tracked yet.
 func (steerer *Steerer) selectServer(key FlowKey, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
@@ -163,12 +194,16 @@
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
-	if server == nil {
-		reason := ReasonNoServer
-		if view.IsEvacuated(service) {
-			reason = ReasonEvacuated
-		}
-		steerer.refuse(verdict, reason, now)
+	switch {
+	case server != nil:
+	case view.IsEvacuated(service):
+		steerer.refuse(verdict, ReasonEvacuated, now)
+	case len(candidates) == 0:
+		steerer.refuse(verdict, ReasonNoServer, now)
+	case len(attempted) > 0: // a server may have accepted the flow
+		verdict.Action, verdict.Reason = Drop, ReasonWarmingUp
+	default:
+		steerer.refuse(verdict, ReasonWarmingUp, now)
 	}
 	return server
 }
@@ -216,11 +251,17 @@
 		verdict.Reason = ReasonEvacuatedFlow
 	}
 	flow := steerer.flows[packet.Flow]
-	if flow == nil {
+	if flow == nil || flow.isAdopted {
 		steerer.noticeUntracked(packet.Flow, now)
-		return
 	}
-	steerer.observe(flow, packet, server, now)
+	if flow == nil {
+		steerer.adopt(packet, server, now)
+	} else {
+		steerer.observe(flow, packet, server, now)
+	}
+	sign := steerer.follower.observe(packet, now)
+	steerer.resetter.recordSign(server, packet, sign, now)
+	steerer.answerForGone(packet, sign, verdict, now)
 }
 
 // Next returns the next verdict that is due without a packet, or false after expiring idle
@@ -231,7 +272,11 @@
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
+	if verdict, ok := steerer.nextReset(now); ok {
+		return verdict, true
+	}
 	steerer.reportLostRequests(now, drained)
+	steerer.expireRequests(now)
 	steerer.expireFlows(now)
 	return Verdict{}, false
 }
@@ -240,10 +285,11 @@
 // time if it need not be called.
 func (steerer *Steerer) WakeTime() time.Time {
 	steerer.dropAnswered()
-	if len(steerer.unanswered) == 0 {
-		return time.Time{}
+	var retryAt time.Time
+	if len(steerer.unanswered) > 0 {
+		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
-	return steerer.unanswered[0].openingSentAt.Add(answerTimeout)
+	return earliest(retryAt, steerer.resetter.wakeTime())
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
@@ -297,6 +343,7 @@
 		return Verdict{}, false
 	}
 	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonRetried
+	steerer.placer.OpeningSent(server, now)
 	steerer.recordAttempt(flow, server, now)
 	steerer.observer.Decided(&verdict, view)
 	return verdict, true
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -15,6 +15,7 @@
 type Configuration struct {
 	Version     uint64
 	Routes      []Route
+	Services    []Service     // sorted by Name
 	IdleTimeout time.Duration // after this time without packets a flow may be dropped; instances only pass the value on
 }
 
@@ -35,6 +36,10 @@
 type Servers struct {
 	Revision uint64          // grows with every change in the store
 	List     []BackendServer // sorted by Name
+
+	// Unreadable names the servers that are not listed because their entry cannot be
+	// decoded since it was last read: it exists, so they have not ended.
+	Unreadable []string `cbor:",omitempty"`
 }
 
 // BackendServer is one incarnation of a backend server: a restarted server can
@@ -48,8 +53,10 @@
 	FailureDomain string         `cbor:"6,keyasint"`
 	Slots         int            `cbor:"7,keyasint"` // requests that the server processes at the same time
 	State         parser.State   `cbor:"8,keyasint"`
-	StartedAt     int64          `cbor:"9,keyasint"`           // Unix milliseconds; distinguishes incarnations with the same name
-	ColdUntil     time.Time      `cbor:"10,keyasint,omitzero"` // end of the warm-up, during which the server is slower than usual
+	StartedAt     int64          `cbor:"9,keyasint"`            // Unix milliseconds; distinguishes incarnations with the same name
+	ColdUntil     Deadline       `cbor:"11,keyasint,omitzero"`  // not before the end of the warm-up, during which the server is slower than usual; zero if it has none
+	ColdSince     uint64         `cbor:"12,keyasint,omitempty"` // revision of the store at which the server turned cold again; 0 if it is warm, or cold since its start
+	Sharers       Sharers        `cbor:"13,keyasint,omitzero"`  // instances that may open flows during the warm-up if the service states a rate
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation of a server.
@@ -68,7 +75,7 @@
 }
 
 // Digest returns a hash of the list's content. It leaves out the revision and, of
-// each server, ColdUntil, as well as Identity and Token, which follow from the name.
+// each server, ColdUntil, which differs between instances, as well as Identity and Token, which follow from the name.
 func (servers *Servers) Digest() uint64 {
 	digest := xxhash.New()
 	for i := range servers.List {
@@ -84,9 +91,11 @@
 	Evacuations   *Evacuations   // nil until some were accepted
 
 	routes    map[netip.AddrPort]*Route
+	services  map[string]Service
 	byService map[string][]*BackendServer // only servers that accept new flows
 	evacuated map[string]bool             // services with active servers in evacuated failure domains
 	byToken   map[uint32]*BackendServer
+	removed   []RemovedServer // without those that are listed again or retained
 }
 
 // Complete reports whether the view has both a configuration and a list of servers.
@@ -95,6 +104,10 @@
 // Route returns the route with an address, or nil.
 func (view *View) Route(address netip.AddrPort) *Route { return view.routes[address] }
 
+// Service returns what the configuration states about a service, which is nothing if it does
+// not name it.
+func (view *View) Service(name string) Service { return view.services[name] }
+
 // ActiveServers returns the servers of a service that accept new flows; those in evacuated
 // failure domains do not.
 func (view *View) ActiveServers(service string) []*BackendServer { return view.byService[service] }
@@ -112,15 +125,20 @@
 // servers that are leaving, evacuated or were removed recently (see maxFlowAge).
 func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
 
+// Removed returns the servers that were removed recently (see maxFlowAge) and are not
+// listed again; the slice must not be modified.
+func (view *View) Removed() []RemovedServer { return view.removed }
+
 // newView returns a View of a configuration, a list of servers and evacuations, each of
 // which may be nil. Retained servers are treated as if they were listed; removed ones are
 // only found by their tokens.
-func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, retained, removed []*BackendServer) *View {
+func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, retained []*BackendServer, removed []RemovedServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
 		Evacuations:   evacuations,
 		routes:        map[netip.AddrPort]*Route{},
+		services:      map[string]Service{},
 		byService:     map[string][]*BackendServer{},
 		evacuated:     map[string]bool{},
 		byToken:       map[uint32]*BackendServer{},
@@ -129,13 +147,17 @@
 		for i := range configuration.Routes {
 			view.routes[configuration.Routes[i].Address] = &configuration.Routes[i]
 		}
+		for _, service := range configuration.Services {
+			view.services[service.Name] = service
+		}
 	}
 	if servers != nil {
 		view.indexServers(servers, retained)
 	}
 	for _, server := range removed {
-		if view.byToken[server.Token] == nil {
-			view.byToken[server.Token] = server
+		if view.byToken[server.Server.Token] == nil {
+			view.byToken[server.Server.Token] = server.Server
+			view.removed = append(view.removed, server)
 		}
 	}
 	return view
