--- a/logger/logger.go
+++ b/logger/logger.go
@@ -48,6 +48,7 @@
 	EventFlowsReset           decider.EventKind = 516
 	EventServerSilent         decider.EventKind = 517
 	EventServerAlive          decider.EventKind = 518
+	EventAnnouncementMissed   decider.EventKind = 520
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 )
@@ -89,6 +90,7 @@
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
 	EventEvacuationIgnored:    "evacuation has no effect",
+	EventAnnouncementMissed:   "no announcement received, leaders asked for their view",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
 
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -47,6 +47,7 @@
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
 	cutOff           map[string]bool // names of instances cut off from all others, but not from the store
+	refusesFetch     map[string]bool // names of instances whose fetches fail
 	partitioned      map[string]bool // failure domains cut off from the store and the other domains
 	nodes            map[netip.AddrPort]*node
 	started          []*node
@@ -83,12 +84,17 @@
 	resumed           atomic.Bool // it counts as just resumed after a pause
 
 	suspicionCount int
+
+	sentDatagrams, sentBytes     int // heartbeats
+	servedSnapshots, servedBytes int
+	askedCount                   int // announcements that it missed
+	storeCalls                   int
 }
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
 		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
-		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
+		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
 
@@ -104,8 +110,13 @@
 }
 
 // startNode starts an instance in a failure domain; number makes its address unique there.
-func (simulation *fleetSimulation) startNode(t *testing.T, name string, domain int, number byte) *node {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(domain), 0, number}), 7720)
+func (simulation *fleetSimulation) startNode(_ *testing.T, name string, domain int, number byte) *node {
+	return simulation.startNodeAt(netip.AddrFrom4([4]byte{10, byte(domain), 0, number}), name, domain)
+}
+
+// startNodeAt starts an instance in a failure domain at an address.
+func (simulation *fleetSimulation) startNodeAt(ip netip.Addr, name string, domain int) *node {
+	address := netip.AddrPortFrom(ip, 7720)
 	member := Member{Name: name, FailureDomain: fmt.Sprintf("dakar-%d", domain), PeerAddress: address, ControlAddress: address}
 	node := &node{simulation: simulation, viewer: viewer.NewViewer(), member: member}
 	node.ctx, node.stop = context.WithCancel(context.Background())
@@ -170,6 +181,7 @@
 	simulation.mutex.Lock()
 	defer simulation.mutex.Unlock()
 	simulation.storeCalls++
+	node.storeCalls++
 	if simulation.storeDown || simulation.rejectedByStore[node.member.Name] || simulation.partitioned[node.member.FailureDomain] {
 		return errUnreachable
 	}
@@ -251,53 +263,6 @@
 	})
 }
 
-// reachableNode returns the node at an address, or nil when there is none or a partition
-// separates the two.
-func (node *node) reachableNode(address netip.AddrPort) *node {
-	node.simulation.mutex.Lock()
-	defer node.simulation.mutex.Unlock()
-	other := node.simulation.nodes[address]
-	if other == nil || node.simulation.cutOff[node.member.Name] || node.simulation.cutOff[other.member.Name] {
-		return nil
-	}
-	crossesDomains := other.member.FailureDomain != node.member.FailureDomain
-	if crossesDomains && (node.simulation.partitioned[node.member.FailureDomain] || node.simulation.partitioned[other.member.FailureDomain]) {
-		return nil
-	}
-	return other
-}
-
-func (node *node) Send(to netip.AddrPort, content []byte) {
-	other := node.reachableNode(to)
-	if other == nil {
-		return
-	}
-	copied := append([]byte(nil), content...)
-	node.simulation.mutex.Lock()
-	node.simulation.longestHeartbeat = max(node.simulation.longestHeartbeat, len(content))
-	node.simulation.heartbeatBytes += len(content)
-	node.simulation.mutex.Unlock()
-	go func() {
-		time.Sleep(networkDelay)
-		if err := other.Receive(other.ctx, copied); err != nil {
-			panic(err)
-		}
-	}()
-}
-
-func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error) {
-	ticker.Sleep(ctx, 2*networkDelay)
-	other := node.reachableNode(control)
-	if other == nil {
-		return nil, errUnreachable
-	}
-	content := other.Snapshot(version, revision)
-	node.simulation.mutex.Lock()
-	defer node.simulation.mutex.Unlock()
-	node.simulation.fetchedBytes += len(content)
-	return content, nil
-}
-
 func (node *node) ConfigurationApplied(uint64, string)           {}
 func (node *node) ServersApplied(_, _ *viewer.Servers, _ string) {}
 func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string) {
@@ -314,6 +279,7 @@
 	node.lost = append(node.lost, member.Name)
 }
 func (node *node) FetchFailed(string, error) {}
+
 func (node *node) ServerExpired(server *viewer.BackendServer) {
 	node.expired = append(node.expired, server.Name)
 }
