Eject fewer servers the fuller their service is, and none while all are busy

Change: at most the free part of the slots may be ejected, by the estimate of what is outstanding. Test: TestNoServerIsEjectedWhileAllAreBusy.

--- a/director/director.go
+++ b/director/director.go
@@ -160,12 +160,13 @@
 	}
 }
 
-func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, isFailing failureCheck, recorder *Recorder) *estimator.Estimator {
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, isFailing failureCheck, recorder *Recorder) *estimator.Estimator {
 	instances := func() estimator.Instances {
 		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
 	}
 	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, isFailing)
 	recorder.SetLoadGauge(created)
+	ejections.SetLoad(func(service string, now time.Time) float64 { return created.Room(service, now).Outstanding })
 	return created
 }
 
--- a/examiner/examiner_test.go
+++ b/examiner/examiner_test.go
@@ -156,6 +156,26 @@
 	assert.Assert(t, !ejections.Eject(servers(2)[0], servers(2), until, start), "no server of a service of two is ejected")
 }
 
+// The load: more requests than the slots of all servers, so that working servers reject some.
+func TestNoServerIsEjectedWhileAllAreBusy(t *testing.T) {
+	for _, c := range []struct {
+		utilization float64
+		want        int // of 10 servers
+	}{{0.25, 3}, {0.7, 3}, {0.85, 1}, {0.95, 0}, {3, 0}} {
+		ejections, all, ejected := NewEjections(), servers(10), 0
+		for _, server := range all {
+			server.Slots = 2
+		}
+		ejections.SetLoad(func(string, time.Time) float64 { return 20 * c.utilization })
+		for _, server := range all {
+			if ejections.Eject(server, all, start.Add(time.Second), start) {
+				ejected++
+			}
+		}
+		assert.Equal(t, ejected, c.want, "at utilization %v", c.utilization)
+	}
+}
+
 func TestNumberOfRoutesIsBounded(t *testing.T) {
 	examiner := NewExaminer(func(*viewer.BackendServer, Suspicion) {})
 	for number := range uint32(maxRoutes + 10) {
