--- /dev/null
+++ b/admitter/shared.go
@@ -0,0 +1,106 @@
+package admitter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// SharedLifetime is how long figures of other instances are used.
+	SharedLifetime = time.Second
+	// maxSharedServices bounds the services in a Load, so that it fits one datagram.
+	maxSharedServices = 10
+)
+
+// Load is what one instance, or several together, see of the services that lack room.
+type Load []ServiceLoad
+
+// ServiceLoad is the load of one service, in events per second.
+type ServiceLoad struct {
+	Service  string  `cbor:"1,keyasint"`
+	Answered float32 `cbor:"2,keyasint"` // responses, shed ones included
+	Shed     float32 `cbor:"3,keyasint"` // responses of servers with full queues
+	Offered  float32 `cbor:"4,keyasint"` // openings that callers ask for
+	Admitted float32 `cbor:"5,keyasint"` // openings that are sent to servers
+}
+
+// excess returns how many responses per second are shed beyond maxShedShare of all; it is
+// negative if fewer are.
+func (serviceLoad *ServiceLoad) excess(maxShedShare float64) float64 {
+	return float64(serviceLoad.Shed) - maxShedShare*float64(serviceLoad.Answered)
+}
+
+// Sum returns the sum of loads, of the services that shed most.
+func Sum(loads []Load) Load {
+	sums := map[string]ServiceLoad{}
+	for _, load := range loads {
+		for _, service := range load {
+			sum := sums[service.Service]
+			sum.Service = service.Service
+			sum.Answered += service.Answered
+			sum.Shed += service.Shed
+			sum.Offered += service.Offered
+			sum.Admitted += service.Admitted
+			sums[service.Service] = sum
+		}
+	}
+	var load Load
+	for _, sum := range sums {
+		load = append(load, sum)
+	}
+	return load.limited()
+}
+
+// limited returns the maxSharedServices services that shed most.
+func (load Load) limited() Load {
+	slices.SortFunc(load, func(a, b ServiceLoad) int {
+		return cmp.Or(cmp.Compare(b.Shed, a.Shed), cmp.Compare(a.Service, b.Service))
+	})
+	return load[:min(len(load), maxSharedServices)]
+}
+
+// sharedLoad is the sum over the fleet.
+type sharedLoad struct {
+	receivedAt time.Time
+	services   map[string]ServiceLoad
+}
+
+// ApplyShared replaces the sum over the fleet.
+func (admitter *Admitter) ApplyShared(load Load, now time.Time) {
+	shared := sharedLoad{receivedAt: now, services: map[string]ServiceLoad{}}
+	for _, service := range load {
+		shared.services[service.Service] = service
+	}
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	admitter.shared = shared
+}
+
+// Report returns this instance's load of the services that lack room here or, by the sum over
+// the fleet, elsewhere; it returns nil while none does.
+func (admitter *Admitter) Report(now time.Time) Load {
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	if !admitter.settings.Enabled {
+		return nil
+	}
+	var load Load
+	for name, service := range admitter.services {
+		own := service.own(now)
+		own.Service = name
+		shared := admitter.sharedService(name, now)
+		if service.showsShortage(own, admitter.settings.MaxShedShare, now) || shared.excess(admitter.settings.MaxShedShare) > 0 {
+			load = append(load, own)
+		}
+	}
+	return load.limited()
+}
+
+// sharedService returns the fleet's load of a service, zero if it is too old or unknown.
+func (admitter *Admitter) sharedService(name string, now time.Time) ServiceLoad {
+	if now.Sub(admitter.shared.receivedAt) > SharedLifetime {
+		return ServiceLoad{}
+	}
+	return admitter.shared.services[name]
+}
--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -23,8 +23,20 @@
 	DrainTimeout      Duration         `json:"drain_timeout"` // time after which a draining backend server may get no new flows; 0 if unlimited
 	ApplyTimeout      Duration         `json:"apply_timeout"` // time within which a configuration has to be in force; 0 if unlimited
 	Log               Log              `json:"log"`
+	Admission         Admission        `json:"admission"` // what happens when callers ask for more than the servers can work off
 }
 
+// Admission holds the settings of the decisions about new flows when room is short.
+type Admission struct {
+	Enabled      bool     `json:"enabled"`
+	MaxWait      Duration `json:"max_wait"`       // of a new flow for a place
+	MaxShedShare float64  `json:"max_shed_share"` // of a service's responses, above which new flows are limited
+}
+
+var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.05}
+
+const maxAdmissionWait = Duration(180 * time.Millisecond) // callers repeat an opening after 200 ms
+
 // PeerAddress returns the UDP address on which the instance receives heartbeats.
 func (platformSettings *PlatformSettings) PeerAddress() netip.AddrPort {
 	return netip.AddrPortFrom(platformSettings.Address, platformSettings.PeerPorts[0])
@@ -53,7 +65,7 @@
 // ReadPlatformSettings reads and validates a settings file. It returns Findings as
 // its error if the content is invalid.
 func ReadPlatformSettings(file string) (*PlatformSettings, error) {
-	platformSettings := &PlatformSettings{Log: Log{Format: "json"}, StopTimeout: defaultStopTimeout}
+	platformSettings := &PlatformSettings{Log: Log{Format: "json"}, StopTimeout: defaultStopTimeout, Admission: defaultAdmission}
 	if err := readStrict(file, platformSettings); err != nil {
 		return nil, err
 	}
@@ -81,5 +93,8 @@
 	require(platformSettings.DrainTimeout >= 0, "drain_timeout", "must not be negative")
 	require(platformSettings.ApplyTimeout >= 0, "apply_timeout", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
+	admission := platformSettings.Admission
+	require(admission.MaxWait >= 0 && admission.MaxWait <= maxAdmissionWait, "admission.max_wait", "must be from 0 to 180ms")
+	require(admission.MaxShedShare > 0 && admission.MaxShedShare < 1, "admission.max_shed_share", "must be above 0 and below 1")
 	return findings
 }
--- a/director/director.go
+++ b/director/director.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/dig"
 
+	"github.com/pimentowind/pimentowind/admitter"
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/examiner"
@@ -75,6 +76,7 @@
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newAdmitter,
 		newSteerer,
 		builder.newSocket,
 		builder.newTicker,
@@ -125,7 +127,7 @@
 	return network, nil
 }
 
-func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, recorder *Recorder) *relayer.Relayer {
+func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, admitter *admitter.Admitter, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
 		Name:           settings.Instance,
 		FailureDomain:  settings.FailureDomain,
@@ -137,16 +139,22 @@
 	detectors := relayer.Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
 	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, detectors, observer)
 	created.SetChangeDeadline(settings.ChangeDeadline())
+	created.SetLoadMonitor(admitter)
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
+		if admitter.IsLimited(server.Service) {
+			return // servers that have too much to do look failing and slow
+		}
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
-	return steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created.UseAdmission(admitter)
+	return created
 }
 
 func (builder *builder) newSocket(settings *configurer.PlatformSettings, steerer *steerer.Steerer, recorder *Recorder) (*Socket, error) {
--- a/examiner/examiner.go
+++ b/examiner/examiner.go
@@ -107,6 +107,13 @@
 	average.bytes += lengthSmoothing * (float64(bytes) - average.bytes)
 }
 
+// IsShort reports whether a response of this length is much shorter than usual on its route,
+// as one that says that the request failed or was not run.
+func (examiner *Examiner) IsShort(route netip.AddrPort, bytes uint32) bool {
+	average := examiner.averages[route]
+	return average != nil && average.samples > minRouteSamples && float64(bytes) < shortResponseRatio*average.bytes
+}
+
 // RecordLostRequest reports a server that did not take a request or an opening.
 func (examiner *Examiner) RecordLostRequest(server *viewer.BackendServer) {
 	examiner.onSuspicious(server, Failing)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -137,6 +137,7 @@
 	now := time.Now()
 	relayer.recordSender(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
+	relayer.receiveLoad(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	return nil
 }
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -34,6 +34,9 @@
 	// RouteDelta leads to ConfigurationVersion from the version in the sender's previous
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
+
+	// Load is sent while services lack room; see loadExchange.
+	Load *SharedLoad `cbor:"load,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -135,6 +135,7 @@
 
 	justResumed  func(now time.Time) bool // whether the process was paused until a moment ago
 	unreported   unreportedEjections
+	loads        loadExchange
 	relayedUntil map[uint32]time.Time // end of the ejections that were passed on from other failure domains, by token
 
 	routeDelta       *viewer.RouteDelta // from the previous configuration to the current one; nil for the first
@@ -163,8 +164,8 @@
 	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
-		suspicionSender: newSuspicionSender(),
-		members:         map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
+		suspicionSender: newSuspicionSender(), loads: newLoadExchange(),
+		members: map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
@@ -190,6 +191,7 @@
 	}
 	relayer.mutex.Unlock()
 	relayer.reportEjections(now)
+	relayer.shareLoad(now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -34,6 +34,7 @@
 	ended           bool
 	countedAsLoad   bool // the placer counts the flow as open at server
 	isRetransmitted bool // the caller has retransmitted data of the last request
+	isOutcomeKnown  bool // the admission has been told of the last response
 
 	establishedAt         time.Time
 	requestReceivedAt     time.Time // when the last request began; zero until the first data
@@ -99,9 +100,11 @@
 			flow.acknowledgedAt = now
 		}
 	}
+	steerer.awaitCompletion(flow, now)
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
+		flow.isOutcomeKnown = false
 		steerer.awaitResponse(flow)
 	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
 		flow.isRetransmitted = true
@@ -138,7 +141,10 @@
 // placer and the examiner.
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
 	if responseTime := flow.responseTime(); responseTime > 0 {
-		steerer.placer.RecordResponseTime(flow.server, responseTime, now)
+		steerer.recordOutcome(flow, now)
+		if !steerer.wasShed(flow) {
+			steerer.placer.RecordResponseTime(flow.server, responseTime, now)
+		}
 		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment, responseTime, now)
 	}
 }
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"time"
 
+	"github.com/pimentowind/pimentowind/admitter"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -65,6 +67,9 @@
 
 	Candidates int // servers that an opening could have been sent to
 	Attempts   int // servers that the opening was sent to before
+
+	Class  admitter.Class // of an opening
+	Waited time.Duration  // how long an opening was held
 }
 
 // Reason is the cause of a verdict; its value is also the name of the counter.
@@ -81,5 +86,9 @@
 	ReasonJustResumed   Reason = "just_resumed"     // dropped instead of reset, because the process was paused
 	ReasonUnknownToken  Reason = "unknown_token"    // no server has the token of a later packet
 	ReasonNoView        Reason = "no_view"          // configuration or servers not yet known
+	ReasonHeld          Reason = "held"             // the opening waits for a place at a server
+	ReasonHeldCopy      Reason = "held_copy"        // a copy of an opening that waits
+	ReasonReleased      Reason = "released"         // an opening that was held was sent to a server
+	ReasonNoRoom        Reason = "refused_no_room"  // the servers cannot work off the opening's request in time
 	ReasonFromServer    Reason = "not_from_caller"  // SYN with ACK, which only a server sends
 )
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -38,6 +38,8 @@
 	// RecordLostRequest is called for a request or an opening that its server did not take.
 	RecordLostRequest(server *viewer.BackendServer)
 	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time)
+	// IsShort reports whether a response is much shorter than usual on its route.
+	IsShort(route netip.AddrPort, bytes uint32) bool
 }
 
 // Observer receives the events of flows for logs and counters.
@@ -87,12 +89,15 @@
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
+	admission            admission             // nil if every opening is sent at once
+	held                 map[FlowKey]*heldPacket
+	complete             []completeResponse // in the order of their last acknowledgment
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}}
+	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, held: map[FlowKey]*heldPacket{}}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -104,6 +109,7 @@
 		verdict.Reason = ReasonNoView
 	case packet.Flags.SYN && packet.Flags.ACK:
 		verdict.Reason = ReasonFromServer
+	case packet.IsOpening() && !steerer.admit(packet, view, &verdict, now):
 	case packet.IsOpening():
 		steerer.placeOpening(packet, view, &verdict, now)
 	default:
@@ -222,7 +228,11 @@
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
+	if verdict, ok := steerer.nextHeld(now); ok {
+		return verdict, true
+	}
 	steerer.reportLostRequests(now, drained)
+	steerer.reportComplete(now)
 	steerer.expireFlows(now)
 	return Verdict{}, false
 }
@@ -231,10 +241,19 @@
 // time if it need not be called.
 func (steerer *Steerer) WakeTime() time.Time {
 	steerer.dropAnswered()
-	if len(steerer.unanswered) == 0 {
-		return time.Time{}
+	wakeAt := steerer.heldWakeTime()
+	if len(steerer.unanswered) > 0 {
+		wakeAt = earlier(wakeAt, steerer.unanswered[0].openingSentAt.Add(answerTimeout))
+	}
+	return wakeAt
+}
+
+// earlier returns the earlier one of two times, of which the zero time stands for never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return steerer.unanswered[0].openingSentAt.Add(answerTimeout)
+	return a
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -19,6 +19,9 @@
 	caller  = netip.MustParseAddrPort("100.64.0.7:40001")
 )
 
+// shortResponse is the length in bytes below which harness calls a response short.
+const shortResponse = 150
+
 // harness is the steerer of one instance with a real placer; it records what the
 // steerer reports to its observer and its examiner.
 type harness struct {
@@ -42,6 +45,8 @@
 	harness.responseTimes = append(harness.responseTimes, duration)
 }
 
+func (harness *harness) IsShort(_ netip.AddrPort, bytes uint32) bool { return bytes < shortResponse }
+
 func (harness *harness) Decided(verdict *Verdict, _ *viewer.View) {
 	harness.decided = append(harness.decided, verdict.Reason)
 }
--- a/viewer/route_delta.go
+++ b/viewer/route_delta.go
@@ -60,7 +60,9 @@
 
 // equal compares all fields but the address.
 func (route *Route) equal(other *Route) bool {
-	return route.Name == other.Name && slices.Equal(route.Shares, other.Shares)
+	return route.Name == other.Name && slices.Equal(route.Shares, other.Shares) &&
+		route.Priority == other.Priority && route.IsRepeatable == other.IsRepeatable &&
+		route.Objective == other.Objective && route.Timeout == other.Timeout
 }
 
 // routesByAddress indexes the routes and reports whether their addresses are unique.
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -23,6 +23,11 @@
 	Name    string
 	Address netip.AddrPort
 	Shares  []Share
+
+	Priority     int           // of its requests; lower numbers are more urgent
+	IsRepeatable bool          // a request that may have run may be repeated
+	Objective    time.Duration // within which callers need the response; 0 if not stated
+	Timeout      time.Duration // after which callers give up; 0 if not stated
 }
 
 // Share is a service's part of a route's new flows, in proportion to Weight.
