--- a/admitter/load.go
+++ b/admitter/load.go
@@ -21,8 +21,9 @@
 	growthTime = 500 * time.Millisecond
 	// fullQueueRatio is the multiple of the usual response time from which the budget does
 	// not grow: the servers' queues are about half full.
-	fullQueueRatio  = 1.4
+	fullQueueRatio  = 2
 	emptyQueueRatio = 1.1
+	shortQueueRatio = 1.1
 	// minShed is how many recent shed responses show too little room.
 	minShed = 1.5
 	// displaceableShare is the part of what the servers work off that less urgent classes must
@@ -60,6 +61,7 @@
 	admitted rate    // openings
 	answered rate    // first requests of flows, shed ones included
 	shed     rate    // first requests of flows
+	delay    rate    // of each response that was not shed, as a multiple of the usual time
 	usual    float64 // response time in seconds while there is room; 0 before the first
 	recent   float64 // response time in seconds
 
@@ -72,7 +74,7 @@
 }
 
 func newServiceLoad() *serviceLoad {
-	return &serviceLoad{classes: map[Class]*classLoad{}, budget: unlimited, answered: rate{span: shedSpan}, shed: rate{span: shedSpan}, admitted: rate{span: shedSpan}}
+	return &serviceLoad{classes: map[Class]*classLoad{}, budget: unlimited, answered: rate{span: shedSpan}, shed: rate{span: shedSpan}, admitted: rate{span: shedSpan}, delay: rate{span: shedSpan}}
 }
 
 func (serviceLoad *serviceLoad) class(class Class) *classLoad {
@@ -100,6 +102,7 @@
 	if serviceLoad.usual == 0 {
 		serviceLoad.usual, serviceLoad.recent = seconds, seconds
 	}
+	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
 	serviceLoad.recent += recentSmoothing * (min(seconds, usualLimit*serviceLoad.usual) - serviceLoad.recent)
 	if !serviceLoad.isLimited() && seconds < usualLimit*serviceLoad.usual {
 		serviceLoad.usual += usualSmoothing * (seconds - serviceLoad.usual)
@@ -132,8 +135,13 @@
 		fleet := float64(shared.Admitted / shared.Offered)
 		serviceLoad.budget += followShare * (fleet*offered - serviceLoad.budget)
 	}
-	growth := serviceLoad.growth()
-	if excess := seen.excess(maxShedShare); excess > 0 && growth == 0 {
+	ratio := serviceLoad.delayRatio()
+	fleetRatio := ratio
+	if shared.Answered > 0 {
+		fleetRatio = (ratio + float64(shared.Delay/max(shared.Answered-shared.Shed, 1))) / 2
+	}
+	growth := between(ratio, fullQueueRatio, emptyQueueRatio)
+	if excess := seen.excess(maxShedShare); excess > 0 && fleetRatio > shortQueueRatio {
 		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
 	} else {
 		serviceLoad.budget += growth * float64(own.Answered) * elapsed.Seconds() / growthTime.Seconds()
@@ -157,16 +165,22 @@
 		Shed:     float32(serviceLoad.shed.perSecond(now)),
 		Offered:  float32(serviceLoad.offered(now)),
 		Admitted: float32(serviceLoad.admitted.perSecond(now)),
+		Delay:    float32(serviceLoad.delay.perSecond(now)),
 	}
 }
 
-// growth returns how fast the budget may grow, from 0 with long queues to 1 without.
-func (serviceLoad *serviceLoad) growth() float64 {
+// delayRatio returns the recent response time as a multiple of the usual one.
+func (serviceLoad *serviceLoad) delayRatio() float64 {
 	if serviceLoad.usual == 0 {
 		return 1
 	}
-	ratio := serviceLoad.recent / serviceLoad.usual
-	return min(max((fullQueueRatio-ratio)/(fullQueueRatio-emptyQueueRatio), 0), 1)
+	return serviceLoad.recent / serviceLoad.usual
+}
+
+// between returns 0 if value is zero or beyond it, 1 if it is one or beyond it, and in proportion
+// between them.
+func between(value, zero, one float64) float64 {
+	return min(max((value-zero)/(one-zero), 0), 1)
 }
 
 // offered returns the openings per second that callers ask for.
--- a/admitter/shared.go
+++ b/admitter/shared.go
@@ -23,6 +23,7 @@
 	Shed     float32 `cbor:"3,keyasint"` // responses of servers with full queues
 	Offered  float32 `cbor:"4,keyasint"` // openings that callers ask for
 	Admitted float32 `cbor:"5,keyasint"` // openings that are sent to servers
+	Delay    float32 `cbor:"6,keyasint"` // the sum over the responses that were not shed of their time as a multiple of the usual
 }
 
 // excess returns how many responses per second are shed beyond maxShedShare of all; it is
@@ -42,6 +43,7 @@
 			sum.Shed += service.Shed
 			sum.Offered += service.Offered
 			sum.Admitted += service.Admitted
+			sum.Delay += service.Delay
 			sums[service.Service] = sum
 		}
 	}
