--- a/director/director.go
+++ b/director/director.go
@@ -16,6 +16,7 @@
 	"github.com/pimentowind/pimentowind/admitter"
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
+	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/placer"
@@ -77,6 +78,7 @@
 		builder.newNetwork,
 		builder.newRelayer,
 		newAdmitter,
+		newEstimator,
 		newSteerer,
 		builder.newSocket,
 		builder.newTicker,
@@ -143,9 +145,18 @@
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newEstimator(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, ejections *examiner.Ejections, recorder *Recorder) *estimator.Estimator {
+	instances := func() estimator.Instances {
+		return estimator.Instances{Fleet: relayer.Instances(), Domain: relayer.DomainInstances()}
+	}
+	created := estimator.NewEstimator(settings.FailureDomain, instances, current.Current, ejections.IsEjected)
+	recorder.SetLoadGauge(created)
+	return created
+}
+
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	placer := placer.NewPlacer(settings.FailureDomain, relayer.Instances, ejections.IsEjected, random)
+	placer := placer.NewPlacer(settings.FailureDomain, estimator, ejections.IsEjected, random)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		if admitter.IsLimited(server.Service) {
 			return // servers that have too much to do look failing and slow
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -37,6 +37,9 @@
 
 	// Load is sent while services lack room; see loadExchange.
 	Load *SharedLoad `cbor:"load,omitempty"`
+	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
+	// the sender may not know all.
+	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -52,8 +55,8 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
-	case heartbeat.InstanceCount < 0:
-		return errors.Errorf("heartbeat of %q counts %d instances", sender.Name, heartbeat.InstanceCount)
+	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
+		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
