--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -33,7 +33,7 @@
 	MaxShedShare float64  `json:"max_shed_share"` // of a service's responses, above which new flows are limited
 }
 
-var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.08}
+var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.05}
 
 const maxAdmissionWait = Duration(180 * time.Millisecond) // callers repeat an opening after 200 ms
 
