--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -14,6 +14,8 @@
 	expiryInterval = 5 * time.Second
 	// serviceLifetime is how long the load of an unused service is kept.
 	serviceLifetime = 2 * time.Minute
+	// callerSpan is the time after which a caller's place counts e times less against it.
+	callerSpan = 300 * time.Millisecond
 	// maxCallers bounds the callers whose places are counted; a further one discards all.
 	maxCallers = 20_000
 )
@@ -75,7 +77,6 @@
 	Class    Class
 	Duration time.Duration // from the request to the end of the response
 	IsShort  bool          // much shorter than usual on its route, as if the request was not run
-	IsFirst  bool          // it answers the first request of its flow
 }
 
 // RecordResponse counts a response.
@@ -130,7 +131,7 @@
 		if len(admitter.callers) >= maxCallers {
 			clear(admitter.callers)
 		}
-		places = &rate{}
+		places = &rate{span: callerSpan}
 		admitter.callers[address] = places
 	}
 	return places
@@ -166,7 +167,7 @@
 	}
 }
 
-// sortedServices returns the names of the services with held openings.
+// waitingServices returns the names of the services with held openings.
 func (admitter *Admitter) waitingServices() []string {
 	var names []string
 	for name, service := range admitter.services {
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -6,24 +6,26 @@
 )
 
 const (
-	// followShare is the part by which the budget moves at each correction to the fleet's part of
-	// the openings, so that callers of all failure domains have the same chance.
-	followShare = 0.25
-	// releaseShare is how many times what callers ask for the budget must be to end the limit.
-	releaseShare = 1.3
-	shedSpan     = 400 * time.Millisecond
 	// controlInterval is the time between two corrections of the budget.
 	controlInterval = 100 * time.Millisecond
+	// loadSpan is the time after which an event counts e times less in what the budget follows. A
+	// shed request shows about a quarter of a second after its opening was admitted.
+	loadSpan = 400 * time.Millisecond
 	// correctionShare is the part by which the budget moves at each correction to what was
 	// admitted less what was shed too much.
 	correctionShare = 0.5
-	// growthTime is the time in which the budget grows by all that callers ask for, while the servers'  queues are empty.
+	// followShare is the part by which the budget moves at each correction to the fleet's part of
+	// the openings, so that callers of all failure domains have the same chance.
+	followShare = 0.25
+	// growthTime is the time in which the budget grows by all that the servers answer, while their
+	// queues are empty.
 	growthTime = 500 * time.Millisecond
-	// fullQueueRatio is the multiple of the usual response time from which the budget does
-	// not grow: the servers' queues are about half full.
-	fullQueueRatio  = 2
+	// releaseShare is how many times what callers ask for the budget must be to end the limit.
+	releaseShare = 1.3
+	// emptyQueueRatio is the multiple of the usual response time below which the servers' queues
+	// count as empty; then the budget is never cut. From halfQueueRatio it does not grow.
 	emptyQueueRatio = 1.1
-	shortQueueRatio = 1.1
+	halfQueueRatio  = 2
 	// minShed is how many recent shed responses show too little room.
 	minShed = 1.5
 	// displaceableShare is the part of what the servers work off that less urgent classes must
@@ -35,12 +37,12 @@
 	// shedTimeRatio is the part of the usual response time from which a short response counts
 	// as shed after a wait. A shorter one is a failure.
 	shedTimeRatio = 0.4
-	// usualSmoothing is the weight of a response in the usual response time.
-	usualSmoothing = 0.02
-	// recentSmoothing is the weight of a response in the recent response time.
+	// usualSmoothing and recentSmoothing are the weights of a response in the usual and the
+	// recent response time.
+	usualSmoothing  = 0.02
 	recentSmoothing = 0.2
 	// usualLimit is the multiple of the usual response time above which a response does not
-	// change it.
+	// change it, and counts no more in the recent one.
 	usualLimit = 3
 	// maxTokenTime is the time for which an unused budget is kept.
 	maxTokenTime = 50 * time.Millisecond
@@ -59,8 +61,8 @@
 type serviceLoad struct {
 	classes  map[Class]*classLoad
 	admitted rate    // openings
-	answered rate    // first requests of flows, shed ones included
-	shed     rate    // first requests of flows
+	answered rate    // responses, shed ones included
+	shed     rate    // responses of servers with full queues
 	delay    rate    // of each response that was not shed, as a multiple of the usual time
 	usual    float64 // response time in seconds while there is room; 0 before the first
 	recent   float64 // response time in seconds
@@ -70,24 +72,32 @@
 	tokens       float64 // openings that may be admitted now
 	refilledAt   time.Time
 	held         []*heldOpening
+	wasLimited   bool // at the last summary or since
+	events       events
 	lastUsed     time.Time
 }
 
 func newServiceLoad() *serviceLoad {
-	return &serviceLoad{classes: map[Class]*classLoad{}, budget: unlimited, answered: rate{span: shedSpan}, shed: rate{span: shedSpan}, admitted: rate{span: shedSpan}, delay: rate{span: shedSpan}}
+	return &serviceLoad{
+		classes:  map[Class]*classLoad{},
+		budget:   unlimited,
+		admitted: rate{span: loadSpan},
+		answered: rate{span: loadSpan},
+		shed:     rate{span: loadSpan},
+		delay:    rate{span: loadSpan},
+	}
 }
 
 func (serviceLoad *serviceLoad) class(class Class) *classLoad {
 	load := serviceLoad.classes[class]
 	if load == nil {
-		load = &classLoad{}
+		load = &classLoad{openings: rate{span: loadSpan}, served: rate{span: loadSpan}}
 		serviceLoad.classes[class] = load
 	}
 	return load
 }
 
-// recordResponse counts a response. Only the first one of a flow shows whether there was room
-// for its opening: later requests go to the same server, however full that is.
+// recordResponse counts a response.
 func (serviceLoad *serviceLoad) recordResponse(response Response, now time.Time) {
 	seconds := response.Duration.Seconds()
 	if response.IsShort {
@@ -111,39 +121,37 @@
 
 func (serviceLoad *serviceLoad) isLimited() bool { return !math.IsInf(serviceLoad.budget, 1) }
 
-// control corrects the budget at most once per controlInterval.
-func (serviceLoad *serviceLoad) control(maxShedShare float64, shared ServiceLoad, now time.Time) {
-	elapsed := now.Sub(serviceLoad.controlledAt)
+// control corrects the budget at most once per controlInterval. The limit begins when more than
+// twice maxShedShare of the responses is shed. From then on the budget is what was admitted
+// less the responses that were shed beyond maxShedShare, and grows as the queues get short.
+func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
+	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
 	if elapsed < controlInterval {
 		return
 	}
 	serviceLoad.controlledAt = now
-	elapsed = min(elapsed, 5*controlInterval)
 	own := serviceLoad.own(now)
 	if !serviceLoad.isLimited() {
 		if !serviceLoad.showsShortage(own, 2*maxShedShare, now) {
 			return
 		}
 		serviceLoad.budget = float64(own.Admitted)
+		serviceLoad.wasLimited = true
 		serviceLoad.refilledAt, serviceLoad.tokens = now, 0
 	}
-	offered, seen := float64(own.Offered), own
-	if shared.Answered > 0 {
-		seen.Shed = (own.Shed + own.Answered*shared.Shed/shared.Answered) / 2
-	}
-	if shared.Offered > 0 {
-		fleet := float64(shared.Admitted / shared.Offered)
-		serviceLoad.budget += followShare * (fleet*offered - serviceLoad.budget)
+	offered, ratio := float64(own.Offered), serviceLoad.delayRatio()
+	excess, meanRatio := own.excess(maxShedShare), ratio
+	if fleet.Answered > 0 {
+		excess = (excess + fleet.excess(maxShedShare)*float64(own.Answered/fleet.Answered)) / 2
+		meanRatio = (ratio + fleet.delayRatio()) / 2
 	}
-	ratio := serviceLoad.delayRatio()
-	fleetRatio := ratio
-	if shared.Answered > 0 {
-		fleetRatio = (ratio + float64(shared.Delay/max(shared.Answered-shared.Shed, 1))) / 2
+	if fleet.Offered > 0 {
+		serviceLoad.budget += followShare * (float64(fleet.Admitted/fleet.Offered)*offered - serviceLoad.budget)
 	}
-	growth := between(ratio, fullQueueRatio, emptyQueueRatio)
-	if excess := seen.excess(maxShedShare); excess > 0 && fleetRatio > shortQueueRatio {
+	if excess > 0 && meanRatio > emptyQueueRatio {
 		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
 	} else {
+		growth := between(ratio, halfQueueRatio, emptyQueueRatio)
 		serviceLoad.budget += growth * float64(own.Answered) * elapsed.Seconds() / growthTime.Seconds()
 		if serviceLoad.budget > releaseShare*offered+1 {
 			serviceLoad.budget = unlimited
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -257,13 +257,13 @@
 
 // send has a server work on a request, or shed it after a wait.
 func (play *play) send(request *request, flow *longFlow) {
-	server, sentAt, isFirst := flow.server, play.now, flow.usedAt.IsZero()
+	server, sentAt := flow.server, play.now
 	flow.usedAt = play.now
 	flow.instance.counts[server]++
 	finish := func(isShed bool) {
 		play.after(roundTrip, func() {
 			flow.instance.counts[server]--
-			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), IsShort: isShed, IsFirst: isFirst}, play.now)
+			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), IsShort: isShed}, play.now)
 			if request.class == stream {
 				play.flows[request.domain] = append(play.flows[request.domain], flow)
 			}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -34,8 +34,10 @@
 	held.places = admitter.callerRate(opening.Flow.Caller.Addr()).weightAt(now)
 	position, _ := slices.BinarySearchFunc(service.held, held, compareHeld)
 	if position >= limit {
+		service.events.refuse(opening.Class)
 		return Refuse
 	}
+	service.events.held++
 	service.held = slices.Insert(service.held, position, held)
 	for i := limit; i < len(service.held); i++ {
 		service.held[i].evicted = true
@@ -69,20 +71,23 @@
 		if !service.isLimited() || service.tokens >= 1 {
 			held := service.remove(0)
 			admitter.take(service, held.Opening, now)
-			return held.result(Admit, now), true
+			return service.end(held, Admit, now), true
 		}
 		for i, held := range service.held {
 			if held.evicted || !now.Before(held.until) {
 				service.remove(i)
-				return held.result(Refuse, now), true
+				return service.end(held, Refuse, now), true
 			}
 		}
 	}
 	return Result{}, false
 }
 
-func (heldOpening *heldOpening) result(decision Decision, now time.Time) Result {
-	return Result{Flow: heldOpening.Flow, Decision: decision, Waited: now.Sub(heldOpening.heldAt)}
+// end counts the decision about an opening that was held, and returns it.
+func (serviceLoad *serviceLoad) end(held *heldOpening, decision Decision, now time.Time) Result {
+	result := Result{Flow: held.Flow, Decision: decision, Waited: now.Sub(held.heldAt)}
+	serviceLoad.events.end(result, held.Class)
+	return result
 }
 
 // remove removes the held opening at an index and returns it.
--- a/admitter/shared.go
+++ b/admitter/shared.go
@@ -32,6 +32,11 @@
 	return float64(serviceLoad.Shed) - maxShedShare*float64(serviceLoad.Answered)
 }
 
+// delayRatio returns the mean response time as a multiple of the usual one.
+func (serviceLoad *ServiceLoad) delayRatio() float64 {
+	return float64(serviceLoad.Delay / max(serviceLoad.Answered-serviceLoad.Shed, 1))
+}
+
 // Sum returns the sum of loads, of the services that shed most.
 func Sum(loads []Load) Load {
 	sums := map[string]ServiceLoad{}
--- a/director/director.go
+++ b/director/director.go
@@ -105,6 +105,7 @@
 	Socket           *Socket
 	Ticker           *ticker.Ticker
 	Responder        *Responder
+	Admitter         *admitter.Admitter
 }
 
 func (builder *builder) newQueue() *logger.Queue {
@@ -215,6 +216,11 @@
 	go instance.Relayer.Run(work)
 	instance.Relayer.Tick(work, time.Now())
 	defer instance.Ticker.Subscribe(relayerInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
+	defer instance.Ticker.Subscribe(summaryInterval, func(now time.Time) {
+		for _, summary := range instance.Admitter.Summaries(now) {
+			instance.Recorder.AdmissionSummarized(summary)
+		}
+	})()
 	defer instance.Ticker.Subscribe(logFlushInterval, instance.Recorder.Flush)()
 	defer instance.Ticker.Subscribe(settingsCheckInterval, instance.Reloader.CheckFile)()
 	err := instance.wait(ctx, hangups, forwarding)
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -34,6 +34,7 @@
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
+	limitedServices map[string]bool      // whether openings are limited, as last logged
 	failureLoggedAt map[string]time.Time // by socket or kind of message: when its last error was logged
 	ready           bool                 // as last reported to the fabric
 	reportedDropped uint64               // dropped log lines, as last logged
@@ -53,6 +54,7 @@
 		queue:           queue,
 		failingCalls:    map[string]bool{},
 		failureLoggedAt: map[string]time.Time{},
+		limitedServices: map[string]bool{},
 	}
 	recorder.placements = placementRecorder{failureDomain: settings.FailureDomain, services: map[string]*placementCounts{}, counters: recorder.counters}
 	recorder.SetVerbosity(settings.Log.Verbosity)
@@ -150,6 +152,7 @@
 // single flows are enabled.
 func (recorder *Recorder) Decided(verdict *steerer.Verdict, view *viewer.View) {
 	recorder.placements.count(verdict)
+	recorder.countRefused(verdict)
 	if !recorder.logsFlows.Load() {
 		return
 	}
@@ -157,6 +160,9 @@
 	if verdict.Server != nil {
 		fields = append(fields, "backend_server", verdict.Server.Name)
 	}
+	if isAboutRoom(verdict) {
+		fields = append(fields, "class", verdict.Class.String(), "waited_ms", verdict.Waited.Milliseconds())
+	}
 	if verdict.Candidates > 0 {
 		fields = append(fields, "candidates", verdict.Candidates, "tried", verdict.Attempts)
 	}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -43,6 +43,9 @@
 	EventFlowsPlacedElsewhere decider.EventKind = 519
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
+	EventOpeningsLimited      decider.EventKind = 603
+	EventOpeningsUnlimited    decider.EventKind = 604
+	EventOpeningsSummarized   decider.EventKind = 605
 )
 
 // texts holds the message of every event.
@@ -77,6 +80,9 @@
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
+	EventOpeningsLimited:      "new flows are limited for lack of room",
+	EventOpeningsUnlimited:    "new flows are no longer limited",
+	EventOpeningsSummarized:   "new flows while room is short",
 
 	decider.EventMemberJoined:      "instance is reachable",
 	decider.EventMemberLost:        "instance is unreachable",
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -142,7 +142,6 @@
 		Class:    classOf(route),
 		Duration: responseTime,
 		IsShort:  steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment),
-		IsFirst:  flow.requestAcknowledgment == flow.firstAcknowledgment,
 	}, now)
 }
 
