--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -30,12 +30,14 @@
 type Admission struct {
 	Enabled      bool     `json:"enabled"`
 	MaxWait      Duration `json:"max_wait"`       // of a new flow for a place
-	MaxShedShare float64  `json:"max_shed_share"` // of a service's responses, above which new flows are limited
+	MaxShedShare float64  `json:"max_shed_share"` // of a service's responses; new flows are limited above twice as much
 }
 
-var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.05}
+// maxAdmissionWait keeps a new flow from waiting until its caller repeats the opening, after
+// 200 ms.
+const maxAdmissionWait = Duration(180 * time.Millisecond)
 
-const maxAdmissionWait = Duration(180 * time.Millisecond) // callers repeat an opening after 200 ms
+var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.05}
 
 // PeerAddress returns the UDP address on which the instance receives heartbeats.
 func (platformSettings *PlatformSettings) PeerAddress() netip.AddrPort {
--- a/configurer/platform_settings_test.go
+++ b/configurer/platform_settings_test.go
@@ -27,6 +27,8 @@
 	assert.Equal(t, settings.StopTimeout, defaultStopTimeout)
 	assert.Equal(t, settings.Log.Format, "json")
 	assert.Equal(t, settings.PeerAddress().String(), "10.1.0.10:7720")
+	assert.Equal(t, settings.Admission, defaultAdmission)
+	assert.Assert(t, !settings.Admission.Enabled)
 }
 
 func TestAdvertiseReturnsTheAdvertisedAddress(t *testing.T) {
@@ -51,6 +53,8 @@
 		{"negative drain timeout", `"packet_address"`, `"drain_timeout": "-1s", "packet_address"`, "drain_timeout: must not be negative"},
 		{"negative apply timeout", `"packet_address"`, `"apply_timeout": "-1s", "packet_address"`, "apply_timeout: must not be negative"},
 		{"no store", `"10.200.1.7:8169"`, `""`, "store_address: must be an address with a port"},
+		{"wait until callers repeat", `"packet_address"`, `"admission": {"max_wait": "200ms"}, "packet_address"`, "admission.max_wait: must be from 0 to 180ms"},
+		{"no shed share", `"packet_address"`, `"admission": {"max_shed_share": 0}, "packet_address"`, "admission.max_shed_share: must be above 0 and below 1"},
 		{"truncated", `}`, ``, "unexpected EOF"},
 	}
 	for _, c := range cases {
--- a/relayer/load.go
+++ b/relayer/load.go
@@ -11,8 +11,14 @@
 // the sum over all domains to the instances of its own. While no service lacks room nothing is
 // sent.
 
-// loadInterval is the time between two reports of one instance.
-const loadInterval = 300 * time.Millisecond
+const (
+	// loadInterval is the time between two reports of one instance.
+	loadInterval = 300 * time.Millisecond
+	// loadLifetime is how long a leader uses a load that it received. It is short, so that the end
+	// of a shortage is soon known; the sums matter by their ratios, to which one lost datagram
+	// makes little difference.
+	loadLifetime = 450 * time.Millisecond
+)
 
 // loadMonitor sees the load of this instance; admitter.Admitter implements it.
 type loadMonitor interface {
@@ -79,21 +85,27 @@
 	}
 }
 
-// shareLoad reports this instance's load, or as a leader the sums, at most once per loadInterval.
+// shareLoad reports this instance's load to the leaders of its failure domain and, as a leader,
+// the sums, at most once per loadInterval.
 func (relayer *Relayer) shareLoad(now time.Time) {
 	if relayer.loads.monitor == nil || now.Sub(relayer.loads.sentAt) < loadInterval {
 		return
 	}
 	own := relayer.loads.monitor.Report(now)
-	if !relayer.isLeader() {
-		if len(own) > 0 {
-			relayer.loads.sentAt = now
-			relayer.sendLoad(InstanceLoad, own, now, func(member Member, position int) bool {
-				return member.FailureDomain == relayer.self.FailureDomain && position < leadersPerDomain
-			})
-		}
-		return
+	if len(own) > 0 {
+		relayer.loads.sentAt = now
+		relayer.sendLoad(InstanceLoad, own, now, func(member Member, position int) bool {
+			return member.FailureDomain == relayer.self.FailureDomain && position < leadersPerDomain
+		})
+	}
+	if relayer.isLeader() {
+		relayer.shareSums(own, now)
 	}
+}
+
+// shareSums sends the sum over this failure domain to the leaders of the others, and the sum over
+// all to the instances of this one.
+func (relayer *Relayer) shareSums(own admitter.Load, now time.Time) {
 	relayer.mutex.Lock()
 	if len(own) > 0 {
 		relayer.loads.byInstance[relayer.self.Name] = receivedLoad{load: own, at: now}
@@ -124,7 +136,7 @@
 func recentLoads(received map[string]receivedLoad, now time.Time) []admitter.Load {
 	var recent []admitter.Load
 	for name, load := range received {
-		if now.Sub(load.at) > admitter.SharedLifetime {
+		if now.Sub(load.at) > loadLifetime {
 			delete(received, name)
 			continue
 		}
--- a/viewer/route_delta_test.go
+++ b/viewer/route_delta_test.go
@@ -26,6 +26,10 @@
 		case 1:
 			route.Shares = []Share{{Service: "other", Weight: 1}}
 			next.Routes = append(next.Routes, route)
+		case 2:
+			route.Priority, route.IsRepeatable = random.IntN(3), random.IntN(2) == 0
+			route.Objective, route.Timeout = time.Duration(random.IntN(3))*time.Second, time.Duration(random.IntN(3))*time.Second
+			next.Routes = append(next.Routes, route)
 		default:
 			next.Routes = append(next.Routes, route)
 		}
