--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -187,3 +188,11 @@
 	assert.Equal(t, len(sum), maxSharedServices)
 	assert.Equal(t, sum[0].Service, "service-299")
 }
+
+func TestImpossibleLoadIsInvalid(t *testing.T) {
+	nan := float32(math.NaN())
+	for _, load := range []Load{{{Answered: -1}}, {{Shed: nan}}, {{Delay: float32(math.Inf(1))}}, make(Load, maxSharedServices+1)} {
+		assert.Assert(t, !load.IsValid(), "%v", load)
+	}
+	assert.Assert(t, Load{{Service: "s", Answered: 3, Shed: 1}}.IsValid())
+}
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -359,6 +359,7 @@
 
 func (eventQueue eventQueue) Len() int           { return len(eventQueue) }
 func (eventQueue eventQueue) Less(i, j int) bool { return eventQueue[i].at.Before(eventQueue[j].at) }
+
 func (eventQueue eventQueue) Swap(i, j int) {
 	eventQueue[i], eventQueue[j] = eventQueue[j], eventQueue[i]
 }
--- a/admitter/shared.go
+++ b/admitter/shared.go
@@ -11,6 +11,8 @@
 	SharedLifetime = 750 * time.Millisecond
 	// maxSharedServices bounds the services in a Load, so that it fits one datagram.
 	maxSharedServices = 10
+	// maxFigure is above any number of events per second of a fleet.
+	maxFigure = 1e9
 )
 
 // Load is what one instance, or several together, see of the services that lack room.
@@ -26,6 +28,18 @@
 	Delay    float32 `cbor:"6,keyasint"` // the sum over the responses that were not shed of their time as a multiple of the usual
 }
 
+// IsValid reports whether a load that another instance sent has possible figures.
+func (load Load) IsValid() bool {
+	for _, service := range load {
+		for _, figure := range []float32{service.Answered, service.Shed, service.Offered, service.Admitted, service.Delay} {
+			if !(figure >= 0 && figure <= maxFigure) { // also if it is no number
+				return false
+			}
+		}
+	}
+	return len(load) <= maxSharedServices
+}
+
 // excess returns how many responses per second are shed beyond maxShedShare of all; it is
 // negative if fewer are.
 func (serviceLoad *ServiceLoad) excess(maxShedShare float64) float64 {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -58,6 +58,9 @@
 	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
+	if heartbeat.Load != nil && !heartbeat.Load.Load.IsValid() {
+		return errors.Errorf("heartbeat of %q has an impossible load", sender.Name)
+	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
