--- a/director/director.go
+++ b/director/director.go
@@ -19,6 +19,7 @@
 	"github.com/pimentowind/pimentowind/estimator"
 	"github.com/pimentowind/pimentowind/examiner"
 	"github.com/pimentowind/pimentowind/logger"
+	"github.com/pimentowind/pimentowind/pacer"
 	"github.com/pimentowind/pimentowind/placer"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
@@ -79,6 +80,7 @@
 		builder.newRelayer,
 		newAdmitter,
 		newEstimator,
+		newPacer,
 		newSteerer,
 		builder.newSocket,
 		builder.newTicker,
@@ -155,9 +157,20 @@
 	return created
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newPacer(settings *configurer.PlatformSettings, current *viewer.Viewer, reloader *Reloader, recorder *Recorder) *pacer.Pacer {
+	created := pacer.NewPacer(settings.Instance, warmUpBounds(settings), current.Current, recorder, time.Now())
+	reloader.Subscribe(func(settings *configurer.PlatformSettings) { created.SetBounds(warmUpBounds(settings)) })
+	return created
+}
+
+func warmUpBounds(settings *configurer.PlatformSettings) pacer.Bounds {
+	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
+}
+
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, ejections *examiner.Ejections, pacer *pacer.Pacer, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, estimator, ejections.IsEjected, random)
+	placer.SetPacer(pacer)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		if admitter.IsLimited(server.Service) {
 			return // servers that have too much to do look failing and slow
@@ -184,8 +197,8 @@
 	return created
 }
 
-func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, recorder *Recorder) (*Responder, error) {
-	responder, cleanup, err := NewResponder(settings, current, relayer, recorder)
+func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, error) {
+	responder, cleanup, err := NewResponder(settings, current, relayer, steerer, recorder)
 	if err != nil {
 		return nil, err
 	}
--- a/estimator/average.go
+++ b/estimator/average.go
@@ -42,6 +42,13 @@
 	return timeAverage.mean*timeAverage.observed + unknown*(1-timeAverage.observed)
 }
 
+// surge returns the count of this moment less surgeDeviations standard deviations of a Poisson
+// distribution. It is above the average long before that has followed a surge.
+func (timeAverage *timeAverage) surge() float64 {
+	level := float64(timeAverage.level)
+	return level - surgeDeviations*math.Sqrt(level)
+}
+
 // eventRate is the exponentially weighted average rate of events.
 type eventRate struct {
 	perSecond float64
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -10,6 +10,9 @@
 const (
 	// averagingSpan is the time after which an outstanding request counts e times less.
 	averagingSpan = 500 * time.Millisecond
+	// surgeDeviations is by how many standard deviations the requests of this moment exceed
+	// their average in a surge.
+	surgeDeviations = 2.0
 	// usualSpan is the same for the demand that is assumed of other failure domains.
 	usualSpan = 30 * time.Second
 	// unknownUtilization is assumed of a service before anything was observed.
@@ -54,6 +57,9 @@
 	return &Estimator{failureDomain: failureDomain, instances: instances, currentView: currentView, isEjected: isEjected, services: map[string]*serviceLoad{}}
 }
 
+// FleetInstances returns how many instances there are, this one included.
+func (estimator *Estimator) FleetInstances() int { return estimator.instances().Fleet }
+
 // serviceLoad is the load of a service as this instance knows it.
 type serviceLoad struct {
 	domains  map[string]*domainLoad
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -119,6 +119,30 @@
 	assert.Assert(t, fleet.Utilization(service, "a", burstAt.Add(time.Second)) > 1)
 }
 
+func TestSurgeIsSeenAtOnce(t *testing.T) {
+	fleet, random := newFleet(30, 40), rand.New(rand.NewPCG(1, 1))
+	surgeAt := start.Add(10 * time.Second)
+	fleet.play(random, "a", 15, start, surgeAt)
+	for range 9 {
+		fleet.RequestBegan(serverIn("a"), surgeAt)
+	}
+	assert.Equal(t, fleet.Surge(service, surgeAt), 90.0, "nine requests less twice three, times thirty instances")
+	assert.Assert(t, fleet.Demand(service, surgeAt) < 60, "the demand is an average")
+}
+
+func TestOfferedLoadCountsRejectedRequests(t *testing.T) {
+	fleet, random := newFleet(30, 40), rand.New(rand.NewPCG(1, 1))
+	overloadAt := start.Add(20 * time.Second)
+	fleet.play(random, "a", 16, start, overloadAt)
+	for i := range 300 { // 100 a second, each rejected after a millisecond
+		at := overloadAt.Add(time.Duration(i) * 10 * time.Millisecond)
+		fleet.RequestBegan(serverIn("a"), at)
+		fleet.RequestEnded(serverIn("a"), at.Add(time.Millisecond))
+	}
+	offered := fleet.Offered(service, overloadAt.Add(3*time.Second))
+	assert.Assert(t, math.Abs(offered-150) < 30, "%.0f slots for 30 instances times 100 a second times 50 ms", offered)
+}
+
 func TestSlotsFollowTheServers(t *testing.T) {
 	fleet := newFleet(30, 40)
 	assert.Equal(t, fleet.Room(service, start).Slots, 240)
--- a/placer/placement_test.go
+++ b/placer/placement_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// herd multiplies the demand of the first 0.3 s, when instances know nothing yet.
+func herd(demand func(int, time.Duration) float64, factors [3]float64) func(int, time.Duration) float64 {
+	return func(domain int, at time.Duration) float64 {
+		if at > 300*time.Millisecond {
+			return demand(domain, at)
+		}
+		return demand(domain, at) * factors[domain]
+	}
+}
+
 func withStrengths(load load) load {
 	load.strengths = []float64{0.6, 1, 1.6}
 	return load
@@ -77,9 +87,12 @@
 		{"three domains 1 : 0.8 : 0.8 at 80 %", large(steady(1400, 1120, 1120)), 0.1, 1.5},
 		{"a burst of three in one domain", large(burst(steady(600, 600, 600), [3]float64{3, 1, 1})), 0.15, 1.6},
 		{"a burst beyond all room", large(burst(wave(600), [3]float64{4, 4, 4})), 0.25, 1.5},
+		{"a herd in one domain after a restart", large(herd(steady(600, 600, 600), [3]float64{10, 1, 1})), 0.25, 1.6},
+		{"a herd everywhere after a restart", large(herd(steady(600, 600, 600), [3]float64{5, 5, 5})), 0.25, 1.6},
 		{"half of a domain's servers go down", withLoss(large(steady(900, 600, 600)), 20), 0.2, 2.5},
 		{"servers of strengths 0.6 to 1.6", withStrengths(large(steady(1100, 1100, 850))), 0.1, 2.1},
 		{"7 instances and 14 servers", small([3]int{5, 5, 4}, uneven, 130), 0.05, 2.2},
+		{"a domain with two weak servers", small([3]int{5, 5, 2}, uneven, 122), 0.3, 2.5},
 		{"domains of one server", small([3]int{2, 1, 1}, []float64{1}, 20), 0.1, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -195,3 +208,32 @@
 }
 
 var _ loadEstimator = (*estimator.Estimator)(nil)
+
+// The cost of a flow must not grow with the number of servers.
+func BenchmarkSelect(b *testing.B) {
+	for _, perDomain := range []int{5, 40, 5000} {
+		for _, perSecond := range []float64{400, 1400} {
+			b.Run(fmt.Sprintf("%d servers, %v requests a second", 3*perDomain, perSecond), func(b *testing.B) {
+				load := large(steady(perSecond, perSecond, perSecond))
+				load.length = 2 * time.Second
+				play := newPlay(load, 1, false)
+				play.run()
+				selector := play.instances[0][0]
+				servers := serversInThreeDomains(perDomain)
+				for i := range servers {
+					servers[i].FailureDomain = domainName(i / perDomain)
+					servers[i].Service = "s"
+				}
+				b.ResetTimer()
+				for i := range b.N {
+					now := play.now.Add(time.Duration(i) * 10 * time.Millisecond)
+					server := selector.Select(servers, nil, now)
+					selector.FlowOpened(server, now)
+					selector.RequestBegan(server, true, now)
+					selector.RequestEnded(server, now.Add(time.Millisecond))
+					selector.FlowClosed(server, now.Add(time.Millisecond))
+				}
+			})
+		}
+	}
+}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +37,11 @@
 	revision         uint64
 	configuration    *viewer.Configuration
 	servers          []viewer.BackendServer
+	coldEntries      map[string]coldEntry // by server
 	members          map[string]Member
 	saved            SavedSnapshot
+	evacuated        []string // failure domains, sorted
+	nextEvacuated    []string // evacuated right after the evacuations were read; nil for none
 	storeCalls       int
 	storeDown        bool
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
@@ -53,6 +57,12 @@
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
 }
 
+// coldEntry is what a cold server has written into the store.
+type coldEntry struct {
+	revision  uint64
+	remaining time.Duration
+}
+
 // node is one instance in the simulation, with its source, network, observer and suspicion
 // counter.
 type node struct {
@@ -65,13 +75,16 @@
 	lost       []string
 	expired    []string
 	ejected    []uint32 // tokens of the servers it was to eject
+	ignored    []string // evacuated failure domains that were too many
+
+	evacuationChanges atomic.Int64
 
 	suspicionCount int
 }
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay,
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
 		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
@@ -155,9 +168,15 @@
 	return ctx.Err()
 }
 
-func (node *node) Revision(ctx context.Context) (revision uint64, err error) {
-	err = node.callStore(ctx, func(simulation *fleetSimulation) { revision = simulation.revision })
-	return revision, err
+func (node *node) Evacuations(ctx context.Context) (evacuations *viewer.Evacuations, err error) {
+	err = node.callStore(ctx, func(simulation *fleetSimulation) {
+		evacuations = &viewer.Evacuations{Revision: simulation.revision, Domains: slices.Clone(simulation.evacuated)}
+		if simulation.nextEvacuated != nil {
+			simulation.evacuated, simulation.nextEvacuated = simulation.nextEvacuated, nil
+			simulation.revision++
+		}
+	})
+	return evacuations, err
 }
 
 func (node *node) Servers(ctx context.Context, _ *viewer.Servers) (servers *viewer.Servers, err error) {
@@ -167,6 +186,11 @@
 	ticker.Sleep(ctx, readTime)
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		servers = &viewer.Servers{Revision: simulation.revision, List: slices.Clone(simulation.servers)}
+		for i := range servers.List {
+			if entry, isCold := simulation.coldEntries[servers.List[i].Name]; isCold {
+				servers.List[i].ColdSince, servers.List[i].ColdUntil = entry.revision, viewer.DeadlineAfter(time.Now(), entry.remaining)
+			}
+		}
 	})
 	return servers, err
 }
@@ -267,9 +291,16 @@
 
 func (node *node) ConfigurationApplied(uint64, string)           {}
 func (node *node) ServersApplied(_, _ *viewer.Servers, _ string) {}
-func (node *node) SourceCallFailed(string, error)                {}
-func (node *node) SourceCallSucceeded(string)                    {}
-func (node *node) MemberJoined(Member)                           {}
+func (node *node) EvacuationsApplied(_, _ *viewer.Evacuations, _ string) {
+	node.evacuationChanges.Add(1)
+}
+
+func (node *node) EvacuationsIgnored(domains []string) {
+	node.ignored = append(node.ignored, domains...)
+}
+func (node *node) SourceCallFailed(string, error) {}
+func (node *node) SourceCallSucceeded(string)     {}
+func (node *node) MemberJoined(Member)            {}
 func (node *node) MemberLost(member Member, _ time.Duration) {
 	node.lost = append(node.lost, member.Name)
 }
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -65,6 +65,9 @@
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
 	steerer.assignServer(flow, server, now)
 	steerer.beginRequest(flow, true, now)
+	if len(flow.attempted) == 0 {
+		steerer.silence.openingSent(now)
+	}
 	flow.openingSentAt = now
 	flow.lastPacketAt = now
 	flow.attempted = append(flow.attempted, server)
@@ -114,6 +117,7 @@
 func (steerer *Steerer) establish(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	flow.established = true
 	flow.establishedAt = now
+	steerer.silence.end(now)
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -15,6 +15,7 @@
 type Configuration struct {
 	Version     uint64
 	Routes      []Route
+	Services    []Service     // sorted by Name
 	IdleTimeout time.Duration // after this time without packets a flow may be dropped; instances only pass the value on
 }
 
@@ -53,8 +54,10 @@
 	FailureDomain string         `cbor:"6,keyasint"`
 	Slots         int            `cbor:"7,keyasint"` // requests that the server processes at the same time
 	State         parser.State   `cbor:"8,keyasint"`
-	StartedAt     int64          `cbor:"9,keyasint"`           // Unix milliseconds; distinguishes incarnations with the same name
-	ColdUntil     time.Time      `cbor:"10,keyasint,omitzero"` // end of the warm-up, during which the server is slower than usual
+	StartedAt     int64          `cbor:"9,keyasint"`            // Unix milliseconds; distinguishes incarnations with the same name
+	ColdUntil     Deadline       `cbor:"11,keyasint,omitzero"`  // not before the end of the warm-up, during which the server is slower than usual; zero if it has none
+	ColdSince     uint64         `cbor:"12,keyasint,omitempty"` // revision of the store at which the server turned cold again; 0 if it is warm, or cold since its start
+	Sharers       Sharers        `cbor:"13,keyasint,omitzero"`  // instances that may open flows during the warm-up if the service states a rate
 }
 
 // SameIncarnation reports whether both entries describe the same incarnation of a server.
@@ -73,7 +76,7 @@
 }
 
 // Digest returns a hash of the list's content. It leaves out the revision and, of
-// each server, ColdUntil, as well as Identity and Token, which follow from the name.
+// each server, ColdUntil, which differs between instances, as well as Identity and Token, which follow from the name.
 func (servers *Servers) Digest() uint64 {
 	digest := xxhash.New()
 	for i := range servers.List {
@@ -86,9 +89,12 @@
 type View struct {
 	Configuration *Configuration // nil until one was accepted
 	Servers       *Servers       // nil until one was accepted
+	Evacuations   *Evacuations   // nil until some were accepted
 
 	routes    map[netip.AddrPort]*Route
+	services  map[string]Service
 	byService map[string][]*BackendServer // only servers that accept new flows
+	evacuated map[string]bool             // services with active servers in evacuated failure domains
 	byToken   map[uint32]*BackendServer
 }
 
@@ -98,28 +104,48 @@
 // Route returns the route with an address, or nil.
 func (view *View) Route(address netip.AddrPort) *Route { return view.routes[address] }
 
-// ActiveServers returns the servers of a service that accept new flows.
+// Service returns what the configuration states about a service, which is nothing if it does
+// not name it.
+func (view *View) Service(name string) Service { return view.services[name] }
+
+// ActiveServers returns the servers of a service that accept new flows; those in evacuated
+// failure domains do not.
 func (view *View) ActiveServers(service string) []*BackendServer { return view.byService[service] }
 
+// IsEvacuated reports whether a service has active servers, but all in evacuated failure
+// domains.
+func (view *View) IsEvacuated(service string) bool {
+	return view.evacuated[service] && len(view.byService[service]) == 0
+}
+
+// HasServerLeft reports whether any server accepts new flows.
+func (view *View) HasServerLeft() bool { return len(view.byService) > 0 }
+
 // ServerByToken returns the server whose flows carry token, or nil. It also finds
-// servers that are leaving or were removed recently (see maxFlowAge).
+// servers that are leaving, evacuated or were removed recently (see maxFlowAge).
 func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
 
-// newView returns a View of a configuration and a list of servers, each of which may be
-// nil. Retained servers are treated as if they were listed; removed ones are only found
-// by their tokens.
-func newView(configuration *Configuration, servers *Servers, retained, removed []*BackendServer) *View {
+// newView returns a View of a configuration, a list of servers and evacuations, each of
+// which may be nil. Retained servers are treated as if they were listed; removed ones are
+// only found by their tokens.
+func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, retained, removed []*BackendServer) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
+		Evacuations:   evacuations,
 		routes:        map[netip.AddrPort]*Route{},
+		services:      map[string]Service{},
 		byService:     map[string][]*BackendServer{},
+		evacuated:     map[string]bool{},
 		byToken:       map[uint32]*BackendServer{},
 	}
 	if configuration != nil {
 		for i := range configuration.Routes {
 			view.routes[configuration.Routes[i].Address] = &configuration.Routes[i]
 		}
+		for _, service := range configuration.Services {
+			view.services[service.Name] = service
+		}
 	}
 	if servers != nil {
 		view.indexServers(servers, retained)
@@ -132,7 +158,7 @@
 	return view
 }
 
-// indexServers indexes servers by token and, if active, by service. If two have the
+// indexServers indexes servers by token and, if they accept new flows, by service. If two have the
 // same token, the one that started first keeps it; the other gets no new flows,
 // since their later packets would be indistinguishable.
 func (view *View) indexServers(servers *Servers, retained []*BackendServer) {
@@ -149,7 +175,11 @@
 			continue
 		}
 		view.byToken[server.Token] = server
-		if server.State == parser.Active {
+		switch {
+		case server.State != parser.Active:
+		case view.Evacuations.Contains(server.FailureDomain):
+			view.evacuated[server.Service] = true
+		default:
 			view.byService[server.Service] = append(view.byService[server.Service], server)
 		}
 	}
