--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -70,6 +70,12 @@
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
 	admitter.settings = settings
+	if settings.Enabled {
+		return
+	}
+	for _, service := range admitter.services {
+		service.budget = unlimited
+	}
 }
 
 // Response is a complete response of a backend server.
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -128,6 +128,7 @@
 		admitter.SetSettings(Settings{})
 		settle()
 		assert.Equal(t, len(heldAt), 0, "seed %d: held although admission control is off", seed)
+		assert.Assert(t, !admitter.IsLimited("s"))
 	}
 }
 
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -63,11 +63,10 @@
 	admitter.expire(now)
 	for _, name := range admitter.waitingServices() {
 		service := admitter.services[name]
-		service.control(admitter.settings.MaxShedShare, admitter.sharedService(name, now), now)
-		service.refill(now)
-		if !admitter.settings.Enabled {
-			service.budget = unlimited
+		if admitter.settings.Enabled {
+			service.control(admitter.settings.MaxShedShare, admitter.sharedService(name, now), now)
 		}
+		service.refill(now)
 		if !service.isLimited() || service.tokens >= 1 {
 			held := service.remove(0)
 			admitter.take(service, held.Opening, now)
--- a/director/placement.go
+++ b/director/placement.go
@@ -51,7 +51,7 @@
 
 // count counts a verdict that places a new flow.
 func (placementRecorder *placementRecorder) count(verdict *steerer.Verdict) {
-	isPlacement := verdict.Reason == steerer.ReasonNewFlow || verdict.Reason == steerer.ReasonRetried
+	isPlacement := verdict.Reason == steerer.ReasonNewFlow || verdict.Reason == steerer.ReasonReleased || verdict.Reason == steerer.ReasonRetried
 	if !isPlacement || verdict.Server == nil {
 		return
 	}
