--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -40,7 +40,7 @@
 // 200 ms.
 const maxAdmissionWait = Duration(180 * time.Millisecond)
 
-var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.05}
+var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.1}
 
 // PeerAddress returns the UDP address on which the instance receives heartbeats.
 func (platformSettings *PlatformSettings) PeerAddress() netip.AddrPort {
