--- a/director/recorder.go
+++ b/director/recorder.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/relayer"
@@ -32,6 +33,7 @@
 	placements     placementRecorder
 	instance       uint32                                            // hash of this instance's name
 	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
+	serverNames    atomic.Pointer[func(token uint32) string]         // nil until SetServerNames
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
@@ -242,6 +244,43 @@
 	recorder.Event(logger.EventServerEjected, "backend_server", server.Name, "service", server.Service)
 }
 
+// FlowsReset counts and logs that the flows of a silent server are reset; a server without flows
+// here is only counted.
+func (recorder *Recorder) FlowsReset(server *viewer.BackendServer, flows int) {
+	recorder.counters.Add("servers_silent", 1)
+	if flows > 0 {
+		recorder.Event(logger.EventFlowsReset, "backend_server", server.Name, "service", server.Service, "flows", flows)
+	}
+}
+
+// ServerSilent counts and logs that this instance declared a server silent for its failure domain.
+func (recorder *Recorder) ServerSilent(token uint32, evidence detector.Evidence) {
+	recorder.counters.Add("silences_declared", 1)
+	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(token), "flows", evidence.Flows,
+		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed, "hinted", evidence.Hinted)
+}
+
+// ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
+// instance saw the sign of life.
+func (recorder *Recorder) ServerAlive(token uint32, seenHere bool) {
+	recorder.counters.Add("silences_refuted", 1)
+	recorder.Event(logger.EventServerAlive, "backend_server", recorder.serverName(token), "seen_here", seenHere)
+}
+
+// serverName returns the name of the server with a token, or an empty one if it is unknown.
+func (recorder *Recorder) serverName(token uint32) string {
+	names := recorder.serverNames.Load()
+	if names == nil {
+		return ""
+	}
+	return (*names)(token)
+}
+
+// SetServerNames sets the function that returns the name of the server with a token.
+func (recorder *Recorder) SetServerNames(names func(token uint32) string) {
+	recorder.serverNames.Store(&names)
+}
+
 // LogEjection counts and logs that a server fails its requests or is slow; ejected is
 // whether it gets no new flows for a time because of it. Of servers that are not ejected, as
 // too many are already, it logs one in socketFailureInterval.
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -1,11 +1,13 @@
 package relayer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -43,6 +45,16 @@
 
 	// Evacuations are sent in full in announcements and answers, and left out of reports.
 	Evacuations *viewer.Evacuations `cbor:"evacuations,omitempty"`
+	// ServerSigns are signs of life and silence of backend servers.
+	ServerSigns *detector.Message `cbor:"signs,omitempty"`
+
+	// PassOn are the peer addresses to which the receiver has to pass the heartbeat on.
+	PassOn []netip.AddrPort `cbor:"pass_on,omitempty"`
+	// Relay is set in heartbeats that were passed on: the control address of the instance that
+	// did, or the zero address if its view is older than the sender's.
+	Relay *netip.AddrPort `cbor:"relay,omitempty"`
+	// Asks is true when the sender missed an announcement and asks for an answer.
+	Asks bool `cbor:"asks,omitempty"`
 }
 
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
@@ -58,12 +70,19 @@
 		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
+	case len(heartbeat.PassOn) > maxPassOnCount:
+		return errors.Errorf("heartbeat of %q is to be passed on to %d instances", sender.Name, len(heartbeat.PassOn))
 	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
 	if heartbeat.Load != nil && !heartbeat.Load.Load.IsValid() {
 		return errors.Errorf("heartbeat of %q has an impossible load", sender.Name)
 	}
+	if heartbeat.ServerSigns != nil {
+		if err := heartbeat.ServerSigns.Check(); err != nil {
+			return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+		}
+	}
 	for _, ejection := range heartbeat.Ejections {
 		if ejection.Duration > maxEjectionDuration {
 			return errors.Errorf("heartbeat of %q ejects a server for %s", sender.Name, ejection.Duration)
--- /dev/null
+++ b/relayer/simulation_network_test.go
@@ -0,0 +1,67 @@
+package relayer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pimentowind/pimentowind/ticker"
+)
+
+// reachableNode returns the node at an address, or nil when there is none or a partition
+// separates the two.
+func (node *node) reachableNode(address netip.AddrPort) *node {
+	node.simulation.mutex.Lock()
+	defer node.simulation.mutex.Unlock()
+	other := node.simulation.nodes[address]
+	if other == nil || node.simulation.cutOff[node.member.Name] || node.simulation.cutOff[other.member.Name] {
+		return nil
+	}
+	crossesDomains := other.member.FailureDomain != node.member.FailureDomain
+	if crossesDomains && (node.simulation.partitioned[node.member.FailureDomain] || node.simulation.partitioned[other.member.FailureDomain]) {
+		return nil
+	}
+	return other
+}
+
+func (node *node) Send(to netip.AddrPort, content []byte) {
+	other := node.reachableNode(to)
+	if other == nil {
+		return
+	}
+	copied := append([]byte(nil), content...)
+	node.simulation.mutex.Lock()
+	node.simulation.longestHeartbeat = max(node.simulation.longestHeartbeat, len(content))
+	node.simulation.heartbeatBytes += len(content)
+	node.sentDatagrams++
+	node.sentBytes += len(content)
+	node.simulation.mutex.Unlock()
+	go func() {
+		time.Sleep(networkDelay)
+		if err := other.Receive(other.ctx, copied); err != nil {
+			panic(err)
+		}
+	}()
+}
+
+func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error) {
+	ticker.Sleep(ctx, 2*networkDelay)
+	other := node.reachableNode(control)
+	if other == nil || node.isRefused() {
+		return nil, errUnreachable
+	}
+	content := other.Snapshot(version, revision)
+	node.simulation.mutex.Lock()
+	defer node.simulation.mutex.Unlock()
+	node.simulation.fetchedBytes += len(content)
+	other.servedSnapshots++
+	other.servedBytes += len(content)
+	return content, nil
+}
+
+// isRefused reports whether the node's fetches fail.
+func (node *node) isRefused() bool {
+	node.simulation.mutex.Lock()
+	defer node.simulation.mutex.Unlock()
+	return node.simulation.refusesFetch[node.member.Name]
+}
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -128,6 +128,9 @@
 		steerer.beginRequest(flow, true, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
+	if server.SameIncarnation(flow.server) {
+		steerer.resetter.recordSign(server, packet, sign{aliveAt: flow.openingSentAt}, now)
+	}
 }
 
 // recordResponse reports the time and the length of the flow's last response to the
@@ -184,6 +187,7 @@
 	}
 	steerer.lastSweepAt = now
 	steerer.expireClosed(now)
+	steerer.follower.expire(now)
 	steerer.placer.ExpireServers(now.Add(-serverStateLifetime))
 	for _, flow := range steerer.flows {
 		timeout := flowIdleTimeout
--- /dev/null
+++ b/steerer/follower.go
@@ -0,0 +1,148 @@
+package steerer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxFollowedFlows bounds the followed flows, about 150 bytes each.
+	maxFollowedFlows = 20_000
+	// followTime is how long an idle flow stays followed.
+	followTime = time.Minute
+	// windowLength is how far a caller's data may be ahead of the first that its server has
+	// not acknowledged, in bytes.
+	windowLength = 16 * 1200
+	// maxAcknowledgmentStep is the largest difference between the acknowledgments of two packets
+	// of one flow, in bytes; a larger one shows that the caller has used its port again.
+	maxAcknowledgmentStep = 1 << 22
+	// copyTime is the least time after which data that arrives again was retransmitted; a
+	// copy that the network made follows at once.
+	copyTime = 150 * time.Millisecond
+)
+
+// follower remembers the established flows whose packets pass this instance, whichever
+// instance opened them, and what their packets say about their servers.
+type follower struct {
+	flows map[followKey]*followedFlow // at most maxFollowedFlows
+}
+
+// followKey is a FlowKey without pointers, so that the garbage collector need not look at it.
+type followKey struct {
+	callerAddress, serviceAddress [16]byte
+	callerPort, servicePort       uint16
+}
+
+// followedFlow is what an instance remembers of one established flow.
+type followedFlow struct {
+	lastPacketAt   time.Time
+	waitingSince   time.Time // when the first data that may be unanswered arrived; zero if there is none
+	token          uint32    // of the server
+	acknowledgment uint32    // of the newest packet
+	sequence       uint32    // of the data that arrived at waitingSince
+	isCopied       bool      // that data has been retransmitted
+}
+
+// sign is what a caller's packet says about the server of its flow.
+type sign struct {
+	aliveAt   time.Time     // the server has answered at this time or later; zero if the packet does not show it
+	waitedFor time.Duration // by a retransmission: how long the server has left data unanswered; 0 by others
+}
+
+func newFollower() follower { return follower{flows: map[followKey]*followedFlow{}} }
+
+func newFollowKey(key FlowKey) followKey {
+	return followKey{
+		callerAddress: key.CallerAddress.Addr().As16(), callerPort: key.CallerAddress.Port(),
+		serviceAddress: key.ServiceAddress.Addr().As16(), servicePort: key.ServiceAddress.Port(),
+	}
+}
+
+// flowKey returns the key that newFollowKey was called with.
+func (followKey *followKey) flowKey() FlowKey {
+	return FlowKey{
+		CallerAddress:  netip.AddrPortFrom(netip.AddrFrom16(followKey.callerAddress).Unmap(), followKey.callerPort),
+		ServiceAddress: netip.AddrPortFrom(netip.AddrFrom16(followKey.serviceAddress).Unmap(), followKey.servicePort),
+	}
+}
+
+// hash returns a number that tells the flow from others, the same at all instances.
+func (followKey *followKey) hash() uint32 {
+	var content [36]byte
+	copy(content[:], followKey.callerAddress[:])
+	copy(content[16:], followKey.serviceAddress[:])
+	binary.BigEndian.PutUint16(content[32:], followKey.callerPort)
+	binary.BigEndian.PutUint16(content[34:], followKey.servicePort)
+	return uint32(xxhash.Sum64(content[:]))
+}
+
+// observe updates the flow of a packet that follows the opening, and returns what the packet
+// says about the server.
+func (follower *follower) observe(packet *Packet, now time.Time) sign {
+	key := newFollowKey(packet.Flow)
+	flow := follower.flows[key]
+	if flow == nil || !flow.includes(packet) {
+		if flow == nil && len(follower.flows) >= maxFollowedFlows || packet.Flags.RST || packet.Flags.FIN {
+			return sign{}
+		}
+		flow = &followedFlow{token: packet.Token, acknowledgment: packet.Acknowledgment, lastPacketAt: now}
+		follower.flows[key] = flow
+	}
+	sign := flow.observe(packet, now)
+	if packet.Flags.RST || packet.Flags.FIN {
+		delete(follower.flows, key)
+	}
+	return sign
+}
+
+// includes reports whether a packet with the flow's addresses can belong to it.
+func (flow *followedFlow) includes(packet *Packet) bool {
+	step := int64(int32(packet.Acknowledgment - flow.acknowledgment))
+	return flow.token == packet.Token && max(step, -step) <= maxAcknowledgmentStep
+}
+
+// observe is the same for the packet's flow.
+func (flow *followedFlow) observe(packet *Packet, now time.Time) sign {
+	before := flow.lastPacketAt
+	flow.lastPacketAt = now
+	isAnswered, isPastWindow := int32(packet.Acknowledgment-flow.acknowledgment) > 0, false
+	if isAnswered {
+		flow.acknowledgment, flow.waitingSince = packet.Acknowledgment, time.Time{}
+	}
+	if packet.PayloadLength == 0 && !packet.Flags.FIN {
+		if isAnswered {
+			return sign{aliveAt: now}
+		}
+		return sign{}
+	}
+	waited := now.Sub(flow.waitingSince)
+	if !flow.waitingSince.IsZero() {
+		isPastWindow = int32(packet.Sequence-flow.sequence) >= windowLength
+	}
+	switch {
+	case packet.PayloadLength > 0 && (flow.waitingSince.IsZero() || isPastWindow):
+		flow.waitingSince, flow.sequence, flow.isCopied = now, packet.Sequence, false
+	case packet.PayloadLength > 0 && packet.Sequence == flow.sequence && waited >= copyTime:
+		flow.isCopied = true
+		return sign{waitedFor: waited}
+	}
+	switch {
+	case isPastWindow:
+		return sign{aliveAt: now}
+	case isAnswered: // at any time since the caller's last packet
+		return sign{aliveAt: before}
+	}
+	return sign{}
+}
+
+// expire forgets the flows that have been idle for followTime.
+func (follower *follower) expire(now time.Time) {
+	for key, flow := range follower.flows {
+		if now.Sub(flow.lastPacketAt) > followTime {
+			delete(follower.flows, key)
+		}
+	}
+}
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -102,7 +102,7 @@
 	}
 	wakeAt := steerer.admission.WakeTime()
 	if len(steerer.complete) > 0 {
-		wakeAt = earlier(wakeAt, steerer.complete[0].at.Add(completionTime))
+		wakeAt = earliest(wakeAt, steerer.complete[0].at.Add(completionTime))
 	}
 	return wakeAt
 }
--- /dev/null
+++ b/steerer/reset.go
@@ -0,0 +1,251 @@
+package steerer
+
+import (
+	"time"
+
+	"github.com/pimentowind/pimentowind/detector"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// The caller of a flow whose server has ended waits until its deadline, since nobody answers
+// it. All flows of a server that the instances have declared silent are reset at once, idle ones
+// before their callers use them again. A server whose entry in the store has been removed is not
+// gone for certain: an entry also expires while its server cannot reach the store. Data of its
+// flows is answered by a reset when a caller retransmits it the second time, and then at once, until
+// a packet shows that the server answers.
+
+const (
+	// lifeTime is how long after a sign of life a server that is not listed counts as alive.
+	lifeTime = 3 * time.Second
+	// removedWait is how long a server that is not listed must have left data unanswered for it
+	// to count as gone. Its caller has retransmitted twice by then; a server with a long queue
+	// may let it retransmit once.
+	removedWait = 550 * time.Millisecond
+	// resumeDelay is the time between two looks at the servers that are gone, just after a
+	// pause of the process.
+	resumeDelay = 300 * time.Millisecond
+	// resetInterval is the time between two resets of flows that are not answers to a packet.
+	resetInterval = 2 * time.Millisecond
+)
+
+// lifeRecorder shares the signs of servers with other instances; detector.Detector
+// implements it.
+type lifeRecorder interface {
+	RecordLife(server *viewer.BackendServer, at time.Time)
+	RecordUnanswered(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time)
+	// Silences returns the servers that are declared silent, as a pointer that differs after
+	// each change.
+	Silences() *detector.Silences
+}
+
+// goneServer is the state of a server that counts as gone if it has given no sign of life.
+type goneServer struct {
+	server     *viewer.BackendServer
+	isSilent   bool      // it is declared silent; otherwise it was removed from the list
+	isReset    bool      // the resets of its flows have begun, if it is silent
+	since      time.Time // signs of life are newer
+	aliveAt    time.Time // of the last of them here; zero if there was none
+	unanswered bool      // it has left data of a flow unanswered since then
+}
+
+// resetter decides which flows are reset because their server is gone.
+type resetter struct {
+	recorder        lifeRecorder
+	checkedView     *viewer.View           // whose removed servers are in gone
+	checkedSilences *detector.Silences     // that are in gone
+	checkAt         time.Time              // when gone changes by time; zero if it does not
+	gone            map[uint32]*goneServer // by token
+	due             []followKey            // flows to be reset
+	resetAt         time.Time              // when the next of them may be reset
+}
+
+// SetDetector sets the detector that shares the signs of servers with other instances; it has to
+// be set before the first packet.
+func (steerer *Steerer) SetDetector(recorder lifeRecorder) { steerer.resetter.recorder = recorder }
+
+func (goneServer *goneServer) isAlive(now time.Time) bool {
+	return !goneServer.aliveAt.IsZero() && now.Sub(goneServer.aliveAt) < lifeTime
+}
+
+// reason returns the reason of a reset of data.
+func (goneServer *goneServer) reason() Reason {
+	if goneServer.isSilent {
+		return ReasonServerSilent
+	}
+	return ReasonServerGone
+}
+
+// recordSign passes what a packet says about its server on to the other instances.
+func (resetter *resetter) recordSign(server *viewer.BackendServer, packet *Packet, sign sign, now time.Time) {
+	switch {
+	case resetter.recorder == nil:
+	case !sign.aliveAt.IsZero():
+		resetter.recorder.RecordLife(server, sign.aliveAt)
+	case sign.waitedFor > 0:
+		key := newFollowKey(packet.Flow)
+		resetter.recorder.RecordUnanswered(server, key.hash(), sign.waitedFor, now)
+	}
+}
+
+// answerForGone makes the verdict on a packet of a flow whose server is gone a reset, if its
+// caller waits for the server.
+func (steerer *Steerer) answerForGone(packet *Packet, sign sign, verdict *Verdict, now time.Time) {
+	gone := steerer.resetter.gone[packet.Token]
+	if gone == nil {
+		return
+	}
+	if sign.aliveAt.After(gone.since) {
+		gone.aliveAt, gone.unanswered = sign.aliveAt, false
+	}
+	if gone.isAlive(now) || packet.PayloadLength == 0 || steerer.justResumed(now) {
+		return
+	}
+	if sign.waitedFor >= removedWait {
+		gone.unanswered = true
+	}
+	if gone.unanswered {
+		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, gone.reason()
+		steerer.forget(packet.Flow, now)
+	}
+}
+
+// forget ends a flow that is reset.
+func (steerer *Steerer) forget(key FlowKey, now time.Time) {
+	delete(steerer.follower.flows, newFollowKey(key))
+	if flow := steerer.flows[key]; flow != nil {
+		steerer.endFlow(flow, EndServerGone, now)
+	}
+}
+
+// nextReset returns the next reset of a flow whose server is silent, or false if none is due.
+func (steerer *Steerer) nextReset(now time.Time) (Verdict, bool) {
+	steerer.checkGone(now)
+	resetter := &steerer.resetter
+	for len(resetter.due) > 0 && !now.Before(resetter.resetAt) {
+		key := resetter.due[0]
+		resetter.due = resetter.due[1:]
+		flow := steerer.follower.flows[key]
+		if flow == nil {
+			continue
+		}
+		gone := resetter.gone[flow.token]
+		if gone == nil || !gone.isSilent || gone.isAlive(now) {
+			continue
+		}
+		resetter.resetAt = now.Add(resetInterval)
+		verdict := Verdict{Action: Reset, Reason: ReasonFlowServerSilent, Flow: key.flowKey(), ResetSequence: flow.acknowledgment}
+		steerer.forget(verdict.Flow, now)
+		steerer.observer.Decided(&verdict, steerer.currentView())
+		return verdict, true
+	}
+	return Verdict{}, false
+}
+
+// checkGone brings the servers that count as gone up to date with the view and the declarations,
+// and collects the flows to be reset.
+func (steerer *Steerer) checkGone(now time.Time) {
+	resetter, view := &steerer.resetter, steerer.currentView()
+	var silences *detector.Silences
+	if resetter.recorder != nil {
+		silences = resetter.recorder.Silences()
+	}
+	isDue := !resetter.checkAt.IsZero() && !now.Before(resetter.checkAt)
+	if view == resetter.checkedView && silences == resetter.checkedSilences && !isDue {
+		return
+	}
+	if steerer.justResumed(now) { // the view may be older than it seems
+		resetter.checkedView, resetter.checkAt = nil, now.Add(resumeDelay)
+		return
+	}
+	resetter.checkedView, resetter.checkedSilences, resetter.checkAt = view, silences, time.Time{}
+	before := resetter.gone
+	resetter.gone = map[uint32]*goneServer{}
+	if silences != nil {
+		resetter.addSilent(*silences, view, before, now)
+	}
+	resetter.addRemoved(view, before, now)
+	steerer.collectFlows(now)
+}
+
+// addRemoved adds the servers that count as gone because they were removed.
+func (resetter *resetter) addRemoved(view *viewer.View, before map[uint32]*goneServer, now time.Time) {
+	for _, removed := range view.Removed() {
+		switch {
+		case removed.GoneAt.IsZero():
+		case now.Before(removed.GoneAt):
+			resetter.checkNotLater(removed.GoneAt)
+		default:
+			if resetter.gone[removed.Server.Token] == nil {
+				resetter.add(goneServer{server: removed.Server, since: removed.GoneAt}, before)
+			}
+		}
+	}
+}
+
+// addSilent adds the servers that count as gone because they are declared silent.
+func (resetter *resetter) addSilent(silences detector.Silences, view *viewer.View, before map[uint32]*goneServer, now time.Time) {
+	for token, silence := range silences {
+		server := view.ServerByToken(token)
+		if server == nil || server.StartedAt != silence.StartedAt || !now.Before(silence.Until) {
+			continue
+		}
+		resetter.checkNotLater(silence.Until)
+		resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter(), unanswered: true}, before)
+	}
+}
+
+// add adds a server that counts as gone, with what is known of it from before.
+func (resetter *resetter) add(gone goneServer, before map[uint32]*goneServer) {
+	token := gone.server.Token
+	if known := before[token]; known != nil && known.isSilent == gone.isSilent && known.server.SameIncarnation(gone.server) {
+		resetter.gone[token] = known
+		return
+	}
+	resetter.gone[token] = &gone
+}
+
+// checkNotLater makes checkGone look again at a time.
+func (resetter *resetter) checkNotLater(at time.Time) {
+	if resetter.checkAt.IsZero() || at.Before(resetter.checkAt) {
+		resetter.checkAt = at
+	}
+}
+
+// collectFlows queues the flows of servers that are newly silent, and reports each server.
+func (steerer *Steerer) collectFlows(now time.Time) {
+	counts := map[uint32]int{}
+	for token, gone := range steerer.resetter.gone {
+		if gone.isSilent && !gone.isReset {
+			gone.isReset = true
+			counts[token] = 0
+		}
+	}
+	if len(counts) == 0 {
+		return
+	}
+	for key, flow := range steerer.follower.flows {
+		if _, ok := counts[flow.token]; ok {
+			steerer.resetter.due = append(steerer.resetter.due, key)
+			counts[flow.token]++
+		}
+	}
+	for token, flows := range counts {
+		steerer.observer.FlowsReset(steerer.resetter.gone[token].server, flows)
+	}
+}
+
+// wakeTime returns when nextReset has to be called, or the zero time.
+func (resetter *resetter) wakeTime() time.Time {
+	if len(resetter.due) == 0 {
+		return resetter.checkAt
+	}
+	return earliest(resetter.resetAt, resetter.checkAt)
+}
+
+// earliest returns the earlier of two times that are not zero, or zero if both are.
+func earliest(one, two time.Time) time.Time {
+	if one.IsZero() || !two.IsZero() && two.Before(one) {
+		return two
+	}
+	return one
+}
