--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -26,8 +26,22 @@
 	WarmUpExcess      float64          `json:"warm_up_excess"`   // factor by which the openings that reach a cold backend server in a second may exceed the stated rate; 0 if not stated, for 1
 	WarmUpSlack       float64          `json:"warm_up_slack"`    // openings in a second that may come on top
 	Log               Log              `json:"log"`
+	Admission         Admission        `json:"admission"` // what happens when callers ask for more than the servers can work off
 }
 
+// Admission holds the settings of the decisions about new flows when room is short.
+type Admission struct {
+	Enabled      bool     `json:"enabled"`
+	MaxWait      Duration `json:"max_wait"`       // of a new flow for a place
+	MaxShedShare float64  `json:"max_shed_share"` // of a service's responses; new flows are limited above twice as much
+}
+
+// maxAdmissionWait keeps a new flow from waiting until its caller repeats the opening, after
+// 200 ms.
+const maxAdmissionWait = Duration(180 * time.Millisecond)
+
+var defaultAdmission = Admission{MaxWait: Duration(100 * time.Millisecond), MaxShedShare: 0.1}
+
 // PeerAddress returns the UDP address on which the instance receives heartbeats.
 func (platformSettings *PlatformSettings) PeerAddress() netip.AddrPort {
 	return netip.AddrPortFrom(platformSettings.Address, platformSettings.PeerPorts[0])
@@ -58,7 +72,7 @@
 // ReadPlatformSettings reads and validates a settings file. It returns Findings as
 // its error if the content is invalid.
 func ReadPlatformSettings(file string) (*PlatformSettings, error) {
-	platformSettings := &PlatformSettings{Log: Log{Format: "json"}, StopTimeout: defaultStopTimeout}
+	platformSettings := &PlatformSettings{Log: Log{Format: "json"}, StopTimeout: defaultStopTimeout, Admission: defaultAdmission}
 	if err := readStrict(file, platformSettings); err != nil {
 		return nil, err
 	}
@@ -89,5 +103,8 @@
 	require(platformSettings.WarmUpExcess >= 0, "warm_up_excess", "must not be negative")
 	require(platformSettings.WarmUpSlack >= 0, "warm_up_slack", "must not be negative")
 	require(platformSettings.Log.Format == "text" || platformSettings.Log.Format == "json", "log.format", `must be "text" or "json"`)
+	admission := platformSettings.Admission
+	require(admission.MaxWait >= 0 && admission.MaxWait <= maxAdmissionWait, "admission.max_wait", "must be from 0 to 180ms")
+	require(admission.MaxShedShare > 0 && admission.MaxShedShare < 1, "admission.max_shed_share", "must be above 0 and below 1")
 	return findings
 }
--- a/director/director.go
+++ b/director/director.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/dig"
 
+	"github.com/pimentowind/pimentowind/admitter"
 	"github.com/pimentowind/pimentowind/closer"
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/detector"
@@ -79,6 +80,7 @@
 		builder.newSource,
 		builder.newNetwork,
 		builder.newRelayer,
+		newAdmitter,
 		newFailureCheck,
 		newEstimator,
 		newPacer,
@@ -110,6 +112,7 @@
 	Socket           *Socket
 	Ticker           *ticker.Ticker
 	Responder        *Responder
+	Admitter         *admitter.Admitter
 }
 
 func (builder *builder) newQueue() *logger.Queue {
@@ -134,7 +137,7 @@
 	return network, nil
 }
 
-func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, detector *detector.Detector, recorder *Recorder) *relayer.Relayer {
+func (builder *builder) newRelayer(settings *configurer.PlatformSettings, current *viewer.Viewer, source relayer.Source, network *Network, ejections *examiner.Ejections, detector *detector.Detector, admitter *admitter.Admitter, recorder *Recorder) *relayer.Relayer {
 	self := relayer.Member{
 		Name:           settings.Instance,
 		FailureDomain:  settings.FailureDomain,
@@ -146,6 +149,7 @@
 	detectors := relayer.Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
 	created := relayer.NewRelayer(self, settings.Seeds, current, source, network, detectors, observer)
 	created.SetChangeDeadline(settings.ChangeDeadline())
+	created.SetLoadMonitor(admitter)
 	created.SetDetector(detector)
 	return created
 }
@@ -180,14 +184,18 @@
 	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, isFailing failureCheck, detector *detector.Detector, pacer *pacer.Pacer, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, isFailing failureCheck, detector *detector.Detector, pacer *pacer.Pacer, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, estimator, isFailing, random)
 	placer.SetPacer(pacer)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
+		if admitter.IsLimited(server.Service) {
+			return // servers that have too much to do look failing and slow
+		}
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
 	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created.UseAdmission(admitter)
 	created.SetDetector(detector)
 	return created
 }
@@ -242,6 +250,11 @@
 	go instance.Relayer.Run(work)
 	instance.Relayer.Tick(work, time.Now())
 	defer instance.Ticker.Subscribe(relayerInterval, func(now time.Time) { instance.Relayer.Tick(work, now) })()
+	defer instance.Ticker.Subscribe(summaryInterval, func(now time.Time) {
+		for _, summary := range instance.Admitter.Summaries(now) {
+			instance.Recorder.AdmissionSummarized(summary)
+		}
+	})()
 	defer instance.Ticker.Subscribe(logFlushInterval, instance.Recorder.Flush)()
 	defer instance.Ticker.Subscribe(settingsCheckInterval, instance.Reloader.CheckFile)()
 	err := instance.wait(ctx, hangups, forwarding)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -137,6 +137,7 @@
 	relayer.recordSender(heartbeat, now)
 	relayer.receiveEvacuations(heartbeat, now)
 	relayer.handleSuspicions(heartbeat, now)
+	relayer.receiveLoad(heartbeat, now)
 	relayer.receiveSigns(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
 	relayer.answerIfNeeded(heartbeat, now)
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -37,6 +37,8 @@
 	// announcement. It is sent only in announcements, and nil when it is too long.
 	RouteDelta *viewer.RouteDelta `cbor:"route_delta"`
 
+	// Load is sent while services lack room; see loadExchange.
+	Load *SharedLoad `cbor:"load,omitempty"`
 	// DomainInstanceCount is the number of instances in the sender's failure domain; 0 when
 	// the sender may not know all.
 	DomainInstanceCount int `cbor:"domain_instances,omitempty"`
@@ -73,6 +75,9 @@
 	case heartbeat.InstanceCount < 0 || heartbeat.DomainInstanceCount < 0:
 		return errors.Errorf("heartbeat of %q counts %d instances, %d in its failure domain", sender.Name, heartbeat.InstanceCount, heartbeat.DomainInstanceCount)
 	}
+	if heartbeat.Load != nil && !heartbeat.Load.Load.IsValid() {
+		return errors.Errorf("heartbeat of %q has an impossible load", sender.Name)
+	}
 	if heartbeat.ServerSigns != nil {
 		if err := heartbeat.ServerSigns.Check(); err != nil {
 			return errors.Wrapf(err, "heartbeat of %q", sender.Name)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -148,6 +148,7 @@
 
 	justResumed  func(now time.Time) bool // whether the process was paused until a moment ago
 	unreported   unreportedEjections
+	loads        loadExchange
 	relayedUntil map[uint32]time.Time // end of the ejections that were passed on from other failure domains, by token
 
 	signs signExchanger // nil until SetDetector
@@ -185,7 +186,7 @@
 	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
-		suspicionSender: newSuspicionSender(), tree: newRelayTree(self.Name),
+		suspicionSender: newSuspicionSender(), loads: newLoadExchange(), tree: newRelayTree(self.Name),
 		members: map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
@@ -213,6 +214,7 @@
 	}
 	relayer.mutex.Unlock()
 	relayer.reportEjections(now)
+	relayer.shareLoad(now)
 	relayer.askAfterMiss(now)
 	relayer.askAbsent(now)
 	if !fetching {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -32,6 +32,7 @@
 	isListed        bool // in Steerer.outstanding
 	isAdopted       bool // another instance opened the flow
 	isRetransmitted bool // the caller has retransmitted data of the last request
+	isOutcomeKnown  bool // the admission has been told of the last response
 	// isRequestPartial says that the last request may have begun at another instance.
 	isRequestPartial bool
 
@@ -88,10 +89,12 @@
 			steerer.endRequest(flow, now)
 		}
 	}
+	steerer.awaitCompletion(flow, now)
 	if packet.PayloadLength > 0 && (flow.requestReceivedAt.IsZero() || packet.Acknowledgment != flow.requestAcknowledgment) {
 		steerer.recordResponse(flow, now)
 		steerer.renewRequest(flow, now)
 		flow.requestReceivedAt, flow.requestAcknowledgment, flow.acknowledgedAt = now, packet.Acknowledgment, time.Time{}
+		flow.isOutcomeKnown = false
 		flow.isRequestPartial = false
 		steerer.awaitResponse(flow)
 	} else if packet.PayloadLength > 0 && packet.Sequence == flow.dataSequence {
@@ -134,7 +137,10 @@
 // placer and the examiner.
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
 	if responseTime := flow.responseTime(); responseTime > 0 {
-		steerer.placer.RecordResponseTime(flow.server, responseTime, now)
+		steerer.recordOutcome(flow, now)
+		if !steerer.wasShed(flow) {
+			steerer.placer.RecordResponseTime(flow.server, responseTime, now)
+		}
 		steerer.examiner.RecordResponse(flow.key.ServiceAddress, flow.server, flow.lastAcknowledgment-flow.requestAcknowledgment, responseTime, now)
 	}
 }
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"time"
 
+	"github.com/pimentowind/pimentowind/admitter"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -65,6 +67,9 @@
 
 	Candidates int // servers that an opening could have been sent to
 	Attempts   int // servers that the opening was sent to before
+
+	Class  admitter.Class // of an opening
+	Waited time.Duration  // how long an opening was held
 }
 
 // Reason is the cause of a verdict; its value is also the name of the counter.
@@ -86,6 +91,10 @@
 	ReasonServerGone       Reason = "server_gone"        // data was reset, because the flow's server was removed and does not answer
 	ReasonServerSilent     Reason = "server_silent"      // data was reset, because the flow's server has fallen silent
 	ReasonFlowServerSilent Reason = "flow_server_silent" // a flow was reset, because its server has fallen silent
+	ReasonHeld             Reason = "held"               // the opening waits for a place at a server
+	ReasonHeldCopy         Reason = "held_copy"          // a copy of an opening that waits
+	ReasonReleased         Reason = "released"           // an opening that was held was sent to a server
+	ReasonNoRoom           Reason = "refused_no_room"    // the servers cannot work off the opening's request in time
 	ReasonNoView           Reason = "no_view"            // configuration or servers not yet known
 	ReasonFromServer       Reason = "not_from_caller"    // SYN with ACK, which only a server sends
 )
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -49,6 +49,8 @@
 	// RecordLostRequest is called for a request or an opening that its server did not take.
 	RecordLostRequest(server *viewer.BackendServer)
 	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time)
+	// IsShort reports whether a response is much shorter than usual on its route.
+	IsShort(route netip.AddrPort, bytes uint32) bool
 }
 
 // Observer receives the events of flows for logs and counters.
@@ -104,6 +106,9 @@
 	awaiting             []awaitedResponse     // in the order of the requests
 	closedAt             map[FlowKey]time.Time // flows that ended a moment ago; at most maxFlows
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
+	admission            admission             // nil if every opening is sent at once
+	held                 map[FlowKey]*heldPacket
+	complete             []completeResponse // in the order of their last acknowledgment
 	silence              silence
 	follower             follower
 	resetter             resetter
@@ -112,7 +117,10 @@
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
-	return &Steerer{currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random, flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, follower: newFollower()}
+	return &Steerer{
+		currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random,
+		flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, held: map[FlowKey]*heldPacket{}, follower: newFollower(),
+	}
 }
 
 // Decide returns the verdict on one packet from a caller.
@@ -124,6 +132,7 @@
 		verdict.Reason = ReasonNoView
 	case packet.Flags.SYN && packet.Flags.ACK:
 		verdict.Reason = ReasonFromServer
+	case packet.IsOpening() && !steerer.admit(packet, view, &verdict, now):
 	case packet.IsOpening():
 		steerer.placeOpening(packet, view, &verdict, now)
 	default:
@@ -272,10 +281,14 @@
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
+	if verdict, ok := steerer.nextHeld(now); ok {
+		return verdict, true
+	}
 	if verdict, ok := steerer.nextReset(now); ok {
 		return verdict, true
 	}
 	steerer.reportLostRequests(now, drained)
+	steerer.reportComplete(now)
 	steerer.expireRequests(now)
 	steerer.expireFlows(now)
 	return Verdict{}, false
@@ -289,7 +302,7 @@
 	if len(steerer.unanswered) > 0 {
 		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
-	return earliest(retryAt, steerer.resetter.wakeTime())
+	return earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
