End the limit of new flows when nothing is shed, and learn the usual time from all responses

Ruled out: figures of the fleet (other instances of the domain had ended their limits). Change: long responses count as three times the usual one; a second without a shed response, here and in the fleet, ends the limit. Test: TestLimitEndsAfterTheBurst, red before for an unusually short first response.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -35,6 +35,41 @@
 	return admitter, now
 }
 
+// The load: a short burst, then as many openings as before.
+func TestLimitEndsAfterTheBurst(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first time.Duration // response time of the service's first response
+		calm  int           // responses a second after the burst
+	}{
+		{"usual first response", 60 * time.Millisecond, 20},
+		{"unusually short first response", 5 * time.Millisecond, 20},
+		{"hardly any response after it", 60 * time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			admitter, now := NewAdmitter(testSettings), start
+			admitter.RecordResponse("s", Response{Class: stream, Duration: c.first}, now)
+			respond := func(count int, duration time.Duration, isShed func(i int) bool) {
+				for i := range count {
+					now = now.Add(time.Second / 20)
+					admitter.Decide(openingOf(byte(i), uint16(i), stream), now)
+					admitter.RecordResponse("s", Response{Class: stream, Duration: duration, IsShort: isShed(i)}, now)
+				}
+			}
+			never := func(int) bool { return false }
+			respond(400, 60*time.Millisecond, never)
+			respond(60, 240*time.Millisecond, func(i int) bool { return i%2 == 0 })
+			assert.Assert(t, admitter.IsLimited("s"))
+			for range 2 * c.calm {
+				now = now.Add(time.Second / time.Duration(c.calm))
+				admitter.RecordResponse("s", Response{Class: stream, Duration: 60 * time.Millisecond}, now)
+				admitter.Decide(openingOf(1, 1, stream), now)
+			}
+			assert.Assert(t, !admitter.IsLimited("s"), "limited two seconds after the burst")
+		})
+	}
+}
+
 func TestMoreUrgentOpeningTakesTheNextPlace(t *testing.T) {
 	cases := []struct {
 		name         string
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -43,9 +43,11 @@
 	shedTimeRatio = 0.4
 	// usualSmoothing is the weight of a response in the usual response time.
 	usualSmoothing = 0.02
-	// usualLimit is the multiple of the usual response time above which a response does not
-	// change it, and for which it counts at most in the recent ones.
+	// usualLimit is the multiple of the usual response time for which a response counts at most.
 	usualLimit = 3
+	// shedMemory is the time without a shed response, here and in the fleet, after which there
+	// is room.
+	shedMemory = time.Second
 	// maxTokenTime is the time for which an unused budget is kept.
 	maxTokenTime = 50 * time.Millisecond
 )
@@ -62,11 +64,12 @@
 // serviceLoad is the load of one service and the budget that follows from it.
 type serviceLoad struct {
 	classes  map[Class]*classLoad
-	admitted rate    // openings
-	answered rate    // responses, shed ones included
-	shed     rate    // responses of servers with full queues
-	delay    rate    // of each response that was not shed, as a multiple of the usual time
-	usual    float64 // response time in seconds while there is room; 0 before the first
+	admitted rate      // openings
+	answered rate      // responses, shed ones included
+	shed     rate      // responses of servers with full queues
+	delay    rate      // of each response that was not shed, as a multiple of the usual time
+	usual    float64   // response time in seconds while there is room; 0 before the first
+	shedAt   time.Time // of the last shed response
 
 	budget       float64 // openings per second; unlimited if there is room
 	controlledAt time.Time
@@ -105,6 +108,7 @@
 		if seconds >= shedTimeRatio*serviceLoad.usual {
 			serviceLoad.answered.add(1, now)
 			serviceLoad.shed.add(1, now)
+			serviceLoad.shedAt = now
 		}
 		return
 	}
@@ -115,8 +119,8 @@
 	}
 	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
 	isCalm := !serviceLoad.isLimited() && !isFleetShort && serviceLoad.shed.weightAt(now) < calmShed
-	if isCalm && seconds < usualLimit*serviceLoad.usual {
-		serviceLoad.usual += usualSmoothing * (seconds - serviceLoad.usual)
+	if isCalm {
+		serviceLoad.usual += usualSmoothing * (min(seconds, usualLimit*serviceLoad.usual) - serviceLoad.usual)
 	}
 }
 
@@ -124,7 +128,8 @@
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
 // twice maxShedShare of the responses is shed. From then on the budget is what was admitted
-// less the responses that were shed beyond maxShedShare, and grows as the queues get short.
+// less the responses that were shed beyond maxShedShare, and grows as the queues get short. The
+// limit ends when the budget is more than callers ask for, or nothing is shed any more.
 func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
 	if elapsed < controlInterval {
@@ -140,6 +145,10 @@
 		serviceLoad.wasLimited = true
 		serviceLoad.refilledAt, serviceLoad.tokens = now, 0
 	}
+	if fleet.Shed == 0 && now.Sub(serviceLoad.shedAt) > shedMemory {
+		serviceLoad.budget = unlimited
+		return
+	}
 	offered, answered := float64(own.Offered), float64(own.Answered)
 	seen := serviceLoad.withFleet(own, fleet, now)
 	if fleet.Offered > 0 {
