Switch locality and resets of silent servers on by settings, and move a decision to steerer

Cause: what is new is to take effect only where settings call for it; placement by domains and the resets of flows had no switch, and director decided whether an instance lacks servers. Tests: flows spread over all domains by their slots when domains are ignored; no flow is reset when flows are kept.

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -18,13 +18,15 @@
 	Seeds             []netip.AddrPort `json:"seeds"`              // control addresses of some instances
 	ProcessorShare    float64          `json:"processor_share"`    // fraction of a core; instances with the largest share read the store
 	StoreAddress      netip.AddrPort   `json:"store_address"`
-	MetricsPort       uint16           `json:"metrics_port"`     // TCP on Address, for metrics and state; 0 for no such listener
-	StopTimeout       Duration         `json:"stop_timeout"`     // time from the stop signal until the process is killed
-	DrainTimeout      Duration         `json:"drain_timeout"`    // time after which a draining backend server may get no new flows; 0 if unlimited
-	ApplyTimeout      Duration         `json:"apply_timeout"`    // time within which a configuration has to be in force; 0 if unlimited
-	EvacuateTimeout   Duration         `json:"evacuate_timeout"` // time after which the servers of an evacuated failure domain may get no new flows; 0 if unlimited
-	WarmUpExcess      float64          `json:"warm_up_excess"`   // factor by which the openings that reach a cold backend server in a second may exceed the stated rate; 0 if not stated, for 1
-	WarmUpSlack       float64          `json:"warm_up_slack"`    // openings in a second that may come on top
+	MetricsPort       uint16           `json:"metrics_port"`      // TCP on Address, for metrics and state; 0 for no such listener
+	StopTimeout       Duration         `json:"stop_timeout"`      // time from the stop signal until the process is killed
+	DrainTimeout      Duration         `json:"drain_timeout"`     // time after which a draining backend server may get no new flows; 0 if unlimited
+	ApplyTimeout      Duration         `json:"apply_timeout"`     // time within which a configuration has to be in force; 0 if unlimited
+	EvacuateTimeout   Duration         `json:"evacuate_timeout"`  // time after which the servers of an evacuated failure domain may get no new flows; 0 if unlimited
+	WarmUpExcess      float64          `json:"warm_up_excess"`    // factor by which the openings that reach a cold backend server in a second may exceed the stated rate; 0 if not stated, for 1
+	WarmUpSlack       float64          `json:"warm_up_slack"`     // openings in a second that may come on top
+	PreferOwnDomain   bool             `json:"prefer_own_domain"` // new flows stay in the instance's failure domain while it has room; otherwise all domains get them alike
+	ResetSilent       bool             `json:"reset_silent"`      // open flows of backend servers that have fallen silent are reset
 	Log               Log              `json:"log"`
 	Admission         Admission        `json:"admission"` // what happens when callers ask for more than the servers can work off
 }
--- a/director/director.go
+++ b/director/director.go
@@ -184,7 +184,7 @@
 	return pacer.Bounds{Excess: settings.WarmUpExcess, Slack: settings.WarmUpSlack}
 }
 
-func newSteerer(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, isFailing failureCheck, detector *detector.Detector, pacer *pacer.Pacer, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
+func newSteerer(settings *configurer.PlatformSettings, reloader *Reloader, current *viewer.Viewer, relayer *relayer.Relayer, estimator *estimator.Estimator, isFailing failureCheck, detector *detector.Detector, pacer *pacer.Pacer, admitter *admitter.Admitter, ticker *ticker.Ticker, recorder *Recorder) *steerer.Steerer {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, estimator, isFailing, random)
 	placer.SetPacer(pacer)
@@ -197,6 +197,12 @@
 	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
 	created.UseAdmission(admitter)
 	created.SetDetector(detector)
+	apply := func(settings *configurer.PlatformSettings) {
+		placer.IgnoreDomains(!settings.PreferOwnDomain)
+		created.KeepFlows(!settings.ResetSilent)
+	}
+	apply(settings)
+	reloader.Subscribe(apply)
 	return created
 }
 
--- a/director/responder.go
+++ b/director/responder.go
@@ -26,6 +26,10 @@
 // rejected instance retries after a later heartbeat.
 const maxConcurrentViews = 4
 
+// maxCalmAge is the age that the view of an instance does not exceed while it reaches the store, or
+// an instance that does.
+const maxCalmAge = relayer.ReadInterval + 400*time.Millisecond
+
 // headerTimeout is how long a client may take to send its request headers.
 const headerTimeout = 2 * time.Second
 
@@ -99,7 +103,14 @@
 		return false
 	}
 	domainLeft := responder.relayer.HasDomainLeft(view.Evacuations)
-	return !lacksServers(view, responder.domain, domainLeft, responder.relayer.Age(now), responder.steerer.Answers(now))
+	reach := steerer.Reach{
+		FailureDomain:   responder.domain,
+		OtherDomainLeft: domainLeft,
+		ViewAge:         responder.relayer.Age(now),
+		MaxCalmAge:      maxCalmAge,
+		Answers:         responder.steerer.Answers(now),
+	}
+	return !reach.LacksServers(view)
 }
 
 func (responder *Responder) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -88,6 +88,7 @@
 		"packet_address":     instance.endpoint(packetPort), "ready_address": instance.endpoint(readyPort),
 		"control_address": instance.endpoint(controlPort), "peer_ports": []int{peerPort}, "seeds": seeds,
 		"store_address": instance.storeProxy.listener.Addr().String(), "stop_timeout": "6s",
+		"prefer_own_domain": true, "reset_silent": true, "admission": map[string]any{"enabled": true},
 		"warm_up_excess": warmUpExcess, "warm_up_slack": warmUpSlack,
 		"log": map[string]any{"format": "json", "verbosity": 1},
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -52,6 +53,7 @@
 	domainEjections map[domainKey]*ejection
 	services        map[string]*serviceState
 	indexes         map[string]*domainIndex // by service
+	ignoresDomains  atomic.Bool             // new flows are spread over all failure domains by their slots
 }
 
 // domainKey identifies the servers of a service in one failure domain.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -222,3 +222,19 @@
 	placer.ExpireServers(start.Add(time.Second))
 	assert.Equal(t, len(placer.services), 1)
 }
+
+func TestFlowsAreSpreadOverAllDomainsIfTheseAreIgnored(t *testing.T) {
+	placer := newPlacer(9)
+	placer.IgnoreDomains(true)
+	var candidates []*viewer.BackendServer
+	for i, domain := range []string{"dakar-1", "dakar-2", "dakar-2", "dakar-3"} {
+		candidates = append(candidates, &viewer.BackendServer{Name: string(rune('a' + i)), Service: "desk-sync", FailureDomain: domain, Slots: 2})
+	}
+	placed := map[string]int{}
+	for range 4000 {
+		placed[placer.Select(candidates, nil, start).FailureDomain]++
+	}
+	for domain, share := range map[string]int{"dakar-1": 1000, "dakar-2": 2000, "dakar-3": 1000} {
+		assert.Assert(t, placed[domain] > share*9/10 && placed[domain] < share*11/10, "%v", placed)
+	}
+}
--- a/placer/split.go
+++ b/placer/split.go
@@ -24,11 +24,39 @@
 	minRoomShare = 0.02
 )
 
+// IgnoreDomains sets whether new flows are spread over all failure domains by their slots, in
+// place of staying in the instance's own one while that has room. It may be called concurrently.
+func (placer *Placer) IgnoreDomains(ignores bool) { placer.ignoresDomains.Store(ignores) }
+
+// drawBySlots draws one of the usable failure domains in proportion to its slots, or returns nil if
+// there is none.
+func (placer *Placer) drawBySlots(index *domainIndex, attempted []*viewer.BackendServer, now time.Time) *domain {
+	var drawn *domain
+	total := 0.0
+	consider := func(domain *domain) {
+		if domain == nil || !placer.isUsable(domain, attempted, now) {
+			return
+		}
+		total += domain.slots
+		if drawn == nil || placer.random.Float64()*total < domain.slots {
+			drawn = domain
+		}
+	}
+	consider(index.own)
+	for _, other := range index.others {
+		consider(other)
+	}
+	return drawn
+}
+
 // drawDomain returns the failure domain for a new flow, or nil if none is usable: the
 // instance's own one while it has room, and above that others by the room that they have. As the
 // own one fills, a growing part of the flows goes to the others, so that no callers
 // wait there while others have room, and the instances don't move their flows all at once.
 func (placer *Placer) drawDomain(index *domainIndex, attempted []*viewer.BackendServer, now time.Time) *domain {
+	if placer.ignoresDomains.Load() {
+		return placer.drawBySlots(index, attempted, now)
+	}
 	service := placer.service(index.candidates[0].Service, now)
 	own := placer.ownLoad(index, attempted, now)
 	if own != nil && service.correction == 0 && own.asked <= spillStart*comfortableLoad(own.slots) {
--- /dev/null
+++ b/steerer/reach_test.go
@@ -0,0 +1,49 @@
+package steerer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/parser"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+func TestInstanceOfEvacuatedDomainLacksServersWhenItIsCutOff(t *testing.T) {
+	const long, short, maxCalmAge = 10 * time.Second, 100 * time.Millisecond, 1200 * time.Millisecond
+	lacksServers := func(view *viewer.View, domainLeft bool, age time.Duration, answers Answers) bool {
+		reach := Reach{FailureDomain: "a", OtherDomainLeft: domainLeft, ViewAge: age, MaxCalmAge: maxCalmAge, Answers: answers}
+		return reach.LacksServers(view)
+	}
+	cases := []struct {
+		name      string
+		evacuated []string
+		age       time.Duration
+		answers   Answers
+		want      bool
+	}{
+		{"cut off", []string{"a"}, long, Answers{SinceLast: long}, true},
+		{"the view is fresh", []string{"a"}, short, Answers{SinceLast: long}, false},
+		{"openings are answered", []string{"a"}, long, Answers{SinceLast: short}, false},
+		{"openings are not answered", []string{"a"}, minSilence + short, Answers{SinceLast: minSilence, SilentFor: minSilence}, true},
+		{"the view was confirmed since", []string{"a"}, short, Answers{SinceLast: long, SilentFor: long}, false},
+		{"openings are not answered yet", []string{"a"}, maxCalmAge, Answers{SinceLast: minSilence, SilentFor: minSilence - 1}, false},
+		{"another domain is evacuated", []string{"b"}, long, Answers{SinceLast: long}, false},
+		{"none is evacuated", nil, long, Answers{SinceLast: long}, false},
+		{"no server is left", []string{"a", "b"}, short, Answers{SinceLast: short}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			current := viewer.NewViewer()
+			assert.Assert(t, !lacksServers(current.Current(), true, long, Answers{SinceLast: long}), "an instance without a view lacks more than servers")
+			current.ApplyServers(&viewer.Servers{Revision: 1, List: []viewer.BackendServer{
+				{Name: "1", Token: 1, Service: "desk-sync", FailureDomain: "a", State: parser.Active},
+				{Name: "2", Token: 2, Service: "desk-sync", FailureDomain: "b", State: parser.Active},
+			}}, time.Now())
+			current.ApplyEvacuations(&viewer.Evacuations{Revision: 1, Domains: c.evacuated})
+			assert.Equal(t, lacksServers(current.Current(), true, c.age, c.answers), c.want)
+			assert.Assert(t, !lacksServers(current.Current(), false, c.age, c.answers), "no other domain is left")
+		})
+	}
+}
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/pimentowind/pimentowind/detector"
@@ -57,12 +58,17 @@
 	gone            map[uint32]*goneServer // by token
 	due             []followKey            // flows to be reset
 	resetAt         time.Time              // when the next of them may be reset
+	isDisabled      atomic.Bool            // no flow is reset
 }
 
 // SetDetector sets the detector that shares the signs of servers with other instances; it has to
 // be set before the first packet.
 func (steerer *Steerer) SetDetector(recorder lifeRecorder) { steerer.resetter.recorder = recorder }
 
+// KeepFlows sets whether flows whose server is gone are kept in place of reset. It may be called
+// concurrently.
+func (steerer *Steerer) KeepFlows(keeps bool) { steerer.resetter.isDisabled.Store(keeps) }
+
 func (goneServer *goneServer) isAlive(now time.Time) bool {
 	return !goneServer.aliveAt.IsZero() && now.Sub(goneServer.aliveAt) < lifeTime
 }
@@ -91,7 +97,7 @@
 // caller waits for the server.
 func (steerer *Steerer) answerForGone(packet *Packet, sign sign, verdict *Verdict, now time.Time) {
 	gone := steerer.resetter.gone[packet.Token]
-	if gone == nil {
+	if gone == nil || steerer.resetter.isDisabled.Load() {
 		return
 	}
 	if sign.aliveAt.After(gone.since) {
@@ -129,7 +135,7 @@
 			continue
 		}
 		gone := resetter.gone[flow.token]
-		if gone == nil || !gone.isSilent || gone.isAlive(now) {
+		if gone == nil || !gone.isSilent || gone.isAlive(now) || resetter.isDisabled.Load() {
 			continue
 		}
 		resetter.resetAt = now.Add(resetInterval)
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -95,6 +95,17 @@
 	}
 }
 
+func TestNoFlowIsResetIfFlowsAreKept(t *testing.T) {
+	harness := newHarness("a", "b")
+	harness.KeepFlows(true)
+	harness.Decide(data(1, 7, 100), start)
+	harness.applyServers(2, "b")
+	for _, at := range []int{400, 600, 1000, 1800} {
+		harness.Next(after(at), start)
+		assert.Equal(t, harness.Decide(data(1, 7, 100), after(at)).Action, Send, "at %d ms", at)
+	}
+}
+
 func TestResetsOfIdleFlowsAreSpread(t *testing.T) {
 	harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
 	harness.SetDetector(signs)
