Count flows of a server that turned cold after their opening against its budget

Cause: a flow kept the entry of the server from the view in which it was opened, so requests and late copies of its opening were booked as sent to a warm server. Ruled out: a server that restarts (another incarnation) is not taken over, nor an entry with another service or failure domain, whose counts would be reverted in the wrong place. Change: observe and repeatOpening take the newer entry of the same incarnation.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -82,6 +82,7 @@
 	if !flow.established {
 		steerer.establish(flow, packet, server, now)
 	}
+	flow.server = newestEntry(flow.server, server)
 	if packet.Acknowledgment != flow.lastAcknowledgment {
 		flow.lastAcknowledgment = packet.Acknowledgment
 		if packet.PayloadLength == 0 { // otherwise the caller may have paused before its next request
@@ -133,6 +134,16 @@
 	}
 }
 
+// newestEntry returns the current entry of a server in place of an earlier one, as the server may
+// have turned cold in between, or the earlier one if current is nil or of another incarnation. An
+// entry that counts as load elsewhere is not taken while the flow is counted.
+func newestEntry(earlier, current *viewer.BackendServer) *viewer.BackendServer {
+	if current == nil || !current.SameIncarnation(earlier) || current.Service != earlier.Service || current.FailureDomain != earlier.FailureDomain {
+		return earlier
+	}
+	return current
+}
+
 // recordResponse reports the time and the length of the flow's last response to the
 // placer and the examiner.
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -156,7 +156,7 @@
 		flow = nil
 	}
 	if flow != nil && flow.established {
-		steerer.repeatOpening(flow, verdict, now)
+		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
 	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
@@ -178,7 +178,8 @@
 
 // repeatOpening sends a late copy of an established flow's opening to its server, if that may
 // get an opening now; otherwise it is dropped, as the flow does not need it.
-func (steerer *Steerer) repeatOpening(flow *flow, verdict *Verdict, now time.Time) {
+func (steerer *Steerer) repeatOpening(flow *flow, view *viewer.View, verdict *Verdict, now time.Time) {
+	flow.server = newestEntry(flow.server, view.ServerByToken(flow.server.Token))
 	if !steerer.placer.MayOpen(flow.server, now) {
 		verdict.Reason = ReasonWarmingUp
 		return
