Report no life sign that is newer than the opening a server answered

Cause: establish compared the answering server with the flow's after having assigned it, which is always true, so a server that answered the first copy was reported alive since the last retry. Ruled out: the only server that got two copies has the same fault, as either may be answered; it reports none now. The time of the first copy would be safe too, but is no news after a retry. Change: the comparison is with the attempts, before the assignment. Test (go test ./steerer -run LifeSign): answered by the first of two servers and by the only one, a sign of 200 ms too late before, none after; answered by the last, its time before and after. Conclusion: a sign is never newer than its proof.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -119,6 +119,7 @@
 	flow.established = true
 	flow.establishedAt = now
 	steerer.silence.end(now)
+	isLastAttempt := flow.isLastAttempt(server)
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
@@ -129,11 +130,18 @@
 		steerer.beginRequest(flow, true, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
-	if server.SameIncarnation(flow.server) {
+	if isLastAttempt {
 		steerer.resetter.recordSign(server, packet, sign{aliveAt: flow.openingSentAt}, now)
 	}
 }
 
+// isLastAttempt reports whether the server got only the last copy of the opening, so that its
+// answer shows that it was alive after that was sent.
+func (flow *flow) isLastAttempt(server *viewer.BackendServer) bool {
+	last := len(flow.attempted) - 1
+	return last >= 0 && server.SameIncarnation(flow.attempted[last]) && !viewer.Contains(flow.attempted[:last], server)
+}
+
 // newestEntry returns the current entry of a server in place of an earlier one, as the server may
 // have turned cold in between, or the earlier one if current is nil or of another incarnation. An
 // entry that counts as load elsewhere is not taken while the flow is counted.
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -232,3 +232,29 @@
 	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), after(10))
 	assert.DeepEqual(t, signs.alive, []time.Time{start})
 }
+
+func TestLifeSignOfARetriedFlowIsNotTooNew(t *testing.T) {
+	cases := []struct {
+		name     string
+		servers  []string
+		answered bool // by the first server, otherwise by the last
+		want     []time.Time
+	}{
+		{"answered by the first server", []string{"a", "b"}, true, nil},
+		{"answered by the last server", []string{"a", "b"}, false, []time.Time{after(200)}},
+		{"answered by the only server, to either copy", []string{"a"}, false, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			harness, signs := newHarness(c.servers...), &signs{silences: &detector.Silences{}}
+			harness.SetDetector(signs)
+			first := harness.Decide(opening(1), start).Server
+			last := harness.Decide(opening(1), after(200)).Server
+			if c.answered {
+				last = first
+			}
+			harness.Decide(laterPacket(1, last.Token, 100, 0, Flags{}), after(210))
+			assert.DeepEqual(t, signs.alive, c.want)
+		})
+	}
+}
