Let one instance use a rate that is too small for two

Cause: each of two sharers gets a quarter of the limit (two choices may be in force), so with rate x excess + slack below 4 neither ever got a whole opening, and cold servers none for their whole warm-up. Ruled out: naming one in the relayer's choice. It would need the settings there, and a choice stays while the server is cold, so a rate or a setting that changes meanwhile would leave two without openings, or one. Change: the pacer lets only the first of the named two open flows if the part of each is below 1; event 521, once for each rate, if half of the limit is below 1 too. Tests (go test ./pacer): a new table fails before (two sharers and no openings at a limit of 1 to 3), passes after; the property test of the limit now draws rates 0.5, 1.5, 2.5 and 3 too and passes (300 seeds). Conclusion: a limit from 2 on is usable, and never exceeded with two concurrent choices.

--- a/director/recorder.go
+++ b/director/recorder.go
@@ -115,6 +115,12 @@
 // opening now.
 func (recorder *Recorder) WarmUpDeclined() { recorder.counters.Add("warm_up_declined", 1) }
 
+// WarmUpRateTooSmall logs that no instance may open flows at cold servers of a service, since the
+// rate that it states is too small.
+func (recorder *Recorder) WarmUpRateTooSmall(service string, rate float64) {
+	recorder.Event(logger.EventWarmUpRateTooSmall, "service", service, "rate", rate)
+}
+
 // PacketMalformed counts a datagram that cannot be decoded as a packet, by the kind of error.
 func (recorder *Recorder) PacketMalformed(err error) {
 	if errors.Is(err, platform.ErrTooShort) {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -49,6 +49,7 @@
 	EventServerSilent         decider.EventKind = 517
 	EventServerAlive          decider.EventKind = 518
 	EventAnnouncementMissed   decider.EventKind = 520
+	EventWarmUpRateTooSmall   decider.EventKind = 521
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 	EventOpeningsLimited      decider.EventKind = 603
@@ -85,6 +86,7 @@
 	EventServerSlow:           "backend server is slow",
 	EventHeartbeatInvalid:     "heartbeat cannot be used",
 	EventWarmUpChanged:        "backend server turned cold or warm",
+	EventWarmUpRateTooSmall:   "stated rate of cold servers is too small",
 	EventFlowsPlacedElsewhere: "new flows placed in other failure domains",
 	EventFlowsReset:           "flows of a silent backend server are reset",
 	EventServerSilent:         "backend server declared silent",
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -28,10 +28,12 @@
 }
 
 // Counter is notified of openings that are sent to cold servers whose service states a rate,
-// and of cold servers that were passed over because this instance may send none now.
+// of cold servers that were passed over because this instance may send none now, and, once for
+// each rate, of services that state one at which no instance may ever send any.
 type Counter interface {
 	WarmUpOpening()
 	WarmUpDeclined()
+	WarmUpRateTooSmall(service string, rate float64)
 }
 
 // Pacer holds the budgets of one instance; only SetBounds may be called concurrently.
@@ -43,6 +45,7 @@
 	startedAt   time.Time
 	budgets     map[incarnation]*budget
 
+	tooSmall   map[string]float64   // rates that were reported as too small, by service
 	observed   *viewer.View         // whose evacuations were observed last
 	returnedAt map[string]time.Time // when evacuations ended, by failure domain
 
@@ -68,7 +71,7 @@
 func NewPacer(instance string, bounds Bounds, currentView func() *viewer.View, counter Counter, now time.Time) *Pacer {
 	pacer := &Pacer{
 		instance: viewer.InstanceHash(instance), currentView: currentView, counter: counter, startedAt: now,
-		budgets: map[incarnation]*budget{}, returnedAt: map[string]time.Time{},
+		budgets: map[incarnation]*budget{}, tooSmall: map[string]float64{}, returnedAt: map[string]time.Time{},
 	}
 	pacer.SetBounds(bounds)
 	return pacer
@@ -116,7 +119,8 @@
 // RequestSent counts a request on an open flow, but the first, against the budget like an
 // opening, so that the server gets fewer new flows the more requests those it has send.
 func (pacer *Pacer) RequestSent(server *viewer.BackendServer, now time.Time) {
-	if pacer.isPaced(server, now) && server.Sharers.Contains(pacer.instance) {
+	rate := pacer.currentView().Service(server.Service).WarmUpRate
+	if pacer.isPaced(server, now) && pacer.sharers(server, rate).Contains(pacer.instance) {
 		pacer.budgetOf(server, now).add(now)
 	}
 }
@@ -126,7 +130,7 @@
 	if !pacer.isPaced(server, now) {
 		return 0
 	}
-	return server.Sharers.Count()
+	return pacer.sharers(server, pacer.currentView().Service(server.Service).WarmUpRate).Count()
 }
 
 // Shared returns the active servers of a service whose rate this instance shares; some may
@@ -149,7 +153,7 @@
 			continue
 		}
 		for _, server := range view.ActiveServers(service.Name) {
-			if server.Sharers.Contains(pacer.instance) {
+			if pacer.sharers(server, service.WarmUpRate).Contains(pacer.instance) {
 				shared[service.Name] = append(shared[service.Name], server)
 			}
 		}
@@ -180,29 +184,48 @@
 // hasBudget reports whether this instance may send an opening to a cold server now. A process
 // sends none in its first window, as the one before it may have sent some just before.
 func (pacer *Pacer) hasBudget(server *viewer.BackendServer, service viewer.Service, now time.Time) bool {
-	if !server.Sharers.Contains(pacer.instance) || now.Sub(pacer.startedAt) < window {
+	sharers := pacer.sharers(server, service.WarmUpRate)
+	if !sharers.Contains(pacer.instance) || now.Sub(pacer.startedAt) < window {
 		return false
 	}
-	limit, spacing := allowance(service.WarmUpRate, *pacer.bounds.Load(), server.Sharers.Count())
+	limit, spacing := allowance(service.WarmUpRate, *pacer.bounds.Load(), sharers.Count())
+	if limit == 0 && pacer.tooSmall[service.Name] != service.WarmUpRate {
+		pacer.tooSmall[service.Name] = service.WarmUpRate
+		pacer.counter.WarmUpRateTooSmall(service.Name, service.WarmUpRate)
+	}
 	budget := pacer.budgetOf(server, now)
 	budget.expire(now)
 	return len(budget.sentAt) < limit && now.Sub(budget.lastSentAt) >= spacing
 }
 
-// allowance returns how many openings each of count instances may send to a cold server in a
-// window, and the shortest time between two of them.
-func allowance(rate float64, bounds Bounds, count int) (int, time.Duration) {
+// sharers returns the instances that may open flows at a cold server: those that the list names,
+// or only the first if the limit of the rate is too small for a part of each.
+func (pacer *Pacer) sharers(server *viewer.BackendServer, rate float64) viewer.Sharers {
+	if most(rate, *pacer.bounds.Load(), server.Sharers.Count()) < 1 {
+		return server.Sharers.First()
+	}
+	return server.Sharers
+}
+
+// most returns how many openings each of count instances may send to a cold server in a window
+// at most, so that concurrentChoices of them stay within the limit.
+func most(rate float64, bounds Bounds, count int) float64 {
 	total := rate*max(bounds.Excess, 0) + max(bounds.Slack, 0)
 	if bounds.Excess == 0 {
 		total += rate
 	}
-	most := math.Floor(total / float64(concurrentChoices*count))
+	return math.Floor(total / float64(concurrentChoices*max(count, 1)))
+}
+
+// allowance returns how many openings each of count instances may send to a cold server in a
+// window, and the shortest time between two of them.
+func allowance(rate float64, bounds Bounds, count int) (int, time.Duration) {
 	stated := math.Floor(rate * window.Seconds() / float64(count))
 	interval := min(float64(count)/rate, viewer.MaxWarmUp.Seconds()) // between two openings at the stated rate
 	if stated >= 2 {
 		interval /= 2 // so that a pause in the demand can be made up for
 	}
-	limit := int(min(most, max(stated, 1), math.MaxInt32))
+	limit := int(min(most(rate, bounds, count), max(stated, 1), math.MaxInt32))
 	return limit, time.Duration(interval * float64(time.Second))
 }
 
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -16,11 +16,18 @@
 var start = time.Unix(1_000_000, 0)
 
 // counts is a Counter.
-type counts struct{ openings, declined int }
+type counts struct {
+	openings, declined int
+	tooSmall           []string // services
+}
 
 func (counts *counts) WarmUpOpening()  { counts.openings++ }
 func (counts *counts) WarmUpDeclined() { counts.declined++ }
 
+func (counts *counts) WarmUpRateTooSmall(service string, _ float64) {
+	counts.tooSmall = append(counts.tooSmall, service)
+}
+
 // viewOf returns a view of one service that states a warm-up and of one server of it.
 func viewOf(service viewer.Service, server viewer.BackendServer) *viewer.View {
 	current := viewer.NewViewer()
@@ -81,7 +88,7 @@
 func TestSumOfAllInstancesStaysWithinTheLimit(t *testing.T) {
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		rate := []float64{0.3, 1, 2, 5, 8, 20, 60, 200}[random.IntN(8)]
+		rate := []float64{0.3, 0.5, 1, 1.5, 2, 2.5, 3, 5, 8, 20, 60, 200}[random.IntN(12)]
 		bounds := []Bounds{{1.5, 5}, {1, 0}, {0, 0}, {1.2, 2}, {3, 0}, {0, 9}}[random.IntN(6)]
 		limit := rate*max(bounds.Excess, 1) + bounds.Slack
 		count := 7 + random.IntN(347)
@@ -121,6 +128,39 @@
 	}
 }
 
+func TestASingleInstanceUsesARateThatIsTooSmallForTwo(t *testing.T) {
+	cases := []struct {
+		rate   float64
+		bounds Bounds
+		used   bool
+		shared []int // sharers, in all and by each of the two
+	}{
+		{0.5, Bounds{1, 0}, false, []int{1, 1, 0}},
+		{1, Bounds{0, 0}, false, []int{1, 1, 0}},
+		{0.5, Bounds{1, 1.5}, true, []int{1, 1, 0}},
+		{1, Bounds{2, 0}, true, []int{1, 1, 0}},
+		{2, Bounds{1, 0}, true, []int{1, 1, 0}},
+		{3, Bounds{1, 0}, true, []int{1, 1, 0}},
+		{3, Bounds{1, 1}, true, []int{2, 1, 1}},
+	}
+	for _, c := range cases {
+		server := coldServer("lb-0", "lb-1")
+		view := viewOf(viewer.Service{WarmUpRate: c.rate}, server)
+		first, counts := newPacer("lb-0", c.bounds, view)
+		second, _ := newPacer("lb-1", c.bounds, view)
+		arrivals := openEverywhere(rand.New(rand.NewPCG(1, 2)), []*Pacer{first, second}, &server, 20, 20*time.Second, 0)
+		assert.Equal(t, len(arrivals) > 0, c.used, "%v", c)
+		assert.Assert(t, float64(mostInASecond(arrivals)) <= (c.rate*max(c.bounds.Excess, 1)+c.bounds.Slack)/2, "%v", c)
+		shared := []int{first.Sharers(&server, start), len(first.Shared("desk-sync")), len(second.Shared("desk-sync"))}
+		assert.DeepEqual(t, shared, c.shared)
+		if c.used {
+			assert.Equal(t, len(counts.tooSmall), 0, "%v", c)
+		} else {
+			assert.DeepEqual(t, counts.tooSmall, []string{"desk-sync"})
+		}
+	}
+}
+
 func TestShareOfColdServers(t *testing.T) {
 	shared := coldServer("lb-0", "lb-1")
 	unchosen := coldServer()
--- a/viewer/warm_up.go
+++ b/viewer/warm_up.go
@@ -27,7 +27,8 @@
 }
 
 // Sharers are the hashes of the names of the instances that may open flows at a server
-// during its warm-up, each an equal part of the rate; 0 stands for none.
+// during its warm-up, each an equal part of the rate, or the first alone if that is too small to
+// be divided; 0 stands for none.
 type Sharers [maxSharers]uint32
 
 // Count returns the number of instances.
@@ -41,6 +42,9 @@
 	return count
 }
 
+// First returns the first of the instances alone.
+func (sharers Sharers) First() Sharers { return Sharers{sharers[0]} }
+
 // Contains reports whether the instance with this hash is among the sharers.
 func (sharers Sharers) Contains(instance uint32) bool {
 	return instance != 0 && slices.Contains(sharers[:], instance)
