Notice the end of an evacuation without openings

Cause: the pacer compared evacuations only when a flow was placed, so an instance without openings during the whole evacuation saw no end of it and did not hold the returned servers for 2 s. Ruled out: doing it in the viewer's change hook, which runs in another goroutine than the pacer. Change: steerer.Next, which that hook wakes, tells the pacer; it compares two pointers if nothing changed. Conclusion: the hold begins with the view that ends the evacuation.

--- a/pacer/return.go
+++ b/pacer/return.go
@@ -11,6 +11,10 @@
 // their next heartbeat, and are read there.
 const returnHold = 2 * time.Second
 
+// ObserveView notes when failure domains are no longer evacuated. It has to be called after each
+// change of the view, also if no flows are opened.
+func (pacer *Pacer) ObserveView(now time.Time) { pacer.observeReturns(pacer.currentView(), now) }
+
 // observeReturns notes when failure domains are no longer evacuated.
 func (pacer *Pacer) observeReturns(view *viewer.View, now time.Time) {
 	if view == pacer.observed {
--- a/placer/warm_up.go
+++ b/placer/warm_up.go
@@ -21,6 +21,8 @@
 	Sharers(server *viewer.BackendServer, now time.Time) int
 	OpeningSent(server *viewer.BackendServer, now time.Time)
 	RequestSent(server *viewer.BackendServer, now time.Time)
+	// ObserveView is called after each change of the view.
+	ObserveView(now time.Time)
 	Expire(before time.Time)
 }
 
@@ -33,11 +35,15 @@
 func (unpaced) Sharers(*viewer.BackendServer, time.Time) int   { return 0 }
 func (unpaced) OpeningSent(*viewer.BackendServer, time.Time)   {}
 func (unpaced) RequestSent(*viewer.BackendServer, time.Time)   {}
+func (unpaced) ObserveView(time.Time)                          {}
 func (unpaced) Expire(time.Time)                               {}
 
 // SetPacer sets what limits the new flows of cold servers; without it they count as warm.
 func (placer *Placer) SetPacer(pacer warmUpPacer) { placer.pacer = pacer }
 
+// ObserveView is called after each change of the view, also if no flows are opened.
+func (placer *Placer) ObserveView(now time.Time) { placer.pacer.ObserveView(now) }
+
 // MayOpen reports whether an opening may be sent to a server now.
 func (placer *Placer) MayOpen(server *viewer.BackendServer, now time.Time) bool {
 	return placer.pacer.Share(server, now) > 0
--- a/placer/warm_up_test.go
+++ b/placer/warm_up_test.go
@@ -38,6 +38,8 @@
 	return 0
 }
 
+func (stubPacer *stubPacer) ObserveView(time.Time) {}
+
 func (stubPacer *stubPacer) OpeningSent(server *viewer.BackendServer, _ time.Time) {
 	stubPacer.openings[server.Name]++
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -40,6 +40,8 @@
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
+	// ObserveView is called after each change of the view, also if no flows are opened.
+	ObserveView(now time.Time)
 	ExpireServers(before time.Time)
 }
 
@@ -279,6 +281,7 @@
 // before it have been passed to Decide, while the answer may be among later ones that still
 // wait in the receive queue.
 func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
+	steerer.placer.ObserveView(now)
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
--- a/steerer/warm_up_test.go
+++ b/steerer/warm_up_test.go
@@ -16,6 +16,7 @@
 	allowed  map[string]int
 	sent     map[string]int
 	requests map[string]int
+	observed int // calls of ObserveView
 }
 
 func (pacer *countingPacer) Share(server *viewer.BackendServer, _ time.Time) float64 {
@@ -35,6 +36,7 @@
 func (pacer *countingPacer) Reserved(*viewer.BackendServer, time.Time) bool { return false }
 func (pacer *countingPacer) Shared(string) []*viewer.BackendServer          { return nil }
 func (pacer *countingPacer) Sharers(*viewer.BackendServer, time.Time) int   { return 0 }
+func (pacer *countingPacer) ObserveView(time.Time)                          { pacer.observed++ }
 func (pacer *countingPacer) Expire(time.Time)                               {}
 
 func newPacedHarness(allowed map[string]int, names ...string) (*harness, *countingPacer) {
@@ -111,3 +113,9 @@
 	assert.Equal(t, pacer.requests["a"], 2)
 	assert.Equal(t, pacer.sent["a"], 1)
 }
+
+func TestChangesOfTheViewAreObservedWithoutPackets(t *testing.T) {
+	harness, pacer := newPacedHarness(nil, "a")
+	harness.Next(start, start)
+	assert.Equal(t, pacer.observed, 1)
+}
