Serve callers from the domain that returns if nothing else can

Cause: with a stated rate, all servers of a failure domain whose evacuation ended were held for 2 s, also where the service has no warm server elsewhere, so every caller was refused for 2 s. Ruled out: shortening the hold for all, since entries are up to a heartbeat old; counting cold servers of other domains as left, as they bear a fraction of the demand. Conclusion: the hold costs callers nothing where they have no other server.

--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -49,6 +49,8 @@
 	observed   *viewer.View         // whose evacuations were observed last
 	returnedAt map[string]time.Time // when evacuations ended, by failure domain
 
+	elsewhere map[string]elsewhere // by service
+
 	view   *viewer.View                       // that shared belongs to
 	shared map[string][]*viewer.BackendServer // by service: active servers whose rate this instance shares
 }
@@ -71,7 +73,7 @@
 func NewPacer(instance string, bounds Bounds, currentView func() *viewer.View, counter Counter, now time.Time) *Pacer {
 	pacer := &Pacer{
 		instance: viewer.InstanceHash(instance), currentView: currentView, counter: counter, startedAt: now,
-		budgets: map[incarnation]*budget{}, tooSmall: map[string]float64{}, returnedAt: map[string]time.Time{},
+		budgets: map[incarnation]*budget{}, tooSmall: map[string]float64{}, returnedAt: map[string]time.Time{}, elsewhere: map[string]elsewhere{},
 	}
 	pacer.SetBounds(bounds)
 	return pacer
@@ -86,7 +88,7 @@
 	view := pacer.currentView()
 	pacer.observeReturns(view, now)
 	isCold := mayBeCold(server, now)
-	if !isCold && !pacer.hasJustReturned(server.FailureDomain, now) {
+	if !isCold && !pacer.isHeld(server, view, now) {
 		return 1
 	}
 	service := view.Service(server.Service)
@@ -104,8 +106,8 @@
 func (pacer *Pacer) Reserved(server *viewer.BackendServer, now time.Time) bool {
 	view := pacer.currentView()
 	pacer.observeReturns(view, now)
-	mayBeCold := mayBeCold(server, now) || pacer.hasJustReturned(server.FailureDomain, now)
-	return mayBeCold && view.Service(server.Service).WarmUpRate > 0
+	isReserved := mayBeCold(server, now) || pacer.isHeld(server, view, now)
+	return isReserved && view.Service(server.Service).WarmUpRate > 0
 }
 
 // OpeningSent counts an opening against the budget, if the server has one.
--- a/pacer/return.go
+++ b/pacer/return.go
@@ -1,6 +1,7 @@
 package pacer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -37,6 +38,34 @@
 	}
 }
 
+// elsewhere says whether a service had a warm server outside the failure domains that have just
+// returned.
+type elsewhere struct {
+	view  *viewer.View
+	at    time.Time
+	found bool
+}
+
+// isHeld reports whether a server that is not known to be cold gets no new flows, as its failure
+// domain has just returned and other servers can serve the callers.
+func (pacer *Pacer) isHeld(server *viewer.BackendServer, view *viewer.View, now time.Time) bool {
+	return pacer.hasJustReturned(server.FailureDomain, now) && pacer.isServedElsewhere(server.Service, view, now)
+}
+
+// isServedElsewhere reports whether a service has a warm server outside the failure domains that
+// have just returned.
+func (pacer *Pacer) isServedElsewhere(service string, view *viewer.View, now time.Time) bool {
+	known := pacer.elsewhere[service]
+	if known.view != view || !known.at.Equal(now) {
+		isWarm := func(server *viewer.BackendServer) bool {
+			return !pacer.hasJustReturned(server.FailureDomain, now) && !mayBeCold(server, now)
+		}
+		known = elsewhere{view: view, at: now, found: slices.ContainsFunc(view.ActiveServers(service), isWarm)}
+		pacer.elsewhere[service] = known
+	}
+	return known.found
+}
+
 // hasJustReturned reports whether a failure domain was evacuated until a moment ago.
 func (pacer *Pacer) hasJustReturned(domain string, now time.Time) bool {
 	returnedAt, ok := pacer.returnedAt[domain]
--- a/pacer/return_test.go
+++ b/pacer/return_test.go
@@ -35,3 +35,39 @@
 	assert.Equal(t, pacer.Share(&other, start), 1.0)
 	assert.Equal(t, pacer.Share(&server, start.Add(returnHold)), 1.0)
 }
+
+func TestWarmServersOfAReturnedDomainServeIfNothingElseDoes(t *testing.T) {
+	cold := func(domain string) viewer.BackendServer {
+		server := serverIn(domain)
+		server.ColdUntil = viewer.DeadlineAfter(start, time.Minute)
+		return server
+	}
+	ended := cold("dakar-2")
+	ended.ColdUntil = viewer.DeadlineAfter(start, -time.Hour)
+	leaving := serverIn("dakar-2")
+	leaving.State = parser.Leaving
+	cases := []struct {
+		name      string
+		servers   []viewer.BackendServer
+		evacuated []string
+		want      float64 // share of the first server
+	}{
+		{"the only domain", []viewer.BackendServer{serverIn("dakar-1")}, []string{"dakar-1"}, 1},
+		{"all return", []viewer.BackendServer{serverIn("dakar-1"), serverIn("dakar-2")}, []string{"dakar-1", "dakar-2"}, 1},
+		{"the others are leaving", []viewer.BackendServer{serverIn("dakar-1"), leaving}, []string{"dakar-1"}, 1},
+		{"the others are cold", []viewer.BackendServer{serverIn("dakar-1"), cold("dakar-2")}, []string{"dakar-1"}, 1},
+		{"the others are warm", []viewer.BackendServer{serverIn("dakar-1"), serverIn("dakar-2")}, []string{"dakar-1"}, 0},
+		{"the others are warm again", []viewer.BackendServer{serverIn("dakar-1"), ended}, []string{"dakar-1"}, 0},
+		{"it is cold itself", []viewer.BackendServer{cold("dakar-1")}, []string{"dakar-1"}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pacer, current := newReturnPacer(c.servers...)
+			current.ApplyEvacuations(&viewer.Evacuations{Revision: 2, Domains: c.evacuated})
+			pacer.ObserveView(start)
+			current.ApplyEvacuations(&viewer.Evacuations{Revision: 3})
+			assert.Equal(t, pacer.Share(&c.servers[0], start), c.want)
+			assert.Equal(t, pacer.Reserved(&c.servers[0], start), c.want == 0)
+		})
+	}
+}
