Stop counting requests also while no packets come

Cause: requests expire only when packets or other wakes come, so an instance out of rotation kept its last counts, and its gauges and the share of servers that it may eject stayed high. Ruled out: a timer of its own; Next with WakeTime is the agreed way. Change: WakeTime asks for a wake-up a second after the last check while requests are listed as outstanding; none is asked for when there are none. Open flows that are idle still expire with packets or wakes only.

--- a/steerer/load.go
+++ b/steerer/load.go
@@ -19,6 +19,8 @@
 	movedRequestTimeout = 250 * time.Millisecond
 	// outstandingInterval is the time between two searches for requests that no longer count.
 	outstandingInterval = 100 * time.Millisecond
+	// outstandingWakeInterval is the same while no packet comes.
+	outstandingWakeInterval = time.Second
 )
 
 // assignServer counts the flow as open at a server, and no longer at its previous one.
@@ -88,6 +90,15 @@
 	steerer.outstanding = remaining
 }
 
+// outstandingWakeTime returns when expireRequests has to be called, or the zero time if no request
+// is counted.
+func (steerer *Steerer) outstandingWakeTime() time.Time {
+	if len(steerer.outstanding) == 0 {
+		return time.Time{}
+	}
+	return steerer.outstandingCheckedAt.Add(outstandingWakeInterval)
+}
+
 // adopt tracks a flow that another instance opened, from the first data that arrives here, so
 // that its requests count. It returns nil if the packet has no data, the flow was closed a
 // moment ago, or maxFlows are tracked already.
--- a/steerer/load_test.go
+++ b/steerer/load_test.go
@@ -85,3 +85,19 @@
 	}
 	assert.Equal(t, len(harness.outstanding), 1)
 }
+
+func TestLoadExpiresWithoutPackets(t *testing.T) {
+	harness := newHarness("a")
+	loadCounter := harness.countLoad()
+	harness.Decide(opening(1), start)
+	harness.Next(start, start)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), start)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 50, Flags{}), start)
+	wakes := 0
+	for now := harness.WakeTime(); !now.IsZero() && wakes < 100; now = harness.WakeTime() {
+		harness.Next(now, start)
+		wakes++
+	}
+	assert.Equal(t, loadCounter.outstanding["a"], 0)
+	assert.Assert(t, wakes <= 5, "%d", wakes)
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -306,7 +306,8 @@
 	if len(steerer.unanswered) > 0 {
 		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
-	return earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
+	wakeAt := earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
+	return earliest(wakeAt, steerer.outstandingWakeTime())
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
