Count a retried opening as one request in the offered load

Cause: each attempt at another server, and the move to the one that answered, was a request that began, so the offered load was too high while servers did not answer; so was the share of first requests. Ruled out: leaving out the count of outstanding requests; it belongs to the server that has the opening now. Change: RequestMoved counts such a request as outstanding and nothing else, also for the first data of a flow whose opening was given up in between. The doubles of steerer and placer tests got the new method; nothing else changed in them. Conclusion: Offered follows the callers' requests, not the retries.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -102,9 +102,17 @@
 // RequestBegan counts a request as outstanding at a server.
 func (estimator *Estimator) RequestBegan(server *viewer.BackendServer, now time.Time) {
 	estimator.count(server, 1, now)
+	estimator.mutex.Lock()
+	defer estimator.mutex.Unlock()
+	estimator.service(server.Service, now).began.add(now, averagingSpan)
+}
+
+// RequestMoved counts a request as outstanding at a server that was counted at another before.
+func (estimator *Estimator) RequestMoved(server *viewer.BackendServer, now time.Time) {
+	estimator.count(server, 1, now)
 }
 
-// RequestEnded reverts one RequestBegan: the request was answered or given up.
+// RequestEnded reverts one RequestBegan or RequestMoved: the request was answered or given up.
 func (estimator *Estimator) RequestEnded(server *viewer.BackendServer, now time.Time) {
 	estimator.count(server, -1, now)
 }
@@ -114,9 +122,6 @@
 	defer estimator.mutex.Unlock()
 	service := estimator.service(server.Service, now)
 	service.demand.add(change, now, averagingSpan)
-	if change > 0 {
-		service.began.add(now, averagingSpan)
-	}
 	service.usual.add(change, now, usualSpan)
 	service.domain(server.FailureDomain).outstanding.add(change, now, averagingSpan)
 }
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -137,7 +137,9 @@
 	for i := range 300 { // 100 a second, each rejected after a millisecond
 		at := overloadAt.Add(time.Duration(i) * 10 * time.Millisecond)
 		fleet.RequestBegan(serverIn("a"), at)
+		fleet.RequestMoved(serverIn("b"), at) // is the same request
 		fleet.RequestEnded(serverIn("a"), at.Add(time.Millisecond))
+		fleet.RequestEnded(serverIn("b"), at.Add(time.Millisecond))
 	}
 	offered := fleet.Offered(service, overloadAt.Add(3*time.Second))
 	assert.Assert(t, math.Abs(offered-150) < 30, "%.0f slots for 30 instances times 100 a second times 50 ms", offered)
--- a/placer/baseline_test.go
+++ b/placer/baseline_test.go
@@ -63,6 +63,7 @@
 type noEstimate struct{}
 
 func (noEstimate) RequestBegan(*viewer.BackendServer, time.Time)                      {}
+func (noEstimate) RequestMoved(*viewer.BackendServer, time.Time)                      {}
 func (noEstimate) RequestEnded(*viewer.BackendServer, time.Time)                      {}
 func (noEstimate) RecordResponseTime(*viewer.BackendServer, time.Duration, time.Time) {}
 func (noEstimate) Demand(string, time.Time) float64                                   { return 0 }
--- a/placer/load.go
+++ b/placer/load.go
@@ -96,6 +96,14 @@
 	placer.estimator.RequestBegan(backendServer, now)
 }
 
+// RequestMoved counts a request as outstanding at a server that was counted at another, or there
+// until it was given up, before.
+func (placer *Placer) RequestMoved(backendServer *viewer.BackendServer, now time.Time) {
+	placer.stateOf(backendServer, now).outstanding++
+	placer.service(backendServer.Service, now).outstanding++
+	placer.estimator.RequestMoved(backendServer, now)
+}
+
 // countLater adds a request to the average shares.
 func (serviceState *serviceState) countLater(isFirst, isOutside bool) {
 	if isFirst {
@@ -110,7 +118,7 @@
 	serviceState.laterOutside += laterSmoothing * (outside - serviceState.laterOutside)
 }
 
-// RequestEnded reverts one RequestBegan: the request was answered or given up.
+// RequestEnded reverts one RequestBegan or RequestMoved: the request was answered or given up.
 func (placer *Placer) RequestEnded(backendServer *viewer.BackendServer, now time.Time) {
 	state, service := placer.stateOf(backendServer, now), placer.service(backendServer.Service, now)
 	state.outstanding = max(state.outstanding-1, 0)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,6 +23,8 @@
 // estimator.Estimator implements it.
 type loadEstimator interface {
 	RequestBegan(server *viewer.BackendServer, now time.Time)
+	// RequestMoved counts a request that was counted at another server before.
+	RequestMoved(server *viewer.BackendServer, now time.Time)
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	// Demand returns the outstanding requests of the callers of this failure domain.
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -64,8 +64,10 @@
 // recordAttempt notes that the flow's opening is sent to a server.
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
 	steerer.assignServer(flow, server, now)
-	steerer.beginRequest(flow, true, now)
-	if len(flow.attempted) == 0 {
+	if len(flow.attempted) > 0 {
+		steerer.moveRequest(flow, now)
+	} else {
+		steerer.beginRequest(flow, true, now)
 		steerer.silence.openingSent(now)
 	}
 	flow.openingSentAt = now
@@ -127,7 +129,7 @@
 	flow.firstAcknowledgment, flow.lastAcknowledgment = packet.Acknowledgment, packet.Acknowledgment
 	if !server.SameIncarnation(flow.server) {
 		steerer.assignServer(flow, server, now)
-		steerer.beginRequest(flow, true, now)
+		steerer.moveRequest(flow, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
 	if isLastAttempt {
--- a/steerer/load.go
+++ b/steerer/load.go
@@ -39,23 +39,39 @@
 	if flow.isOutstanding {
 		return
 	}
+	steerer.listOutstanding(flow)
+	steerer.placer.RequestBegan(flow.server, isFirst, now)
+}
+
+// moveRequest counts the flow's first request, or its opening, as outstanding at its server now;
+// it was counted before.
+func (steerer *Steerer) moveRequest(flow *flow, now time.Time) {
+	if flow.isOutstanding {
+		return
+	}
+	steerer.listOutstanding(flow)
+	steerer.placer.RequestMoved(flow.server, now)
+}
+
+// listOutstanding notes that a request of the flow counts as outstanding.
+func (steerer *Steerer) listOutstanding(flow *flow) {
 	flow.isOutstanding = true
 	if !flow.isListed {
 		flow.isListed = true
 		steerer.outstanding = append(steerer.outstanding, flow)
 	}
-	steerer.placer.RequestBegan(flow.server, isFirst, now)
 }
 
 // renewRequest counts the request that begins now in place of the last one; the first takes the
 // place of the opening.
 func (steerer *Steerer) renewRequest(flow *flow, now time.Time) {
-	isFirst := flow.requestReceivedAt.IsZero()
-	if !isFirst {
-		steerer.endRequest(flow, now)
-		steerer.placer.RequestSent(flow.server, now)
+	if flow.requestReceivedAt.IsZero() {
+		steerer.moveRequest(flow, now)
+		return
 	}
-	steerer.beginRequest(flow, isFirst, now)
+	steerer.endRequest(flow, now)
+	steerer.placer.RequestSent(flow.server, now)
+	steerer.beginRequest(flow, false, now)
 }
 
 // endRequest stops counting the flow's request as outstanding, if it has one.
--- a/steerer/load_test.go
+++ b/steerer/load_test.go
@@ -101,3 +101,17 @@
 	assert.Equal(t, loadCounter.outstanding["a"], 0)
 	assert.Assert(t, wakes <= 5, "%d", wakes)
 }
+
+func TestRetriedOpeningIsOneRequest(t *testing.T) {
+	harness := newHarness("a", "b")
+	loadCounter := harness.countLoad()
+	harness.Decide(opening(1), start)
+	later := start.Add(answerTimeout)
+	_, retried := harness.Next(later, later)
+	assert.Assert(t, retried)
+	harness.Decide(opening(1), after(200))
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), after(210))
+	harness.Decide(laterPacket(1, tokenOf("b"), 100, 0, Flags{}), after(210))
+	assert.DeepEqual(t, loadCounter.first, []bool{true})
+	assert.Equal(t, loadCounter.outstanding["a"]+loadCounter.outstanding["b"], 1)
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -36,6 +36,8 @@
 	// RequestBegan counts an opening or a request as outstanding at a server until
 	// RequestEnded; isFirst says that it is the first of its flow.
 	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
+	// RequestMoved counts one again that was counted before, at another server or until it was given up.
+	RequestMoved(server *viewer.BackendServer, now time.Time)
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -360,6 +360,11 @@
 	loadCounter.Placer.RequestBegan(server, isFirst, now)
 }
 
+func (loadCounter *loadCounter) RequestMoved(server *viewer.BackendServer, now time.Time) {
+	loadCounter.outstanding[server.Name]++
+	loadCounter.Placer.RequestMoved(server, now)
+}
+
 func (loadCounter *loadCounter) RequestEnded(server *viewer.BackendServer, now time.Time) {
 	loadCounter.outstanding[server.Name]--
 	loadCounter.Placer.RequestEnded(server, now)
