--- a/director/recorder.go
+++ b/director/recorder.go
@@ -111,8 +111,8 @@
 // WarmUpOpening counts an opening that was sent to a cold server whose service states a rate.
 func (recorder *Recorder) WarmUpOpening() { recorder.counters.Add("warm_up_openings", 1) }
 
-// WarmUpDeclined counts a cold server that was passed over because this instance may send it no
-// opening now.
+// WarmUpDeclined counts a cold candidate that was passed over because this instance may send it no
+// opening now: several for one opening, and also for openings that another server gets.
 func (recorder *Recorder) WarmUpDeclined() { recorder.counters.Add("warm_up_declined", 1) }
 
 // WarmUpRateTooSmall logs that no instance may open flows at cold servers of a service, since the
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -28,8 +28,8 @@
 }
 
 // Counter is notified of openings that are sent to cold servers whose service states a rate,
-// of cold servers that were passed over because this instance may send none now, and, once for
-// each rate, of services that state one at which no instance may ever send any.
+// of cold candidates, not openings, that were passed over because this instance may send none now,
+// and, once for each rate, of services that state one at which no instance may ever send any.
 type Counter interface {
 	WarmUpOpening()
 	WarmUpDeclined()
