--- a/director/recorder.go
+++ b/director/recorder.go
@@ -111,10 +111,16 @@
 // WarmUpOpening counts an opening that was sent to a cold server whose service states a rate.
 func (recorder *Recorder) WarmUpOpening() { recorder.counters.Add("warm_up_openings", 1) }
 
-// WarmUpDeclined counts a cold server that was passed over because this instance may send it no
-// opening now.
+// WarmUpDeclined counts a cold candidate that was passed over because this instance may send it no
+// opening now: several for one opening, and also for openings that another server gets.
 func (recorder *Recorder) WarmUpDeclined() { recorder.counters.Add("warm_up_declined", 1) }
 
+// WarmUpRateTooSmall logs that no instance may open flows at cold servers of a service, since the
+// rate that it states is too small.
+func (recorder *Recorder) WarmUpRateTooSmall(service string, rate float64) {
+	recorder.Event(logger.EventWarmUpRateTooSmall, "service", service, "rate", rate)
+}
+
 // PacketMalformed counts a datagram that cannot be decoded as a packet, by the kind of error.
 func (recorder *Recorder) PacketMalformed(err error) {
 	if errors.Is(err, platform.ErrTooShort) {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -64,8 +64,10 @@
 // recordAttempt notes that the flow's opening is sent to a server.
 func (steerer *Steerer) recordAttempt(flow *flow, server *viewer.BackendServer, now time.Time) {
 	steerer.assignServer(flow, server, now)
-	steerer.beginRequest(flow, true, now)
-	if len(flow.attempted) == 0 {
+	if len(flow.attempted) > 0 {
+		steerer.moveRequest(flow, now)
+	} else {
+		steerer.beginRequest(flow, true, now)
 		steerer.silence.openingSent(now)
 	}
 	flow.openingSentAt = now
@@ -82,6 +84,7 @@
 	if !flow.established {
 		steerer.establish(flow, packet, server, now)
 	}
+	flow.server = newestEntry(flow.server, server)
 	if packet.Acknowledgment != flow.lastAcknowledgment {
 		flow.lastAcknowledgment = packet.Acknowledgment
 		if packet.PayloadLength == 0 { // otherwise the caller may have paused before its next request
@@ -118,6 +121,7 @@
 	flow.established = true
 	flow.establishedAt = now
 	steerer.silence.end(now)
+	isLastAttempt := flow.isLastAttempt(server)
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
@@ -125,14 +129,31 @@
 	flow.firstAcknowledgment, flow.lastAcknowledgment = packet.Acknowledgment, packet.Acknowledgment
 	if !server.SameIncarnation(flow.server) {
 		steerer.assignServer(flow, server, now)
-		steerer.beginRequest(flow, true, now)
+		steerer.moveRequest(flow, now)
 	}
 	steerer.placer.OpeningAnswered(server, now)
-	if server.SameIncarnation(flow.server) {
+	if isLastAttempt {
 		steerer.resetter.recordSign(server, packet, sign{aliveAt: flow.openingSentAt}, now)
 	}
 }
 
+// isLastAttempt reports whether the server got only the last copy of the opening, so that its
+// answer shows that it was alive after that was sent.
+func (flow *flow) isLastAttempt(server *viewer.BackendServer) bool {
+	last := len(flow.attempted) - 1
+	return last >= 0 && server.SameIncarnation(flow.attempted[last]) && !viewer.Contains(flow.attempted[:last], server)
+}
+
+// newestEntry returns the current entry of a server in place of an earlier one, as the server may
+// have turned cold in between, or the earlier one if current is nil or of another incarnation. An
+// entry that counts as load elsewhere is not taken while the flow is counted.
+func newestEntry(earlier, current *viewer.BackendServer) *viewer.BackendServer {
+	if current == nil || !current.SameIncarnation(earlier) || current.Service != earlier.Service || current.FailureDomain != earlier.FailureDomain {
+		return earlier
+	}
+	return current
+}
+
 // recordResponse reports the time and the length of the flow's last response to the
 // placer and the examiner.
 func (steerer *Steerer) recordResponse(flow *flow, now time.Time) {
--- a/steerer/load.go
+++ b/steerer/load.go
@@ -19,6 +19,8 @@
 	movedRequestTimeout = 250 * time.Millisecond
 	// outstandingInterval is the time between two searches for requests that no longer count.
 	outstandingInterval = 100 * time.Millisecond
+	// outstandingWakeInterval is the same while no packet comes.
+	outstandingWakeInterval = time.Second
 )
 
 // assignServer counts the flow as open at a server, and no longer at its previous one.
@@ -37,23 +39,39 @@
 	if flow.isOutstanding {
 		return
 	}
+	steerer.listOutstanding(flow)
+	steerer.placer.RequestBegan(flow.server, isFirst, now)
+}
+
+// moveRequest counts the flow's first request, or its opening, as outstanding at its server now;
+// it was counted before.
+func (steerer *Steerer) moveRequest(flow *flow, now time.Time) {
+	if flow.isOutstanding {
+		return
+	}
+	steerer.listOutstanding(flow)
+	steerer.placer.RequestMoved(flow.server, now)
+}
+
+// listOutstanding notes that a request of the flow counts as outstanding.
+func (steerer *Steerer) listOutstanding(flow *flow) {
 	flow.isOutstanding = true
 	if !flow.isListed {
 		flow.isListed = true
 		steerer.outstanding = append(steerer.outstanding, flow)
 	}
-	steerer.placer.RequestBegan(flow.server, isFirst, now)
 }
 
 // renewRequest counts the request that begins now in place of the last one; the first takes the
 // place of the opening.
 func (steerer *Steerer) renewRequest(flow *flow, now time.Time) {
-	isFirst := flow.requestReceivedAt.IsZero()
-	if !isFirst {
-		steerer.endRequest(flow, now)
-		steerer.placer.RequestSent(flow.server, now)
+	if flow.requestReceivedAt.IsZero() {
+		steerer.moveRequest(flow, now)
+		return
 	}
-	steerer.beginRequest(flow, isFirst, now)
+	steerer.endRequest(flow, now)
+	steerer.placer.RequestSent(flow.server, now)
+	steerer.beginRequest(flow, false, now)
 }
 
 // endRequest stops counting the flow's request as outstanding, if it has one.
@@ -88,6 +106,15 @@
 	steerer.outstanding = remaining
 }
 
+// outstandingWakeTime returns when expireRequests has to be called, or the zero time if no request
+// is counted.
+func (steerer *Steerer) outstandingWakeTime() time.Time {
+	if len(steerer.outstanding) == 0 {
+		return time.Time{}
+	}
+	return steerer.outstandingCheckedAt.Add(outstandingWakeInterval)
+}
+
 // adopt tracks a flow that another instance opened, from the first data that arrives here, so
 // that its requests count. It returns nil if the packet has no data, the flow was closed a
 // moment ago, or maxFlows are tracked already.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -36,10 +36,14 @@
 	// RequestBegan counts an opening or a request as outstanding at a server until
 	// RequestEnded; isFirst says that it is the first of its flow.
 	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
+	// RequestMoved counts one again that was counted before, at another server or until it was given up.
+	RequestMoved(server *viewer.BackendServer, now time.Time)
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
+	// ObserveView is called after each change of the view, also if no flows are opened.
+	ObserveView(now time.Time)
 	ExpireServers(before time.Time)
 }
 
@@ -156,7 +160,7 @@
 		flow = nil
 	}
 	if flow != nil && flow.established {
-		steerer.repeatOpening(flow, verdict, now)
+		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
 	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
@@ -178,7 +182,8 @@
 
 // repeatOpening sends a late copy of an established flow's opening to its server, if that may
 // get an opening now; otherwise it is dropped, as the flow does not need it.
-func (steerer *Steerer) repeatOpening(flow *flow, verdict *Verdict, now time.Time) {
+func (steerer *Steerer) repeatOpening(flow *flow, view *viewer.View, verdict *Verdict, now time.Time) {
+	flow.server = newestEntry(flow.server, view.ServerByToken(flow.server.Token))
 	if !steerer.placer.MayOpen(flow.server, now) {
 		verdict.Reason = ReasonWarmingUp
 		return
@@ -278,6 +283,7 @@
 // before it have been passed to Decide, while the answer may be among later ones that still
 // wait in the receive queue.
 func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
+	steerer.placer.ObserveView(now)
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
@@ -302,7 +308,8 @@
 	if len(steerer.unanswered) > 0 {
 		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
-	return earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
+	wakeAt := earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
+	return earliest(wakeAt, steerer.outstandingWakeTime())
 }
 
 // nextRetry returns the verdict that sends the next overdue opening to another server, or
