Set the read deadline again after one that Wake set late

Cause: found by a reviewer's reading: Wake stores its flag, is preempted, the socket reads a packet and takes the flag back; then Wake sets a deadline that has passed, each further read ends at once, and as the time to wake is the same as before the deadline is never set again: no packet is read until the next change of the view. Change: a read that ended by its deadline makes the next one set its deadline anew. Test: TestPacketsAreReadAfterALateWake; without the change no packet is read for 2 s.

--- a/director/socket.go
+++ b/director/socket.go
@@ -82,6 +82,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
+			socket.wakeAt = deadlinePassed // Wake may have set it after setReadDeadline
 			socket.executeDue(now, emptyAt)
 			continue
 		case err != nil:
--- a/director/socket_test.go
+++ b/director/socket_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/estimator"
@@ -88,3 +89,29 @@
 		assert.NilError(t, err)
 	}
 }
+
+func TestPacketsAreReadAfterALateWake(t *testing.T) {
+	server := listenLocally(t)
+	socket, address := startSocket(t, server)
+	packet := opening()
+	send := func() time.Time {
+		before := time.Now()
+		_, err := server.WriteToUDPAddrPort(packet, address)
+		assert.NilError(t, err)
+		return before
+	}
+	isRead := func(sentAt time.Time) poll.Check {
+		return func(poll.LogT) poll.Result {
+			if socket.LastPacket().After(sentAt) {
+				return poll.Success()
+			}
+			return poll.Continue("the packet is not read")
+		}
+	}
+	socket.woken.Store(true) // Wake, interrupted before it sets the deadline
+	poll.WaitOn(t, isRead(send()))
+	time.Sleep(20 * time.Millisecond)
+	socket.setDeadline(deadlinePassed)
+	time.Sleep(20 * time.Millisecond)
+	poll.WaitOn(t, isRead(send()), poll.WithTimeout(2*time.Second))
+}
