Make the test of a late wake show the fault

With a packet that makes nothing due it fails without the change (no packet read for 2 s) and passes with it.

--- a/director/socket_test.go
+++ b/director/socket_test.go
@@ -94,6 +94,7 @@
 	server := listenLocally(t)
 	socket, address := startSocket(t, server)
 	packet := opening()
+	packet[flagsOffset] = flagACK // with an unknown token, so that nothing becomes due
 	send := func() time.Time {
 		before := time.Now()
 		_, err := server.WriteToUDPAddrPort(packet, address)
