Reset no flow by what was declared before a pause, and try removed servers again

Cause: found by a reviewer: (1) after a pause of 20 s, 90 flows queued for a reset were reset in the second in which nothing is to be reset, although the declaration had been taken back; (2) a removed server that left one flow's data unanswered for 0.55 s got no data at all from then on, so nothing could show that it lives; (3) how long openings stay unanswered was measured by the time of day. Ruled out for (2): forgetting at once, which would make each caller wait for its own retransmissions. Change: a pause empties the queue; data of a removed server is reset at once for two seconds after each sign; the silence of openings is kept as times with their steady readings. Tests: TestNoFlowIsResetAfterAPauseByAnEarlierDeclaration (90 resets before), TestServerThatWasSlowOnceIsTriedAgain; (3) has no test of its own.

--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -22,6 +22,9 @@
 	// to count as gone. Its caller has retransmitted twice by then; a server with a long queue
 	// may let it retransmit once.
 	removedWait = 550 * time.Millisecond
+	// goneMemory is how long after that all data of a server that is not listed is reset at once.
+	// Then some has to reach it again, so that it can show that it answers.
+	goneMemory = 2 * time.Second
 	// resumeDelay is the time between two looks at the servers that are gone, just after a
 	// pause of the process.
 	resumeDelay = 300 * time.Millisecond
@@ -46,7 +49,7 @@
 	isReset    bool      // the resets of its flows have begun, if it is silent
 	since      time.Time // signs of life are newer
 	aliveAt    time.Time // of the last of them here; zero if there was none
-	unanswered bool      // it has left data of a flow unanswered since then
+	goneUntil  time.Time // until then its data is reset at once; zero before it has left some unanswered
 }
 
 // resetter decides which flows are reset because their server is gone.
@@ -73,6 +76,11 @@
 	return !goneServer.aliveAt.IsZero() && now.Sub(goneServer.aliveAt) < lifeTime
 }
 
+// leavesUnanswered reports whether data is reset at once.
+func (goneServer *goneServer) leavesUnanswered(now time.Time) bool {
+	return goneServer.isSilent || now.Before(goneServer.goneUntil)
+}
+
 // reason returns the reason of a reset of data.
 func (goneServer *goneServer) reason() Reason {
 	if goneServer.isSilent {
@@ -101,15 +109,15 @@
 		return
 	}
 	if sign.aliveAt.After(gone.since) {
-		gone.aliveAt, gone.unanswered = sign.aliveAt, false
+		gone.aliveAt, gone.goneUntil = sign.aliveAt, time.Time{}
 	}
 	if gone.isAlive(now) || packet.PayloadLength == 0 || steerer.justResumed(now) {
 		return
 	}
 	if sign.waitedFor >= removedWait {
-		gone.unanswered = true
+		gone.goneUntil = now.Add(goneMemory)
 	}
-	if gone.unanswered {
+	if gone.leavesUnanswered(now) {
 		verdict.Action, verdict.Server, verdict.Reason = Reset, nil, gone.reason()
 		steerer.forget(packet.Flow, now)
 	}
@@ -127,6 +135,9 @@
 func (steerer *Steerer) nextReset(now time.Time) (Verdict, bool) {
 	steerer.checkGone(now)
 	resetter := &steerer.resetter
+	if len(resetter.due) > 0 && steerer.justResumed(now) {
+		resetter.due = nil // the declaration may have been taken back
+	}
 	for len(resetter.due) > 0 && !now.Before(resetter.resetAt) {
 		key := resetter.due[0]
 		resetter.due = resetter.due[1:]
@@ -196,7 +207,7 @@
 			continue
 		}
 		resetter.checkNotLater(silence.Until)
-		resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter(), unanswered: true}, before)
+		resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter()}, before)
 	}
 }
 
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -195,6 +195,38 @@
 	}
 }
 
+func TestNoFlowIsResetAfterAPauseByAnEarlierDeclaration(t *testing.T) {
+	harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+	harness.SetDetector(signs)
+	for port := range uint16(2000) {
+		harness.Decide(laterPacket(port, tokenOf("a"), 900, 0, Flags{}), start)
+	}
+	signs.declare(0, after(3000))
+	assert.Assert(t, len(harness.dueResets(after(100))) > 0)
+	harness.justResumed = true
+	resets := 0
+	for now := after(20_000); now.Before(after(20_900)); now = now.Add(10 * time.Millisecond) {
+		for _, ok := harness.Next(now, start); ok; _, ok = harness.Next(now, start) {
+			resets++
+		}
+	}
+	assert.Equal(t, resets, 0)
+}
+
+// A server whose entry has lapsed lives; one flow had to wait, by a short stall, and then no packet
+// that could show that it answers reached it any more.
+func TestServerThatWasSlowOnceIsTriedAgain(t *testing.T) {
+	harness := newHarness("a", "b")
+	harness.Decide(data(1, 7, 100), start)
+	harness.Decide(data(2, 7, 100), start)
+	harness.applyServers(2, "b")
+	harness.Next(start, start)
+	harness.Decide(data(1, 7, 100), after(400))
+	assert.Equal(t, harness.Decide(data(1, 7, 100), after(1000)).Action, Reset)
+	assert.Equal(t, harness.Decide(data(2, 57, 100), after(1500)).Action, Reset)
+	assert.Equal(t, harness.Decide(data(3, 7, 100), after(4000)).Action, Send)
+}
+
 func TestSignsOfServersAreReported(t *testing.T) {
 	cases := []struct {
 		name       string
--- a/steerer/silence.go
+++ b/steerer/silence.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -11,10 +12,10 @@
 
 // silence notes since when no caller has confirmed that a server answered its opening.
 type silence struct {
-	openings   int          // flows opened since the last answer
-	firstAt    time.Time    // when the first of them was sent to a server
-	answeredAt atomic.Int64 // Unix nanoseconds; 0 before the first answer
-	since      atomic.Int64 // firstAt in Unix nanoseconds; 0 while there are fewer than minSilentOpenings
+	openings   int                       // flows opened since the last answer
+	firstAt    time.Time                 // when the first of them was sent to a server
+	answeredAt atomic.Pointer[time.Time] // nil before the first answer
+	since      atomic.Pointer[time.Time] // firstAt; nil while there are fewer than minSilentOpenings
 }
 
 // openingSent notes that a new flow's opening is sent to a server.
@@ -24,28 +25,32 @@
 	}
 	silence.openings++
 	if silence.openings == minSilentOpenings {
-		silence.since.Store(silence.firstAt.UnixNano())
+		since := silence.firstAt
+		silence.since.Store(&since)
 	}
 }
 
 // end notes that a caller confirmed an answer.
 func (silence *silence) end(now time.Time) {
 	silence.openings = 0
-	silence.since.Store(0)
-	silence.answeredAt.Store(now.UnixNano())
+	silence.since.Store(nil)
+	silence.answeredAt.Store(&now)
 }
 
 // Answers says how long ago servers last answered this instance's openings.
 type Answers struct {
-	SinceLast time.Duration // since a caller last confirmed an answer; decades if none has
+	SinceLast time.Duration // since a caller last confirmed an answer; the longest duration if none has
 	SilentFor time.Duration // since the first opening without an answer was sent, if several have none; else 0
 }
 
 // Answers returns what is known of the servers' answers. It may be called concurrently.
 func (steerer *Steerer) Answers(now time.Time) Answers {
-	answers := Answers{SinceLast: now.Sub(time.Unix(0, steerer.silence.answeredAt.Load()))}
-	if since := steerer.silence.since.Load(); since != 0 {
-		answers.SilentFor = now.Sub(time.Unix(0, since))
+	answers := Answers{SinceLast: math.MaxInt64}
+	if answeredAt := steerer.silence.answeredAt.Load(); answeredAt != nil {
+		answers.SinceLast = now.Sub(*answeredAt)
+	}
+	if since := steerer.silence.since.Load(); since != nil {
+		answers.SilentFor = now.Sub(*since)
 	}
 	return answers
 }
