--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -44,12 +44,12 @@
 
 // goneServer is the state of a server that counts as gone if it has given no sign of life.
 type goneServer struct {
-	server     *viewer.BackendServer
-	isSilent   bool      // it is declared silent; otherwise it was removed from the list
-	isReset    bool      // the resets of its flows have begun, if it is silent
-	since      time.Time // signs of life are newer
-	aliveAt    time.Time // of the last of them here; zero if there was none
-	goneUntil  time.Time // until then its data is reset at once; zero before it has left some unanswered
+	server    *viewer.BackendServer
+	isSilent  bool      // it is declared silent; otherwise it was removed from the list
+	isReset   bool      // the resets of its flows have begun, if it is silent
+	since     time.Time // signs of life are newer
+	aliveAt   time.Time // of the last of them here; zero if there was none
+	goneUntil time.Time // until then its data is reset at once; zero before it has left some unanswered
 }
 
 // resetter decides which flows are reset because their server is gone.
