Mend the faults that the review of admission control found

Cause: the review of the admission before the last landing found that an opening could be admitted for one service of a route and sent to another; that held openings were refused after a pause of the process, when another instance may have sent a copy; that an admitted opening which placement then refused still took a place; that the usual response time was learned from one response, which may be unusual; that an instance with few openings admitted none of them; that the limit ended while all responses were shed, and did not end without openings; that the first packet of a longer response could count as a shed one; and that the disabled admission was asked.

Change: one draw of the service for each opening; late and just resumed ones are dropped; Withdraw; the usual time is the mean of 20 responses at first; rare openings go by the fleet's share; bounds on the fleet's figures; short responses count after 250 ms; IsEnabled.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,6 +52,7 @@
 // Admitter decides about the openings at one instance; it is safe for
 // concurrent use.
 type Admitter struct {
+	isEnabled atomic.Bool // as in settings
 	mutex     sync.Mutex
 	settings  Settings
 	services  map[string]*serviceLoad
@@ -61,15 +63,21 @@
 
 // NewAdmitter returns an Admitter.
 func NewAdmitter(settings Settings) *Admitter {
-	return &Admitter{settings: settings, services: map[string]*serviceLoad{}, callers: map[netip.Addr]*rate{}}
+	admitter := &Admitter{settings: settings, services: map[string]*serviceLoad{}, callers: map[netip.Addr]*rate{}}
+	admitter.isEnabled.Store(settings.Enabled)
+	return admitter
 }
 
+// IsEnabled reports whether openings may be held or refused.
+func (admitter *Admitter) IsEnabled() bool { return admitter.isEnabled.Load() }
+
 // SetSettings replaces the settings; openings that are held are admitted if admission control
 // is now disabled.
 func (admitter *Admitter) SetSettings(settings Settings) {
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
 	admitter.settings = settings
+	admitter.isEnabled.Store(settings.Enabled)
 	if settings.Enabled {
 		return
 	}
@@ -92,8 +100,8 @@
 	if !admitter.settings.Enabled {
 		return
 	}
-	isFleetShort := admitter.sharedService(service, now).Answered > 0
-	admitter.service(service, now).recordResponse(response, isFleetShort, now)
+	fleet := admitter.sharedService(service, now)
+	admitter.service(service, now).recordResponse(response, fleet, now)
 }
 
 // IsLimited reports whether the openings of a service are limited for lack of room.
@@ -132,6 +140,21 @@
 	admitter.callerRate(opening.Flow.Caller.Addr()).add(1, now)
 }
 
+// Withdraw undoes the admission of an opening that no server could be sent.
+func (admitter *Admitter) Withdraw(opening Opening, now time.Time) {
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	service := admitter.services[opening.Service]
+	if service == nil {
+		return
+	}
+	service.admitted.add(-1, now)
+	if service.isLimited() {
+		service.tokens++
+		admitter.callerRate(opening.Flow.Caller.Addr()).add(-1, now)
+	}
+}
+
 func (admitter *Admitter) callerRate(address netip.Addr) *rate {
 	places := admitter.callers[address]
 	if places == nil {
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -26,11 +26,12 @@
 	// count as empty; then the budget is never cut. From halfQueueRatio it does not grow.
 	emptyQueueRatio = 1.5
 	halfQueueRatio  = 2
-	// fleetWeight is the number of own responses that count as much as the fleet's figures.
+	// fleetWeight is the number of own responses, or openings, that count as much as the fleet's
+	// figures.
 	fleetWeight = 8
 	// minShed is how many recent shed responses show too little room.
 	minShed = 1.5
-	// calmShed is the number of recent shed responses below which the usual time is learned.
+	// calmShed is the number of recent shed responses that count as none.
 	calmShed = 0.1
 	// displaceableShare is the part of what the servers work off that less urgent classes must
 	// have for a class to be admitted without a limit: its requests take places of theirs.
@@ -41,8 +42,10 @@
 	// shedTimeRatio is the part of the usual response time from which a short response counts
 	// as shed after a wait. A shorter one is a failure.
 	shedTimeRatio = 0.4
-	// usualSmoothing is the weight of a response in the usual response time.
+	// usualSmoothing is the weight of a response in the usual response time, once it is known.
 	usualSmoothing = 0.02
+	// usualSamples is the number of responses whose mean makes the usual response time known.
+	usualSamples = 20
 	// usualLimit is the multiple of the usual response time for which a response counts at most.
 	usualLimit = 3
 	// shedMemory is the time without a shed response, here and in the fleet, after which there
@@ -68,7 +71,8 @@
 	answered rate      // responses, shed ones included
 	shed     rate      // responses of servers with full queues
 	delay    rate      // of each response that was not shed, as a multiple of the usual time
-	usual    float64   // response time in seconds while there is room; 0 before the first
+	usual    float64   // response time in seconds while there is room
+	samples  int       // responses in usual, at most usualSamples; fewer if it is not known yet
 	shedAt   time.Time // of the last shed response
 
 	budget       float64 // openings per second; unlimited if there is room
@@ -101,11 +105,13 @@
 	return load
 }
 
-// recordResponse counts a response.
-func (serviceLoad *serviceLoad) recordResponse(response Response, isFleetShort bool, now time.Time) {
+// recordResponse counts a response. Before the usual time is known, a response only serves to
+// learn it.
+func (serviceLoad *serviceLoad) recordResponse(response Response, fleet ServiceLoad, now time.Time) {
 	seconds := response.Duration.Seconds()
+	isKnown := serviceLoad.samples >= usualSamples
 	if response.IsShort {
-		if seconds >= shedTimeRatio*serviceLoad.usual {
+		if isKnown && seconds >= shedTimeRatio*serviceLoad.usual {
 			serviceLoad.answered.add(1, now)
 			serviceLoad.shed.add(1, now)
 			serviceLoad.shedAt = now
@@ -113,23 +119,30 @@
 		return
 	}
 	serviceLoad.class(response.Class).served.add(1, now)
-	serviceLoad.answered.add(1, now)
-	if serviceLoad.usual == 0 {
-		serviceLoad.usual = seconds
+	if !isKnown {
+		serviceLoad.learnUsual(seconds / max(fleet.delayRatio(), 1))
+		return
 	}
+	serviceLoad.answered.add(1, now)
 	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
-	isCalm := !serviceLoad.isLimited() && !isFleetShort && serviceLoad.shed.weightAt(now) < calmShed
+	isCalm := !serviceLoad.isLimited() && fleet.Answered == 0 && serviceLoad.shed.weightAt(now) < calmShed
 	if isCalm {
 		serviceLoad.usual += usualSmoothing * (min(seconds, usualLimit*serviceLoad.usual) - serviceLoad.usual)
 	}
 }
 
+// learnUsual makes seconds one of the first samples of the usual response time, their mean.
+func (serviceLoad *serviceLoad) learnUsual(seconds float64) {
+	serviceLoad.samples++
+	serviceLoad.usual += (seconds - serviceLoad.usual) / float64(serviceLoad.samples)
+}
+
 func (serviceLoad *serviceLoad) isLimited() bool { return !math.IsInf(serviceLoad.budget, 1) }
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
-// twice maxShedShare of the responses is shed. From then on the budget is what was admitted
-// less the responses that were shed beyond maxShedShare, and grows as the queues get short. The
-// limit ends when the budget is more than callers ask for, or nothing is shed any more.
+// twice maxShedShare of the responses is shed. From then on the budget is what was admitted, or
+// would be in proportion to the fleet, less the responses that were shed beyond maxShedShare, and
+// grows as the queues get short. The limit ends when the budget is more than callers ask for, or nothing is shed any more.
 func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
 	if elapsed < controlInterval {
@@ -137,26 +150,30 @@
 	}
 	serviceLoad.controlledAt = now
 	own := serviceLoad.own(now)
+	offered, answered := float64(own.Offered), float64(own.Answered)
+	admitted := serviceLoad.admittedWithFleet(own, fleet, now)
 	if !serviceLoad.isLimited() {
 		if !serviceLoad.showsShortage(own, 2*maxShedShare, now) && fleet.excess(2*maxShedShare) <= 0 {
 			return
 		}
-		serviceLoad.budget = float64(own.Admitted)
+		serviceLoad.budget = admitted
 		serviceLoad.wasLimited = true
 		serviceLoad.refilledAt, serviceLoad.tokens = now, 0
+		if serviceLoad.opensRarely(now) {
+			serviceLoad.tokens = 1
+		}
 	}
-	if fleet.Shed == 0 && now.Sub(serviceLoad.shedAt) > shedMemory {
+	if float64(fleet.Shed)*loadSpan.Seconds() < calmShed && now.Sub(serviceLoad.shedAt) > shedMemory {
 		serviceLoad.budget = unlimited
 		return
 	}
-	offered, answered := float64(own.Offered), float64(own.Answered)
 	seen := serviceLoad.withFleet(own, fleet, now)
 	if fleet.Offered > 0 {
-		serviceLoad.budget += followShare * (float64(fleet.Admitted/fleet.Offered)*offered - serviceLoad.budget)
+		serviceLoad.budget += followShare * (fleet.admittedShare()*offered - serviceLoad.budget)
 	}
 	if seen.shedShare > maxShedShare && seen.delayRatio > emptyQueueRatio {
 		excess := (seen.shedShare - maxShedShare) * answered
-		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
+		serviceLoad.budget += correctionShare * (admitted - excess - serviceLoad.budget)
 	} else {
 		growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
 		serviceLoad.budget += growth * answered * elapsed.Seconds() / growthTime.Seconds()
@@ -209,6 +226,21 @@
 	}
 }
 
+// admittedWithFleet returns the openings admitted per second; an instance with few recent ones
+// counts at least those that it would admit in proportion to the fleet.
+func (serviceLoad *serviceLoad) admittedWithFleet(own, fleet ServiceLoad, now time.Time) float64 {
+	admitted := float64(own.Admitted)
+	if serviceLoad.opensRarely(now) {
+		admitted = max(admitted, fleet.admittedShare()*float64(own.Offered))
+	}
+	return admitted
+}
+
+// opensRarely reports whether few openings were admitted here of late.
+func (serviceLoad *serviceLoad) opensRarely(now time.Time) bool {
+	return serviceLoad.admitted.weightAt(now) < fleetWeight
+}
+
 // between returns 0 if value is zero or beyond it, 1 if it is one or beyond it, and in proportion
 // between them.
 func between(value, zero, one float64) float64 {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -15,11 +15,16 @@
 	evicted bool      // its place in the queue went to a more urgent one
 }
 
+// lateTime is how long after the end of its wait an opening is known to have been held while the
+// process was paused.
+const lateTime = 100 * time.Millisecond
+
 // Result is the decision about an opening that was held.
 type Result struct {
 	Flow     FlowID
 	Decision Decision
 	Waited   time.Duration
+	IsLate   bool // it was held for longer than it may wait, since the process was paused
 }
 
 // hold queues an opening if a place within its time is likely, and refuses it or one that is
@@ -29,7 +34,11 @@
 	if opening.Objective > 0 {
 		wait = min(wait, time.Duration(objectiveShare*float64(opening.Objective)))
 	}
-	limit := int(service.budget*wait.Seconds() + 0.5)
+	places := service.budget * wait.Seconds()
+	limit := int(places + 0.5)
+	if service.tokens+places >= 1 {
+		limit = max(limit, 1)
+	}
 	held := &heldOpening{Opening: opening, heldAt: now, until: now.Add(wait)}
 	held.places = admitter.callerRate(opening.Flow.Caller.Addr()).weightAt(now)
 	position, _ := slices.BinarySearchFunc(service.held, held, compareHeld)
@@ -60,7 +69,6 @@
 func (admitter *Admitter) Next(now time.Time) (Result, bool) {
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
-	admitter.expire(now)
 	for _, name := range admitter.waitingServices() {
 		service := admitter.services[name]
 		if admitter.settings.Enabled {
@@ -84,7 +92,7 @@
 
 // end counts the decision about an opening that was held, and returns it.
 func (serviceLoad *serviceLoad) end(held *heldOpening, decision Decision, now time.Time) Result {
-	result := Result{Flow: held.Flow, Decision: decision, Waited: now.Sub(held.heldAt)}
+	result := Result{Flow: held.Flow, Decision: decision, Waited: now.Sub(held.heldAt), IsLate: now.Sub(held.until) > lateTime}
 	serviceLoad.events.end(result, held.Class)
 	return result
 }
--- a/admitter/rate.go
+++ b/admitter/rate.go
@@ -12,9 +12,9 @@
 	at     time.Time     // when weight was true
 }
 
-// add counts an amount of events at now.
+// add counts an amount of events at now; a negative one takes events back.
 func (rate *rate) add(amount float64, now time.Time) {
-	rate.weight = rate.weightAt(now) + amount
+	rate.weight = max(rate.weightAt(now)+amount, 0)
 	rate.at = now
 }
 
--- a/admitter/shared.go
+++ b/admitter/shared.go
@@ -13,6 +13,9 @@
 	maxSharedServices = 10
 	// maxFigure is above any number of events per second of a fleet.
 	maxFigure = 1e9
+	// minServedShare is the part of the responses that must not be shed for their times to show
+	// how full the queues are.
+	minServedShare = 0.02
 )
 
 // Load is what one instance, or several together, see of the services that lack room.
@@ -51,17 +54,29 @@
 	if serviceLoad.Answered == 0 {
 		return 0
 	}
-	return float64(serviceLoad.Shed / serviceLoad.Answered)
+	return min(float64(serviceLoad.Shed/serviceLoad.Answered), 1)
+}
+
+// admittedShare returns the part of the openings that are admitted, 0 if there is none.
+func (serviceLoad *ServiceLoad) admittedShare() float64 {
+	if serviceLoad.Offered == 0 {
+		return 0
+	}
+	return min(float64(serviceLoad.Admitted/serviceLoad.Offered), 1)
 }
 
 // delayRatio returns the mean response time as a multiple of the usual one, 1 if there is no
-// response.
+// response, and usualLimit if nearly all are shed, since then the queues are full.
 func (serviceLoad *ServiceLoad) delayRatio() float64 {
-	answered := serviceLoad.Answered - serviceLoad.Shed
-	if answered <= 0 {
+	served := serviceLoad.Answered - serviceLoad.Shed
+	switch {
+	case serviceLoad.Answered == 0:
 		return 1
+	case served <= minServedShare*serviceLoad.Answered:
+		return usualLimit
+	default:
+		return min(float64(serviceLoad.Delay/served), usualLimit)
 	}
-	return float64(serviceLoad.Delay / answered)
 }
 
 // Sum returns the sum of loads, of the services that shed most.
--- a/admitter/summary.go
+++ b/admitter/summary.go
@@ -46,15 +46,20 @@
 }
 
 // Summaries returns a summary of each service whose openings are limited, or were since the
-// previous call, sorted by service.
+// previous call, sorted by service. It ends limits that nobody's opening ends,
+// and forgets what is no longer used.
 func (admitter *Admitter) Summaries(now time.Time) []Summary {
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
+	admitter.expire(now)
 	var summaries []Summary
 	for name, service := range admitter.services {
 		if !service.isLimited() && !service.wasLimited {
 			continue
 		}
+		if admitter.settings.Enabled {
+			service.control(admitter.settings.MaxShedShare, admitter.sharedService(name, now), now)
+		}
 		summaries = append(summaries, service.summary(name, now))
 		last := &summaries[len(summaries)-1]
 		last.HasFigureOfTheFleet = admitter.sharedService(name, now).Answered > 0
--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -52,6 +52,9 @@
 	for _, apply := range reloader.subscribers {
 		apply(enabled)
 	}
+	for range 20 { // the usual response time has to be known
+		created.RecordResponse("desk-sync", admitter.Response{Duration: time.Second}, now)
+	}
 	shed()
 	assert.Assert(t, created.IsLimited("desk-sync"))
 }
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -10,9 +10,17 @@
 // completionTime is how long after the last acknowledgment a response counts as complete.
 const completionTime = 60 * time.Millisecond
 
+// shortCompletionTime is the same for a response that is much shorter than usual: a lost packet is
+// sent again after 200 ms.
+const shortCompletionTime = 250 * time.Millisecond
+
 // admission decides which openings are sent when room is short; admitter.Admitter implements it.
 type admission interface {
+	// IsEnabled reports whether openings may be held or refused; otherwise nothing is recorded.
+	IsEnabled() bool
 	Decide(opening admitter.Opening, now time.Time) admitter.Decision
+	// Withdraw undoes the admission of an opening that was not sent.
+	Withdraw(opening admitter.Opening, now time.Time)
 	Next(now time.Time) (admitter.Result, bool)
 	WakeTime() time.Time
 	RecordResponse(service string, response admitter.Response, now time.Time)
@@ -21,7 +29,7 @@
 // heldPacket is an opening that waits for a place. It has not been sent to any server.
 type heldPacket struct {
 	Packet
-	class admitter.Class
+	opening admitter.Opening
 }
 
 // completeResponse is a response that may be complete.
@@ -33,45 +41,59 @@
 // UseAdmission sets what decides which openings are sent when room is short.
 func (steerer *Steerer) UseAdmission(admission admission) { steerer.admission = admission }
 
-// admit reports whether an opening is to be sent to a server now. Otherwise it has set the
-// verdict. A copy of an opening that is not held here may have been sent to a server by another
-// instance, so it is never held or refused; nor is any opening just after a pause of the
-// process, when it may be a late copy itself.
-func (steerer *Steerer) admit(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) bool {
+// decideOpening sends an opening to a server now, unless it waits for a place or is refused for
+// lack of room. A copy of an opening that is not held here may have been sent to a server by
+// another instance, so it is never held or refused; nor is any opening just after a pause of the
+// process, when it may be a late copy itself, or while maxFlows are tracked, when copies of those
+// beyond are not known.
+func (steerer *Steerer) decideOpening(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
 	if steerer.held[packet.Flow] != nil {
 		verdict.Reason = ReasonHeldCopy
-		return false
+		return
 	}
-	route := view.Route(packet.Flow.ServiceAddress)
 	isCopy := packet.Acknowledgment > 0 || steerer.flows[packet.Flow] != nil
-	if steerer.admission == nil || route == nil || isCopy || len(steerer.held) >= maxFlows || steerer.justResumed(now) {
-		return true
+	isFull := len(steerer.held) >= maxFlows || len(steerer.flows) >= maxFlows
+	route := view.Route(packet.Flow.ServiceAddress)
+	if !steerer.controlsAdmission() || route == nil || isCopy || isFull || steerer.justResumed(now) {
+		steerer.placeOpening(packet, "", view, verdict, now)
+		return
 	}
 	service := steerer.drawService(route)
 	if len(view.ActiveServers(service)) == 0 {
-		return true
+		steerer.placeOpening(packet, service, view, verdict, now)
+		return
 	}
-	class := classOf(route)
-	verdict.Class = class
-	opening := admitter.Opening{Flow: flowID(packet.Flow), Service: service, Class: class, Objective: route.Objective}
+	opening := admitter.Opening{Flow: flowID(packet.Flow), Service: service, Class: classOf(route), Objective: route.Objective}
+	verdict.Class = opening.Class
 	switch steerer.admission.Decide(opening, now) {
 	case admitter.Hold:
 		verdict.Reason = ReasonHeld
-		held := &heldPacket{Packet: *packet, class: class}
+		held := &heldPacket{Packet: *packet, opening: opening}
 		held.Raw = append([]byte(nil), packet.Raw...)
 		steerer.held[packet.Flow] = held
-		return false
 	case admitter.Refuse:
 		verdict.Action, verdict.Reason = Reset, ReasonNoRoom
-		return false
 	default:
-		return true
+		steerer.placeAdmitted(packet, opening, view, verdict, now)
 	}
 }
 
+// placeAdmitted sends an admitted opening to a server, or takes its admission back.
+func (steerer *Steerer) placeAdmitted(packet *Packet, opening admitter.Opening, view *viewer.View, verdict *Verdict, now time.Time) {
+	steerer.placeOpening(packet, opening.Service, view, verdict, now)
+	if verdict.Action != Send {
+		steerer.admission.Withdraw(opening, now)
+	}
+}
+
+// controlsAdmission reports whether openings may be held or refused for lack of room.
+func (steerer *Steerer) controlsAdmission() bool {
+	return steerer.admission != nil && steerer.admission.IsEnabled()
+}
+
 // nextHeld returns the verdict on the next opening whose wait has ended, or false if there is none.
 func (steerer *Steerer) nextHeld(now time.Time) (Verdict, bool) {
-	if steerer.admission == nil {
+	if len(steerer.held) == 0 {
 		return Verdict{}, false
 	}
 	result, ok := steerer.admission.Next(now)
@@ -82,14 +104,17 @@
 	held := steerer.held[key]
 	delete(steerer.held, key)
 	view := steerer.currentView()
-	verdict := Verdict{Flow: key, Raw: held.Raw, ResetSequence: held.Acknowledgment, Class: held.class, Waited: result.Waited}
-	if result.Decision == admitter.Refuse {
-		verdict.Action, verdict.Reason = Reset, ReasonNoRoom
-	} else {
-		steerer.placeOpening(&held.Packet, view, &verdict, now)
+	verdict := Verdict{Flow: key, Raw: held.Raw, ResetSequence: held.Acknowledgment, Class: held.opening.Class, Waited: result.Waited}
+	switch {
+	case result.Decision != admitter.Refuse:
+		steerer.placeAdmitted(&held.Packet, held.opening, view, &verdict, now)
 		if verdict.Reason == ReasonNewFlow {
 			verdict.Reason = ReasonReleased
 		}
+	case result.IsLate: // the caller may have opened the flow through another instance meanwhile
+		verdict.Reason = ReasonJustResumed
+	default:
+		steerer.refuse(&verdict, ReasonNoRoom, now)
 	}
 	steerer.observer.Decided(&verdict, view)
 	return verdict, true
@@ -97,40 +122,59 @@
 
 // heldWakeTime returns when the next held opening or complete response is due.
 func (steerer *Steerer) heldWakeTime() time.Time {
-	if steerer.admission == nil {
-		return time.Time{}
+	var wakeAt time.Time
+	if len(steerer.held) > 0 {
+		wakeAt = steerer.admission.WakeTime()
 	}
-	wakeAt := steerer.admission.WakeTime()
 	if len(steerer.complete) > 0 {
 		wakeAt = earliest(wakeAt, steerer.complete[0].at.Add(completionTime))
 	}
+	if len(steerer.completeShort) > 0 {
+		wakeAt = earliest(wakeAt, steerer.completeShort[0].at.Add(shortCompletionTime))
+	}
 	return wakeAt
 }
 
 // awaitCompletion notes that the flow's response may be complete, if its last acknowledgment
 // arrives now.
 func (steerer *Steerer) awaitCompletion(flow *flow, now time.Time) {
-	if steerer.admission != nil && flow.acknowledgedAt.Equal(now) && !flow.isOutcomeKnown {
+	if flow.acknowledgedAt.Equal(now) && !flow.isOutcomeKnown && steerer.controlsAdmission() {
 		steerer.complete = append(steerer.complete, completeResponse{flow: flow, at: now})
 	}
 }
 
 // reportComplete tells the admission of the responses of which nothing has been acknowledged
-// for completionTime.
+// for completionTime, or for shortCompletionTime if they are short.
 func (steerer *Steerer) reportComplete(now time.Time) {
 	for len(steerer.complete) > 0 && now.Sub(steerer.complete[0].at) >= completionTime {
 		complete := steerer.complete[0]
 		steerer.complete = steerer.complete[1:]
-		if complete.flow.acknowledgedAt.Equal(complete.at) {
+		switch {
+		case !complete.isLast():
+		case steerer.isShort(complete.flow):
+			steerer.completeShort = append(steerer.completeShort, complete)
+		default:
+			steerer.recordOutcome(complete.flow, now)
+		}
+	}
+	for len(steerer.completeShort) > 0 && now.Sub(steerer.completeShort[0].at) >= shortCompletionTime {
+		complete := steerer.completeShort[0]
+		steerer.completeShort = steerer.completeShort[1:]
+		if complete.isLast() {
 			steerer.recordOutcome(complete.flow, now)
 		}
 	}
 }
 
+// isLast reports whether nothing more of the response was acknowledged.
+func (completeResponse completeResponse) isLast() bool {
+	return completeResponse.flow.acknowledgedAt.Equal(completeResponse.at)
+}
+
 // recordOutcome tells the admission once of the flow's last response.
 func (steerer *Steerer) recordOutcome(flow *flow, now time.Time) {
 	responseTime := flow.responseTime()
-	if steerer.admission == nil || flow.isOutcomeKnown || responseTime == 0 {
+	if flow.isOutcomeKnown || responseTime == 0 || !steerer.controlsAdmission() {
 		return
 	}
 	flow.isOutcomeKnown = true
@@ -141,7 +185,7 @@
 	steerer.admission.RecordResponse(flow.server.Service, admitter.Response{
 		Class:    classOf(route),
 		Duration: responseTime,
-		IsShort:  steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment),
+		IsShort:  steerer.isShort(flow),
 	}, now)
 }
 
@@ -156,5 +200,10 @@
 // wasShed reports whether the flow's last response looks like that of a server whose queue was
 // full. The time that it took says nothing of the server's speed.
 func (steerer *Steerer) wasShed(flow *flow) bool {
-	return steerer.admission != nil && steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment)
+	return steerer.controlsAdmission() && steerer.isShort(flow)
+}
+
+// isShort reports whether the flow's last response is much shorter than usual on its route.
+func (steerer *Steerer) isShort(flow *flow) bool {
+	return steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment)
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -109,6 +109,7 @@
 	admission            admission             // nil if every opening is sent at once
 	held                 map[FlowKey]*heldPacket
 	complete             []completeResponse // in the order of their last acknowledgment
+	completeShort        []completeResponse // the same of short ones, after completionTime
 	silence              silence
 	follower             follower
 	resetter             resetter
@@ -132,9 +133,8 @@
 		verdict.Reason = ReasonNoView
 	case packet.Flags.SYN && packet.Flags.ACK:
 		verdict.Reason = ReasonFromServer
-	case packet.IsOpening() && !steerer.admit(packet, view, &verdict, now):
 	case packet.IsOpening():
-		steerer.placeOpening(packet, view, &verdict, now)
+		steerer.decideOpening(packet, view, &verdict, now)
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
@@ -148,8 +148,8 @@
 // and otherwise to a server that it was not sent to before, if there is one; then the
 // retransmission counts as an unanswered opening of the previous server. An opening with
 // another sequence number, or more than retransmissionWindow after the first, begins a
-// new flow.
-func (steerer *Steerer) placeOpening(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
+// new flow. The opening goes to the service, or to one that is drawn if that is empty.
+func (steerer *Steerer) placeOpening(packet *Packet, service string, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow := steerer.flows[packet.Flow]
 	if flow != nil && (flow.openingSequence != packet.Sequence || now.Sub(flow.openedAt) > retransmissionWindow) {
 		steerer.endFlow(flow, EndPortReused, now)
@@ -159,7 +159,7 @@
 		steerer.repeatOpening(flow, verdict, now)
 		return
 	}
-	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
+	server := steerer.selectServer(packet.Flow, service, flow, view, verdict, now)
 	if server == nil {
 		return
 	}
@@ -188,8 +188,9 @@
 }
 
 // selectServer returns the server for an opening, or nil after setting the refusal
-// in verdict; flow is nil if the flow is not tracked yet.
-func (steerer *Steerer) selectServer(key FlowKey, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
+// in verdict; flow is nil if the flow is not tracked yet. It draws a service if the route does
+// not have the given one.
+func (steerer *Steerer) selectServer(key FlowKey, service string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
 	route := view.Route(key.ServiceAddress)
 	if route == nil {
 		steerer.refuse(verdict, ReasonNoRoute, now)
@@ -199,7 +200,9 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	service := steerer.drawService(route)
+	if !route.Has(service) {
+		service = steerer.drawService(route)
+	}
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
@@ -351,7 +354,7 @@
 	}
 	view := steerer.currentView()
 	verdict := Verdict{Flow: flow.key, Raw: flow.openingPacket}
-	server := steerer.selectServer(flow.key, flow, view, &verdict, now)
+	server := steerer.selectServer(flow.key, "", flow, view, &verdict, now)
 	if server == nil || viewer.Contains(flow.attempted, server) {
 		return Verdict{}, false
 	}
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -31,6 +31,11 @@
 	Timeout      time.Duration // after which callers give up; 0 if not stated
 }
 
+// Has reports whether new flows of the route go to a service.
+func (route *Route) Has(service string) bool {
+	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+}
+
 // Share is a service's part of a route's new flows, in proportion to Weight.
 type Share struct {
 	Service string
