Draw no service without active servers while another of the route has some

Cause: a route can divide its new flows among several services. If all servers of one of them had left or were in evacuated failure domains, its part of the flows was refused (no_server, evacuated), though the configuration allows the route's other services, which had servers. Ruled out: leaving it to the callers' next try, which may draw the same service again. Change: drawService leaves out services without active servers, unless none has any.

--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -58,7 +58,7 @@
 		steerer.placeOpening(packet, "", view, verdict, now)
 		return
 	}
-	service := steerer.drawService(route)
+	service := steerer.drawService(route, view)
 	if len(view.ActiveServers(service)) == 0 {
 		steerer.placeOpening(packet, service, view, verdict, now)
 		return
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -206,7 +207,7 @@
 		attempted = flow.attempted
 	}
 	if !route.Has(service) {
-		service = steerer.drawService(route)
+		service = steerer.drawService(route, view)
 	}
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
@@ -235,23 +236,30 @@
 	}
 }
 
-// drawService draws one of the route's services at random, in proportion to their weights.
-func (steerer *Steerer) drawService(route *viewer.Route) string {
+// drawService draws one of the route's services at random, in proportion to their weights. A
+// service without active servers is drawn only if no other has any.
+func (steerer *Steerer) drawService(route *viewer.Route, view *viewer.View) string {
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
 	}
+	shares := slices.DeleteFunc(slices.Clone(route.Shares), func(share viewer.Share) bool {
+		return len(view.ActiveServers(share.Service)) == 0
+	})
+	if len(shares) == 0 {
+		shares = route.Shares
+	}
 	total := 0.0
-	for _, share := range route.Shares {
+	for _, share := range shares {
 		total += share.Weight
 	}
 	draw := steerer.random.Float64() * total
-	for _, share := range route.Shares {
+	for _, share := range shares {
 		if draw < share.Weight {
 			return share.Service
 		}
 		draw -= share.Weight
 	}
-	return ""
+	return shares[len(shares)-1].Service
 }
 
 // forwardByToken forwards a later packet to the server that its token names.
