Take no view for younger because its age has travelled

So a domain that is cut off takes its view for ever younger. The same hides from instances whose leaders are cut off that they have to read the store themselves. Messages of older programs have no id and count as before.

--- a/relayer/evacuation_test.go
+++ b/relayer/evacuation_test.go
@@ -311,7 +311,7 @@
 			relayer.addMembers([]Member{neighbor, stranger}, time.Now())
 			relayer.schedule.isLeader = test.isLeader
 			relayer.viewer.ApplyEvacuations(test.known)
-			relayer.markFresh(time.Now())                                                         // so that the heartbeat is no fresher
+			relayer.markFresh(1, time.Now())                                                      // so that the heartbeat is no fresher
 			relayer.members[test.sender.Name].answeredAt = time.Now().Add(-keepaliveInterval / 2) // and no keepalive is due
 			heartbeat := Heartbeat{Sender: test.sender, ServersRevision: 1, ConfigurationVersion: 1, Evacuations: test.received, IsAnswer: test.isAnswer}
 			assert.NilError(t, relayer.Receive(t.Context(), encode(heartbeat)))
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -95,7 +95,7 @@
 // answers and reports. The mutex must be held.
 func (relayer *Relayer) newHeartbeat(now time.Time, isAnswer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations}
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), StoreRead: relayer.schedule.freshRead, Evacuations: view.Evacuations}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
 		heartbeat.DomainInstanceCount = relayer.domainCount.members
@@ -253,7 +253,7 @@
 func (relayer *Relayer) confirmFreshness(heartbeat Heartbeat, now time.Time) {
 	previousAge := relayer.Age(now)
 	if heartbeat.Age < unknownAge && !relayer.justResumed(now) { // otherwise the heartbeat may have waited in the socket
-		relayer.markFresh(now.Add(-heartbeat.Age))
+		relayer.markFresh(heartbeat.StoreRead, now.Add(-heartbeat.Age))
 	}
 	isFresher := previousAge-relayer.Age(now) > ReadInterval/2
 	if isFresher && heartbeat.Sender.FailureDomain != relayer.self.FailureDomain && relayer.isLeader() {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -15,15 +15,16 @@
 // an answer, or a report of suspicions or ejections.
 type Heartbeat struct {
 	Sender               Member              `cbor:"sender"`
-	InstanceCount        int                 `cbor:"instances"`     // in the fleet; 0 when the sender may not know all
-	ConfigurationVersion uint64              `cbor:"configuration"` // 0 when the sender has none
-	ServersRevision      uint64              `cbor:"revision"`      // revision of the store for the backend servers; 0 when the sender has none
-	ServersDigest        uint64              `cbor:"digest"`        // of the list of backend servers
-	ServerCount          int                 `cbor:"listed"`        // length of the list of backend servers
-	Age                  time.Duration       `cbor:"age"`           // time since the store was last known to be at ServersRevision
-	Leaving              bool                `cbor:"leaving"`       // the sender is about to stop
-	IsAnswer             bool                `cbor:"answer"`        // true for answers and reports, to which no keepalive answer is sent
-	ServersDelta         *viewer.ServerDelta `cbor:"delta"`         // since the sender's previous announcement; only in announcements, nil when it is too long
+	InstanceCount        int                 `cbor:"instances"`      // in the fleet; 0 when the sender may not know all
+	ConfigurationVersion uint64              `cbor:"configuration"`  // 0 when the sender has none
+	ServersRevision      uint64              `cbor:"revision"`       // revision of the store for the backend servers; 0 when the sender has none
+	ServersDigest        uint64              `cbor:"digest"`         // of the list of backend servers
+	ServerCount          int                 `cbor:"listed"`         // length of the list of backend servers
+	Age                  time.Duration       `cbor:"age"`            // time since the store was last known to be at ServersRevision
+	StoreRead            uint64              `cbor:"read,omitempty"` // identifies the read of the store from which Age counts; 0 if unknown
+	Leaving              bool                `cbor:"leaving"`        // the sender is about to stop
+	IsAnswer             bool                `cbor:"answer"`         // true for answers and reports, to which no keepalive answer is sent
+	ServersDelta         *viewer.ServerDelta `cbor:"delta"`          // since the sender's previous announcement; only in announcements, nil when it is too long
 
 	// Suspicions are the tokens of backend servers, one for each response that looked
 	// like a failure to the sender.
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -38,7 +38,7 @@
 	}
 	relayer.mutex.Unlock()
 	if err == nil {
-		relayer.markFresh(startedAt)
+		relayer.markFresh(relayer.newStoreRead(), startedAt)
 	}
 	switch {
 	case isLeader, err == nil && !starting:
@@ -129,14 +129,6 @@
 	}
 }
 
-// markFresh records that the view matched the store at that time.
-func (relayer *Relayer) markFresh(at time.Time) {
-	relayer.startGracePeriod(at)
-	relayer.mutex.Lock()
-	defer relayer.mutex.Unlock()
-	relayer.schedule.MarkFresh(at)
-}
-
 // applyConfiguration applies a configuration from the store or an instance unless a newer one
 // has been applied.
 func (relayer *Relayer) applyConfiguration(configuration *viewer.Configuration, from string) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -126,6 +127,8 @@
 	mutex             sync.Mutex
 	seeds             []netip.AddrPort
 	schedule          ReadSchedule
+	storeReads        storeReads
+	lastStoreRead     uint64 // id of this instance's last read of the store
 	members           map[string]*peer
 	reportedInstances int          // size of the fleet that a leader last sent; 0 before the first
 	instanceCount     atomic.Int64 // what Instances returns
@@ -188,6 +191,7 @@
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
 		suspicionSender: newSuspicionSender(), loads: newLoadExchange(), tree: newRelayTree(self.Name),
 		members: map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
+		lastStoreRead: rand.Uint64(), // ids of a restarted instance differ from those before
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -34,13 +34,14 @@
 	changeDeadline time.Duration // within which a change in the store must be applied; 0 for the default
 	failures       int           // consecutive failed reads
 	freshAt        time.Time     // when the store last confirmed the view, to this instance or another
+	freshRead      uint64        // id of the read that did; 0 if unknown
 	attemptedAt    time.Time     // when this instance last started a read
 }
 
-// MarkFresh records that the view matched the store at that time.
-func (schedule *ReadSchedule) MarkFresh(at time.Time) {
+// MarkFresh records that the view matched the store at that time, by the read with an id.
+func (schedule *ReadSchedule) MarkFresh(id uint64, at time.Time) {
 	if at.After(schedule.freshAt) {
-		schedule.freshAt = at
+		schedule.freshAt, schedule.freshRead = at, id
 	}
 }
 
--- a/relayer/simulation_network_test.go
+++ b/relayer/simulation_network_test.go
@@ -35,9 +35,10 @@
 	node.simulation.heartbeatBytes += len(content)
 	node.sentDatagrams++
 	node.sentBytes += len(content)
+	delay := node.simulation.datagramDelay
 	node.simulation.mutex.Unlock()
 	go func() {
-		time.Sleep(networkDelay)
+		time.Sleep(delay)
 		if err := other.Receive(other.ctx, copied); err != nil {
 			panic(err)
 		}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -57,6 +57,7 @@
 	serversReadTime  time.Duration // additional duration of a read of the server list
 	callDelay        time.Duration // duration of a call of the store
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
+	datagramDelay    time.Duration // between instances
 }
 
 // coldEntry is what a cold server has written into the store.
@@ -93,7 +94,7 @@
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, datagramDelay: networkDelay, coldEntries: map[string]coldEntry{},
 		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -21,8 +21,9 @@
 
 // snapshotEnvelope is the message that carries an encoded Snapshot.
 type snapshotEnvelope struct {
-	Age          time.Duration `cbor:"age"`    // of the view in the snapshot
-	IsCompressed bool          `cbor:"packed"` // whether Content is compressed with S2
+	Age          time.Duration `cbor:"age"`            // of the view in the snapshot
+	StoreRead    uint64        `cbor:"read,omitempty"` // identifies the read of the store from which Age counts; 0 if unknown
+	IsCompressed bool          `cbor:"packed"`         // whether Content is compressed with S2
 	Content      []byte        `cbor:"content"`
 }
 
@@ -52,32 +53,32 @@
 	return cached
 }
 
-// decodeSnapshot decodes an envelope, and returns the snapshot in it and its age.
-func decodeSnapshot(content []byte) (Snapshot, time.Duration, error) {
+// decodeSnapshot decodes an envelope, and returns it with the snapshot in it.
+func decodeSnapshot(content []byte) (Snapshot, snapshotEnvelope, error) {
 	var envelope snapshotEnvelope
 	var snapshot Snapshot
 	if err := decode(content, &envelope); err != nil {
-		return snapshot, 0, err
+		return snapshot, envelope, err
 	}
 	if envelope.IsCompressed {
 		length, err := s2.DecodedLen(envelope.Content)
 		if err != nil {
-			return snapshot, 0, errors.Wrap(err, "decompress snapshot")
+			return snapshot, envelope, errors.Wrap(err, "decompress snapshot")
 		}
 		if length > maxSnapshotSize {
-			return snapshot, 0, errors.Errorf("decompressed snapshot of %d bytes is too long", length)
+			return snapshot, envelope, errors.Errorf("decompressed snapshot of %d bytes is too long", length)
 		}
 		if envelope.Content, err = s2.Decode(nil, envelope.Content); err != nil {
-			return snapshot, 0, errors.Wrap(err, "decompress snapshot")
+			return snapshot, envelope, errors.Wrap(err, "decompress snapshot")
 		}
 	}
 	if envelope.Age < 0 {
-		return snapshot, 0, errors.Errorf("snapshot has age %s", envelope.Age)
+		return snapshot, envelope, errors.Errorf("snapshot has age %s", envelope.Age)
 	}
 	if err := decode(envelope.Content, &snapshot); err != nil {
-		return snapshot, envelope.Age, err
+		return snapshot, envelope, err
 	}
-	return snapshot, envelope.Age, checkEvacuations(snapshot.Evacuations)
+	return snapshot, envelope, checkEvacuations(snapshot.Evacuations)
 }
 
 // fetchAnnounced fetches the snapshot that an announcement or an answer tells of, from the relay
@@ -108,9 +109,9 @@
 	startedAt := time.Now()
 	content, err := relayer.network.Fetch(ctx, from.ControlAddress, version, revision)
 	var snapshot Snapshot
-	var age time.Duration
+	var envelope snapshotEnvelope
 	if err == nil {
-		snapshot, age, err = decodeSnapshot(content)
+		snapshot, envelope, err = decodeSnapshot(content)
 	}
 	if err != nil {
 		relayer.observer.FetchFailed(from.Name, err)
@@ -122,11 +123,11 @@
 	if snapshot.RouteDelta != nil && view.Configuration != nil {
 		snapshot.Configuration = view.Configuration.Apply(snapshot.RouteDelta)
 	}
-	relayer.applySnapshot(snapshot, age, from, startedAt)
+	relayer.applySnapshot(snapshot, envelope, from, startedAt)
 }
 
-// applySnapshot applies a snapshot that was requested at a time; age is its age at that time.
-func (relayer *Relayer) applySnapshot(snapshot Snapshot, age time.Duration, from Member, at time.Time) {
+// applySnapshot applies a snapshot that was requested at a time.
+func (relayer *Relayer) applySnapshot(snapshot Snapshot, envelope snapshotEnvelope, from Member, at time.Time) {
 	relayer.addMembers(snapshot.Members, at) // first, as a leader announces a fresher view to them
 	if relayer.applyEvacuations(snapshot.Evacuations, from.Name) {
 		relayer.forwardEvacuations(from)
@@ -136,7 +137,7 @@
 	}
 	if snapshot.Servers != nil {
 		relayer.applyServers(snapshot.Servers, from.Name)
-		relayer.confirmFreshness(Heartbeat{Sender: from, Age: age, IsAnswer: true}, at)
+		relayer.confirmFreshness(Heartbeat{Sender: from, Age: envelope.Age, StoreRead: envelope.StoreRead, IsAnswer: true}, at)
 	}
 }
 
@@ -165,7 +166,7 @@
 	if delta := relayer.routeDelta; delta != nil && delta.Base == version {
 		snapshot.RouteDelta = delta
 	}
-	age := relayer.schedule.Age(now)
+	envelope := snapshotEnvelope{Age: relayer.schedule.Age(now), StoreRead: relayer.schedule.freshRead}
 	relayer.mutex.Unlock()
 	if cached == nil || cached.request != request {
 		if view.Servers != nil {
@@ -176,7 +177,8 @@
 		relayer.cachedSnapshot = cached
 		relayer.mutex.Unlock()
 	}
-	return encode(snapshotEnvelope{Age: age, IsCompressed: cached.isCompressed, Content: cached.content})
+	envelope.IsCompressed, envelope.Content = cached.isCompressed, cached.content
+	return encode(envelope)
 }
 
 // complete replaces each delta in the snapshot that does not lead to the view by the full
