End a silence only by an answer to one of its openings

One answer ended the silence of all openings, also of later ones. Change: an answer counts for the openings that were sent no later than the answered one. Test: TestAnswerToAnEarlierOpeningEndsNoSilence, red before (0 s of silence), green now; go test ./steerer passes.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -120,8 +120,12 @@
 func (steerer *Steerer) establish(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
 	flow.established = true
 	flow.establishedAt = now
-	steerer.silence.end(now)
 	isLastAttempt := flow.isLastAttempt(server)
+	answeredAttempt := flow.openedAt
+	if isLastAttempt {
+		answeredAttempt = flow.openingSentAt
+	}
+	steerer.silence.answered(answeredAttempt, now)
 	flow.openingPacket, flow.attempted = nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
--- a/steerer/reach_test.go
+++ b/steerer/reach_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// The first caller's answer was on its way when the instance was cut off.
+func TestAnswerToAnEarlierOpeningEndsNoSilence(t *testing.T) {
+	harness := newHarness("a")
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	harness.Decide(opening(1), at(0))
+	for port := range uint16(minSilentOpenings) {
+		harness.Decide(opening(port+2), at(100+int(port)))
+	}
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), at(300))
+	assert.Equal(t, harness.Answers(at(400)).SilentFor, 300*time.Millisecond)
+	harness.Decide(laterPacket(4, tokenOf("a"), 100, 0, Flags{}), at(500))
+	assert.Equal(t, harness.Answers(at(500)), Answers{})
+}
--- a/steerer/silence.go
+++ b/steerer/silence.go
@@ -6,37 +6,52 @@
 	"time"
 )
 
-// minSilentOpenings is the number of flows without an answer from which a silence is more than
-// a server that does not answer.
-const minSilentOpenings = 4
+const (
+	// minSilentOpenings is the number of flows without an answer from which a silence is more than
+	// a server that does not answer.
+	minSilentOpenings = 4
+	// maxSilentOpenings bounds the openings whose times are kept.
+	maxSilentOpenings = 256
+)
 
-// silence notes since when no caller has confirmed that a server answered its opening.
+// silence notes since when no caller has confirmed that a server answered its opening. An answer
+// only ends it for the openings that were sent before the answered one: the others may be without
+// an answer because this instance was cut off in between.
 type silence struct {
-	openings   int                       // flows opened since the last answer
-	firstAt    time.Time                 // when the first of them was sent to a server
+	sentAt     []time.Time               // when the openings since the newest answered one were sent; at most maxSilentOpenings
 	answeredAt atomic.Pointer[time.Time] // nil before the first answer
-	since      atomic.Pointer[time.Time] // firstAt; nil while there are fewer than minSilentOpenings
+	since      atomic.Pointer[time.Time] // the first of sentAt; nil while there are fewer than minSilentOpenings
 }
 
 // openingSent notes that a new flow's opening is sent to a server.
 func (silence *silence) openingSent(now time.Time) {
-	if silence.openings == 0 {
-		silence.firstAt = now
-	}
-	silence.openings++
-	if silence.openings == minSilentOpenings {
-		since := silence.firstAt
-		silence.since.Store(&since)
+	if len(silence.sentAt) < maxSilentOpenings {
+		silence.sentAt = append(silence.sentAt, now)
 	}
+	silence.update()
 }
 
-// end notes that a caller confirmed an answer.
-func (silence *silence) end(now time.Time) {
-	silence.openings = 0
-	silence.since.Store(nil)
+// answered notes that a caller confirmed an answer to an opening that was sent at a time.
+func (silence *silence) answered(sentAt, now time.Time) {
+	later := 0
+	for later < len(silence.sentAt) && !silence.sentAt[later].After(sentAt) {
+		later++
+	}
+	silence.sentAt = append(silence.sentAt[:0], silence.sentAt[later:]...)
+	silence.update()
 	silence.answeredAt.Store(&now)
 }
 
+// update sets since.
+func (silence *silence) update() {
+	if len(silence.sentAt) < minSilentOpenings {
+		silence.since.Store(nil)
+		return
+	}
+	since := silence.sentAt[0]
+	silence.since.Store(&since)
+}
+
 // Answers says how long ago servers last answered this instance's openings.
 type Answers struct {
 	SinceLast time.Duration // since a caller last confirmed an answer; the longest duration if none has
