Collect suspicions, and send them to leaders in a few bytes

Cause: each suspicion of a server went to both leaders of its failure domain in a heartbeat of its own, 235 bytes, of which the leader needs four.

Ruled out: that collecting alone helps. An instance has 1.1 suspicions a second, so within a tenth of a second there is nothing to collect; collecting at relays costs the same delay again and sends as many datagrams. Leaders that share the work lose half of it with one of them.

Change: an instance sends its first suspicion at once, those of the next 0.1 s together at the next tick, and drops what waited over 0.3 s. The datagram is a list of tokens. Leaders say in heartbeats whether all leaders of their domain accept it; otherwise, as in the middle of a rolling update, it is a heartbeat as before.

--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -46,7 +46,8 @@
 //
 // A suspicion is a response of a backend server that looked like a failure to one
 // instance, or took long, or a request that the server lost. Instances report suspicions
-// to the leaders of their failure domain. A leader counts them, and when a server has too
+// to the leaders of their failure domain, several in a datagram that is no heartbeat if these
+// accept it. A leader counts them, and when a server has too
 // many, reports to the instances of the domain that they must eject it: keep it out of
 // selection for new flows for a time. If the server is in this domain, the leaders of the
 // others are told too, and pass it on.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -95,7 +95,7 @@
 // answers and reports. The mutex must be held.
 func (relayer *Relayer) newHeartbeat(now time.Time, isAnswer bool) Heartbeat {
 	view := relayer.viewer.Current()
-	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations}
+	heartbeat := Heartbeat{Sender: relayer.self, Leaving: relayer.leaving, IsAnswer: isAnswer, Age: relayer.schedule.Age(now), Evacuations: view.Evacuations, ReportSupport: relayer.reportSupport}
 	if relayer.schedule.isLeader && relayer.hasReadMembers {
 		heartbeat.InstanceCount = 1 + len(relayer.members)
 		heartbeat.DomainInstanceCount = relayer.domainCount.members
@@ -120,9 +120,12 @@
 	return relayer.digest
 }
 
-// Receive processes a heartbeat datagram of another instance, and returns an error if it
-// cannot be decoded or is invalid. Heartbeats of this instance are ignored.
+// Receive processes a datagram of another instance, a heartbeat or a report of suspicions, and
+// returns an error if it cannot be decoded or is invalid. Heartbeats of this instance are ignored.
 func (relayer *Relayer) Receive(ctx context.Context, content []byte) error {
+	if isSuspicionReport(content) {
+		return relayer.receiveReport(content, time.Now())
+	}
 	var heartbeat Heartbeat
 	if err := decode(content, &heartbeat); err != nil {
 		return err
@@ -136,7 +139,9 @@
 	now := time.Now()
 	relayer.recordSender(heartbeat, now)
 	relayer.receiveEvacuations(heartbeat, now)
-	relayer.handleSuspicions(heartbeat, now)
+	relayer.handleSuspicions(suspicionReport{Failing: heartbeat.Suspicions, Slow: heartbeat.SlowSuspicions}, now)
+	relayer.eject(heartbeat.Ejections)
+	relayer.relayEjections(heartbeat, now)
 	relayer.receiveLoad(heartbeat, now)
 	relayer.receiveSigns(heartbeat, now)
 	relayer.reconcile(ctx, heartbeat, now)
@@ -154,12 +159,15 @@
 		member = &peer{}
 		relayer.members[heartbeat.Sender.Name] = member
 	}
-	changed := isNew || member.leaving != heartbeat.Leaving || member.absent
+	acceptsReports := heartbeat.ReportSupport >= senderAccepts
+	changed := isNew || member.leaving != heartbeat.Leaving || member.absent || member.acceptsReports != acceptsReports
 	if heartbeat.InstanceCount > 0 {
 		relayer.reportedInstances = heartbeat.InstanceCount
 	}
+	relayer.recordReportSupport(heartbeat)
 	relayer.recordDomainCount(heartbeat)
 	member.Member, member.receivedAt, member.leaving, member.absent = heartbeat.Sender, now, heartbeat.Leaving, false
+	member.acceptsReports = acceptsReports
 	if changed {
 		relayer.updateRank()
 	}
@@ -170,6 +178,14 @@
 	}
 }
 
+// recordReportSupport notes what a leader of this failure domain says of its leaders. The mutex
+// must be held.
+func (relayer *Relayer) recordReportSupport(heartbeat Heartbeat) {
+	if heartbeat.InstanceCount > 0 && heartbeat.Sender.FailureDomain == relayer.self.FailureDomain {
+		relayer.suspicions.leadersAccept = heartbeat.ReportSupport >= leadersAccept
+	}
+}
+
 // reconcile compares the sender's versions with those of this instance. If either of the
 // sender's is newer, it updates the view; otherwise, if either is older, it answers the
 // sender; if they are the same, it confirms the freshness of the view.
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -62,6 +62,8 @@
 	snapshot := encode(snapshotEnvelope{Content: encode(Snapshot{Members: []Member{sender}, Servers: &viewer.Servers{Revision: 9}})})
 	f.Add(encode(Heartbeat{Sender: sender, ServersRevision: 7, ConfigurationVersion: 2}), snapshot)
 	f.Add(encode(Heartbeat{Sender: sender, Suspicions: []uint32{7, 7}, SlowSuspicions: []uint32{7, 7}, Ejections: []Ejection{{Token: 7, IsSlow: true}}}), snapshot)
+	f.Add(encode(suspicionReport{Failing: []uint32{7, 7}, Slow: []uint32{7}}), snapshot)
+	f.Add([]byte{0x82, 0x80}, snapshot)
 	f.Add(encode(Heartbeat{
 		Sender: sender, ServersRevision: 2, ConfigurationVersion: 2, Leaving: true,
 		ServersDelta: &viewer.ServerDelta{Base: 1, Revision: 2, Changed: []viewer.BackendServer{server}, Removed: []string{"a"}},
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -30,6 +30,8 @@
 	Suspicions []uint32 `cbor:"suspects,omitempty"`
 	// SlowSuspicions are the same for responses that took long.
 	SlowSuspicions []uint32 `cbor:"slow,omitempty"`
+	// ReportSupport says who accepts a suspicionReport.
+	ReportSupport reportSupport `cbor:"reports,omitempty"`
 	// Ejections are sent by a leader to the instances of its failure domain.
 	Ejections []Ejection `cbor:"failing,omitempty"`
 
--- a/relayer/relay_fault_test.go
+++ b/relayer/relay_fault_test.go
@@ -19,7 +19,8 @@
 	return slices.DeleteFunc(slices.Clone(simulation.started), func(node *node) bool { return node.ctx.Err() != nil || simulation.cutOff[node.member.Name] })
 }
 
-func (node *node) HeartbeatPassedOn(int) {}
+func (node *node) HeartbeatPassedOn(int)  {}
+func (node *node) SuspicionsReported(int) {}
 
 func (node *node) AnnouncementMissed(time.Duration) {
 	node.simulation.mutex.Lock()
--- a/relayer/relay_tree_test.go
+++ b/relayer/relay_tree_test.go
@@ -48,6 +48,7 @@
 	simulation.update(func() {
 		for _, node := range simulation.started {
 			node.sentDatagrams, node.sentBytes, node.servedSnapshots, node.servedBytes, node.storeCalls = 0, 0, 0, 0, 0
+			node.suspicionBytes = 0
 		}
 	})
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -109,6 +109,9 @@
 	// AnnouncementMissed reports that no announcement arrived through a relay for a time, and that
 	// this instance has asked the leaders for their view.
 	AnnouncementMissed(silence time.Duration)
+	// SuspicionsReported reports that this instance has sent a number of suspicions to the leaders
+	// of its failure domain, in one datagram to each.
+	SuspicionsReported(count int)
 	// EjectServer requests that a server get no new flows for a time; the observer may
 	// decline.
 	EjectServer(ejection Ejection)
@@ -139,7 +142,8 @@
 	history           deltaHistory
 	failureCounter    suspicionCounter
 	slownessCounter   suspicionCounter
-	suspicionSender   suspicionSender
+	suspicions        suspicionCollector
+	reportSupport     reportSupport   // what this instance's heartbeats say
 	cachedSnapshot    *cachedSnapshot // last snapshot that was served; nil before the first
 	announcedRevision uint64          // servers revision in the last announcement
 	saved             savedState
@@ -167,6 +171,7 @@
 	unansweredCount int       // announcements sent to it since then
 	answeredAt      time.Time // when the last answer was sent to it
 	leaving         bool
+	acceptsReports  bool      // it accepts a suspicionReport
 	askedAt         time.Time // when this instance first asked it for an answer since receivedAt
 	absent          bool      // it is a leader that gave none for absenceTimeout
 	relay           string    // the relay by which the last heartbeat was sent to it
@@ -186,11 +191,12 @@
 	relayer := &Relayer{
 		schedule: ReadSchedule{spread: spread},
 		self:     self, viewer: viewer, source: source, network: network, failureCounter: detectors.Failures, slownessCounter: detectors.Slowness, observer: observer, seeds: seeds,
-		suspicionSender: newSuspicionSender(), loads: newLoadExchange(), tree: newRelayTree(self.Name),
+		suspicions: newSuspicionCollector(), loads: newLoadExchange(), tree: newRelayTree(self.Name),
 		members: map[string]*peer{}, running: map[string]bool{}, relayedUntil: map[uint32]time.Time{}, startedAt: time.Now(), membersReadAt: time.Now(),
 	}
 	relayer.justResumed = func(time.Time) bool { return false }
 	relayer.instanceCount.Store(1)
+	relayer.reportSupport = senderAccepts
 	return relayer
 }
 
@@ -213,6 +219,7 @@
 		relayer.schedule.RecordAttempt(now)
 	}
 	relayer.mutex.Unlock()
+	relayer.reportSuspicions(now)
 	relayer.reportEjections(now)
 	relayer.shareLoad(now)
 	relayer.askAfterMiss(now)
@@ -325,10 +332,26 @@
 	sorted, positions := rankMembers(relayer.activeMembers())
 	rank := slices.IndexFunc(sorted, func(member Member) bool { return member.Name == relayer.self.Name })
 	relayer.schedule.SetRank(rank, positions[relayer.self.Name] < leadersPerDomain)
+	relayer.reportSupport = senderAccepts
+	if relayer.schedule.isLeader && relayer.leadersAcceptReports(positions) {
+		relayer.reportSupport = leadersAccept
+	}
 	relayer.countDomainMembers()
 	relayer.updateInstanceCount()
 }
 
+// leadersAcceptReports reports whether the other leaders of this failure domain accept a
+// suspicionReport. The mutex must be held.
+func (relayer *Relayer) leadersAcceptReports(positions map[string]int) bool {
+	for name, peer := range relayer.members {
+		position, isActive := positions[name]
+		if isActive && position < leadersPerDomain && peer.FailureDomain == relayer.self.FailureDomain && !peer.acceptsReports {
+			return false
+		}
+	}
+	return true
+}
+
 // activeMembers returns all members that are not leaving or absent, this instance included. The mutex must be held.
 func (relayer *Relayer) activeMembers() []Member {
 	members := []Member{relayer.self}
--- a/relayer/simulation_network_test.go
+++ b/relayer/simulation_network_test.go
@@ -30,11 +30,17 @@
 		return
 	}
 	copied := append([]byte(nil), content...)
+	if node.hasOldProgram() || other.hasOldProgram() {
+		copied = withoutNewFields(copied)
+	}
 	node.simulation.mutex.Lock()
 	node.simulation.longestHeartbeat = max(node.simulation.longestHeartbeat, len(content))
 	node.simulation.heartbeatBytes += len(content)
 	node.sentDatagrams++
 	node.sentBytes += len(content)
+	if carriesSuspicions(content) {
+		other.suspicionBytes += len(content)
+	}
 	node.simulation.mutex.Unlock()
 	go func() {
 		time.Sleep(networkDelay)
@@ -65,3 +71,10 @@
 	defer node.simulation.mutex.Unlock()
 	return node.simulation.refusesFetch[node.member.Name]
 }
+
+// hasOldProgram reports whether the node's program has no short reports of suspicions.
+func (node *node) hasOldProgram() bool {
+	node.simulation.mutex.Lock()
+	defer node.simulation.mutex.Unlock()
+	return node.simulation.oldPrograms[node.member.Name]
+}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -48,6 +48,7 @@
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
 	cutOff           map[string]bool // names of instances cut off from all others, but not from the store
 	refusesFetch     map[string]bool // names of instances whose fetches fail
+	oldPrograms      map[string]bool // names of instances whose program has no short reports of suspicions
 	partitioned      map[string]bool // failure domains cut off from the store and the other domains
 	nodes            map[netip.AddrPort]*node
 	started          []*node
@@ -85,7 +86,8 @@
 
 	suspicionCount int
 
-	sentDatagrams, sentBytes     int // heartbeats
+	sentDatagrams, sentBytes     int // heartbeats and reports of suspicions
+	suspicionBytes               int // received in datagrams that carry suspicions
 	servedSnapshots, servedBytes int
 	askedCount                   int // announcements that it missed
 	storeCalls                   int
@@ -94,7 +96,7 @@
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
 		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
-		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
+		cutOff: map[string]bool{}, oldPrograms: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
 
--- a/relayer/suspicion.go
+++ b/relayer/suspicion.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"golang.org/x/time/rate"
+	"github.com/go-faster/errors"
 
 	"github.com/pimentowind/pimentowind/examiner"
 )
@@ -12,12 +12,9 @@
 // one instance. Each instance sees only a small part of a server's responses, so it reports
 // its suspicions to the leaders of its failure domain, which count those of all instances
 // and send the domain the servers to eject. If both leaders eject the same server, the
-// longer ejection holds.
+// longer ejection holds. See suspicionCollector for how suspicions are sent.
 
 const (
-	// suspicionRate limits the suspicions of each kind that one instance sends per second,
-	// and the burst, so that a service that fails as a whole does not overload the leaders.
-	suspicionRate = 5
 	// maxSlowShare and maxFailingShare are the largest shares of the servers that may be
 	// suspected. If more are, the load or the network is the cause, and the others could not
 	// take over.
@@ -28,23 +25,6 @@
 	minSuspects = 3
 )
 
-// suspicionSender limits the suspicions that an instance sends.
-type suspicionSender struct {
-	failing, slow *rate.Limiter
-}
-
-func newSuspicionSender() suspicionSender {
-	return suspicionSender{failing: rate.NewLimiter(suspicionRate, suspicionRate), slow: rate.NewLimiter(suspicionRate, suspicionRate)}
-}
-
-// allows reports whether a suspicion of this kind may be sent now.
-func (suspicionSender suspicionSender) allows(suspicion examiner.Suspicion, now time.Time) bool {
-	if suspicion == examiner.Slow {
-		return suspicionSender.slow.AllowN(now, 1)
-	}
-	return suspicionSender.failing.AllowN(now, 1)
-}
-
 // suspicionCounter counts the suspicions of one kind against each server. Relayer calls it
 // with its mutex held.
 type suspicionCounter interface {
@@ -56,43 +36,77 @@
 }
 
 // ReportSuspicion counts a suspicion against the server with this token if this instance is a
-// leader, and sends it to the leaders of the failure domain otherwise.
+// leader, and reports it to the leaders of the failure domain otherwise: at once, or with others
+// at the next Tick if it has sent a report recently.
 func (relayer *Relayer) ReportSuspicion(token uint32, suspicion examiner.Suspicion) {
 	now := time.Now()
-	var report Heartbeat
-	if suspicion == examiner.Slow {
-		report.SlowSuspicions = []uint32{token}
-	} else {
-		report.Suspicions = []uint32{token}
-	}
 	if relayer.isLeader() {
-		relayer.handleSuspicions(report, now)
+		relayer.handleSuspicions(suspicionReport{}.with(token, suspicion), now)
 		return
 	}
-	if !relayer.suspicionSender.allows(suspicion, now) {
-		return
+	relayer.mutex.Lock()
+	relayer.suspicions.add(token, suspicion, now)
+	isDue := relayer.suspicions.isDue(now)
+	relayer.mutex.Unlock()
+	if isDue {
+		relayer.reportSuspicions(now)
 	}
-	fill := func(heartbeat *Heartbeat) {
-		heartbeat.Suspicions, heartbeat.SlowSuspicions = report.Suspicions, report.SlowSuspicions
+}
+
+// reportSuspicions sends the suspicions that this instance has collected to the leaders of its
+// failure domain, in a heartbeat unless both are known to accept reports. An instance that has
+// become a leader meanwhile counts them itself.
+func (relayer *Relayer) reportSuspicions(now time.Time) {
+	relayer.mutex.Lock()
+	report := relayer.suspicions.take(now)
+	isLeader, acceptReports := relayer.schedule.isLeader, relayer.suspicions.leadersAccept
+	relayer.mutex.Unlock()
+	switch {
+	case report.count() == 0:
+		return
+	case isLeader:
+		relayer.handleSuspicions(report, now)
+		return
 	}
-	relayer.sendReport(fill, now, func(member Member, position int) bool {
+	isLeaderHere := func(member Member, position int) bool {
 		return member.FailureDomain == relayer.self.FailureDomain && position < leadersPerDomain
-	})
+	}
+	if acceptReports {
+		relayer.sendShortReport(encode(report), isLeaderHere)
+	} else {
+		fill := func(heartbeat *Heartbeat) {
+			heartbeat.Suspicions, heartbeat.SlowSuspicions = report.Failing, report.Slow
+		}
+		relayer.sendReport(fill, now, isLeaderHere)
+	}
+	relayer.observer.SuspicionsReported(report.count())
 }
 
-// handleSuspicions processes the suspicions and the ejections in a heartbeat. Only a leader
-// counts suspicions.
-func (relayer *Relayer) handleSuspicions(heartbeat Heartbeat, now time.Time) {
-	if relayer.isLeader() {
-		failing := relayer.countSuspicions(relayer.failureCounter, heartbeat.Suspicions, maxFailingShare, now)
-		slow := relayer.countSuspicions(relayer.slownessCounter, heartbeat.SlowSuspicions, maxSlowShare, now)
-		for i := range slow {
-			slow[i].IsSlow = true
-		}
-		relayer.ejectAndReport(append(failing, slow...), now)
+// receiveReport processes a suspicionReport of another instance.
+func (relayer *Relayer) receiveReport(content []byte, now time.Time) error {
+	var report suspicionReport
+	if err := decode(content, &report); err != nil {
+		return err
 	}
-	relayer.eject(heartbeat.Ejections)
-	relayer.relayEjections(heartbeat, now)
+	if report.count() > maxCollected {
+		return errors.Errorf("report of %d suspicions is too long", report.count())
+	}
+	relayer.handleSuspicions(report, now)
+	return nil
+}
+
+// handleSuspicions counts the suspicions in a report on a leader, and ejects the servers that
+// have too many.
+func (relayer *Relayer) handleSuspicions(report suspicionReport, now time.Time) {
+	if !relayer.isLeader() {
+		return
+	}
+	failing := relayer.countSuspicions(relayer.failureCounter, report.Failing, maxFailingShare, now)
+	slow := relayer.countSuspicions(relayer.slownessCounter, report.Slow, maxSlowShare, now)
+	for i := range slow {
+		slow[i].IsSlow = true
+	}
+	relayer.ejectAndReport(append(failing, slow...), now)
 }
 
 // countSuspicions counts suspicions, and returns the ejections of servers that have too many,
@@ -120,17 +134,35 @@
 // members that selects returns true for.
 func (relayer *Relayer) sendReport(modify func(*Heartbeat), now time.Time, selects func(member Member, position int) bool) {
 	relayer.mutex.Lock()
+	recipients, positions := relayer.selectActive(selects)
 	heartbeat := relayer.newHeartbeat(now, true)
 	heartbeat.Evacuations = nil // announcements carry them, and the report needs the room
 	modify(&heartbeat)
+	datagrams := relayer.distribute(heartbeat, recipients, positions, now)
+	relayer.mutex.Unlock()
+	relayer.send(datagrams)
+}
+
+// sendShortReport sends a datagram that is no heartbeat to the members that selects returns true
+// for.
+func (relayer *Relayer) sendShortReport(content []byte, selects func(member Member, position int) bool) {
+	relayer.mutex.Lock()
+	recipients, _ := relayer.selectActive(selects)
+	relayer.mutex.Unlock()
+	for _, recipient := range recipients {
+		relayer.network.Send(recipient.PeerAddress, content)
+	}
+}
+
+// selectActive returns the other active members that selects returns true for, and the positions
+// of all. The mutex must be held.
+func (relayer *Relayer) selectActive(selects func(member Member, position int) bool) ([]Member, map[string]int) {
 	sorted, positions := rankMembers(relayer.activeMembers())
-	var recipients []Member
+	var selected []Member
 	for _, member := range sorted {
 		if member.Name != relayer.self.Name && selects(member, positions[member.Name]) {
-			recipients = append(recipients, member)
+			selected = append(selected, member)
 		}
 	}
-	datagrams := relayer.distribute(heartbeat, recipients, positions, now)
-	relayer.mutex.Unlock()
-	relayer.send(datagrams)
+	return selected, positions
 }
