Keep deltas of large changes of long lists

Cause: an instance dropped its history of deltas at a change of more than 200 servers, whatever the length of the list.

--- a/relayer/history_test.go
+++ b/relayer/history_test.go
@@ -67,3 +67,57 @@
 		t.Fatal("the number of instances, which every new flow needs, was not returned")
 	}
 }
+
+// A change of many servers, as when a fourteenth part of 5,000 leaves at once, is fetched as a
+// delta, which is far shorter than the list.
+func TestLargeChangeIsFetchedAsDelta(t *testing.T) {
+	const servers, leaving = 5000, 360
+	runWithDomain(t, 30, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.update(func() {
+			simulation.servers = nil
+			for i := range servers {
+				simulation.servers = append(simulation.servers, backendServer(fmt.Sprintf("j-%08x", i), parser.Active))
+			}
+		})
+		advance(applyTimeLimit)
+		full := len(nodes[0].Snapshot(0, 0))
+		simulation.resetTraffic()
+		simulation.update(func() { simulation.servers = simulation.servers[leaving:] })
+		advance(applyTimeLimit)
+		want := (&viewer.Servers{List: simulation.servers}).Digest()
+		served, snapshots := 0, 0
+		for _, node := range nodes {
+			assert.Equal(t, node.viewer.Current().Servers.Digest(), want, "%s", node.member.Name)
+			served, snapshots = served+node.servedBytes, snapshots+node.servedSnapshots
+		}
+		t.Logf("%d snapshots of %d bytes, a full one has %d", snapshots, served/snapshots, full)
+		assert.Assert(t, served/snapshots <= full/10, "%d bytes a snapshot, a full one has %d", served/snapshots, full)
+	})
+}
+
+// The history of a long list stays small, whatever changes.
+func TestHistoryIsLimited(t *testing.T) {
+	var history deltaHistory
+	list := make([]viewer.BackendServer, 17_000)
+	for i := range list {
+		list[i] = backendServer(fmt.Sprintf("i-%08x", i), parser.Active)
+	}
+	before := &viewer.Servers{Revision: 1, List: list}
+	for revision := uint64(2); revision < 40; revision++ {
+		changed := append([]viewer.BackendServer(nil), before.List...)
+		for i := range 3000 {
+			changed[(int(revision)*2500+i)%len(list)].StartedAt = int64(revision)
+		}
+		after := &viewer.Servers{Revision: revision, List: changed}
+		history.add(before, after)
+		before = after
+		total := 0
+		for _, delta := range history.deltas {
+			total += delta.Len()
+		}
+		assert.Assert(t, total <= maxHistorySize, "%d servers in the history", total)
+	}
+	assert.Assert(t, len(history.after(38)) > 0)
+	history.add(before, &viewer.Servers{Revision: 50, List: list[:2000]})
+	assert.Equal(t, len(history.deltas), 0, "the full list is shorter")
+}
