--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/binary"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/pimentowind/pimentowind/ticker"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // The store holds one snapshot of the view, with the leaders of the failure domains, which
@@ -21,6 +23,11 @@
 	// saveInterval is the shortest time between two writes of the saved snapshot by one
 	// instance.
 	saveInterval = time.Second
+	// saveBytesPerSecond limits the content that one instance writes while servers keep changing,
+	// so that a long snapshot is written less often, up to maxSaveInterval. That is shorter than
+	// the time that the history of deltas covers, which is historyLength reads.
+	saveBytesPerSecond = 25_000
+	maxSaveInterval    = 30 * time.Second
 	// registrationTime is how long the seeds of a new fleet wait for the other instances to
 	// register before they read the members and save the first snapshot.
 	registrationTime = 700 * time.Millisecond
@@ -50,7 +57,9 @@
 	version        uint64 // of the configuration in it
 	digest         uint64 // of the servers, the members and the evacuated failure domains in it
 	savedAt        time.Time
-	missing        bool // there was none when this instance started
+	size           int    // of the content of the last one that was read or written
+	evacuated      uint64 // hash of the evacuated failure domains in the last one that was written
+	missing        bool   // there was none when this instance started
 }
 
 // readFirst gives a starting instance its first view: the saved snapshot if there is one,
@@ -120,7 +129,7 @@
 		return false, err
 	}
 	relayer.mutex.Lock()
-	relayer.saved.objectRevision = saved.ObjectRevision
+	relayer.saved.objectRevision, relayer.saved.size = saved.ObjectRevision, len(saved.Content)
 	relayer.mutex.Unlock()
 	snapshot, err := saved.decode()
 	if err != nil {
@@ -166,7 +175,8 @@
 	now, view := time.Now(), relayer.viewer.Current()
 	relayer.mutex.Lock()
 	before := relayer.saved
-	due := relayer.hasReadMembers && (relayer.schedule.isLeader || before.missing) && now.Sub(before.savedAt) >= saveInterval
+	evacuated := evacuationsHash(view.Evacuations)
+	due := relayer.hasReadMembers && (relayer.schedule.isLeader || before.missing) && now.Sub(before.savedAt) >= before.interval(evacuated)
 	if !due || !view.Complete() {
 		relayer.mutex.Unlock()
 		return
@@ -202,6 +212,30 @@
 		return
 	}
 	relayer.recordSaved(saved.ObjectRevision, view.Configuration.Version, digest)
+	relayer.recordWritten(len(encoded.content), evacuated)
+}
+
+// interval returns the shortest time until the next write. The evacuated failure domains, of which
+// this is the hash, do not wait for a long snapshot if they have changed.
+func (savedState *savedState) interval(evacuated uint64) time.Duration {
+	if evacuated != savedState.evacuated {
+		return saveInterval
+	}
+	writing := time.Duration(savedState.size) * time.Second / saveBytesPerSecond
+	return min(max(writing, saveInterval), maxSaveInterval)
+}
+
+// evacuationsHash returns a hash of the evacuated failure domains.
+func evacuationsHash(evacuations *viewer.Evacuations) uint64 {
+	return xxhash.Sum64String(strings.Join(evacuations.List(), "\n"))
+}
+
+// recordWritten notes the length of the snapshot that this instance has saved, and the hash of
+// the evacuated failure domains in it.
+func (relayer *Relayer) recordWritten(size int, evacuated uint64) {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	relayer.saved.size, relayer.saved.evacuated = size, evacuated
 }
 
 // savedDigest returns a hash of the digest of the servers, the names of the members and the
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -89,6 +89,7 @@
 	sentDatagrams, sentBytes     int // heartbeats and reports of suspicions
 	suspicionBytes               int // received in datagrams that carry suspicions
 	servedSnapshots, servedBytes int
+	savedBytes                   int // of the snapshots that it saved
 	askedCount                   int // announcements that it missed
 	storeCalls                   int
 }
@@ -241,6 +242,7 @@
 
 func (node *node) SaveSnapshot(ctx context.Context, snapshot SavedSnapshot) (saved SavedSnapshot, err error) {
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
+		node.savedBytes += len(snapshot.Content)
 		if simulation.saved.ObjectRevision == snapshot.ObjectRevision {
 			simulation.revision++
 			simulation.saved = snapshot
--- a/relayer/start_test.go
+++ b/relayer/start_test.go
@@ -173,3 +173,89 @@
 		}
 	})
 }
+
+// While servers change all the time, the reader spends no more than saveBytesPerSecond on the
+// saved snapshot, however long it is.
+func TestSavesOfLongSnapshotsAreLimited(t *testing.T) {
+	runWithFleet(t, 4, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(4000)
+		simulation.resetSaves()
+		const seconds = 30
+		for i := range seconds {
+			simulation.changeServers(10*i, 10)
+			advance(time.Second)
+		}
+		saved, size := simulation.resetSaves(), len(simulation.saved.Content)
+		t.Logf("%d bytes a second, a snapshot has %d", saved/seconds, size)
+		assert.Assert(t, saved <= seconds*saveBytesPerSecond+2*size, "%d bytes in %d s, a snapshot has %d", saved, seconds, size)
+		assert.Assert(t, saved > 0)
+		advance(maxSaveInterval)
+		decoded, err := simulation.saved.decode()
+		assert.NilError(t, err)
+		assert.Equal(t, decoded.Servers.Digest(), (&viewer.Servers{List: simulation.servers}).Digest(), "the last change is saved too")
+	})
+}
+
+// A fleet that is killed while its saved snapshot is old has the current view as soon as one
+// whose snapshot is new.
+func TestFleetStartsInTimeWithOldSnapshot(t *testing.T) {
+	for name, evacuated := range map[string][]string{"servers": nil, "servers and evacuations": {"dakar-2"}} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 30, func(simulation *fleetSimulation, nodes []*node) {
+				simulation.addServers(4000)
+				for i := range 3 {
+					simulation.changeServers(20*i, 20)
+					advance(time.Second)
+				}
+				simulation.update(func() { simulation.evacuated = evacuated })
+				simulation.publish(2)
+				advance(ReadInterval / 2)
+				for _, node := range nodes {
+					node.kill()
+				}
+				advance(300 * time.Millisecond)
+				first := len(simulation.started)
+				simulation.startFleet(t, 30)
+				advance(time.Second)
+				want := (&viewer.Servers{List: simulation.servers}).Digest()
+				for _, node := range simulation.started[first:] {
+					view := node.viewer.Current()
+					assert.Assert(t, node.Confirmed(time.Now()) && node.hasVersion(2), "%s", node.member.Name)
+					assert.Equal(t, view.Servers.Digest(), want, "%s", node.member.Name)
+					assert.DeepEqual(t, view.Evacuations.List(), evacuated)
+				}
+			})
+		})
+	}
+}
+
+// resetSaves returns the bytes of all snapshots that were saved since the last reset.
+func (simulation *fleetSimulation) resetSaves() int {
+	simulation.mutex.Lock()
+	defer simulation.mutex.Unlock()
+	saved := 0
+	for _, node := range simulation.started {
+		saved += node.savedBytes
+		node.savedBytes = 0
+	}
+	return saved
+}
+
+// Evacuated failure domains do not wait until a long snapshot may be saved again, also if the store
+// does not take the first write.
+func TestEvacuationsAreSavedSoonWithLongSnapshot(t *testing.T) {
+	runWithFleet(t, 4, func(simulation *fleetSimulation, nodes []*node) {
+		simulation.addServers(4000)
+		simulation.changeServers(0, 10)
+		advance(2 * saveInterval)
+		for _, evacuated := range [][]string{{"dakar-2"}, {"dakar-1", "dakar-2"}, nil} {
+			simulation.update(func() { simulation.evacuated = evacuated })
+			advance(ReadInterval / 2)
+			simulation.update(func() { simulation.saved.ObjectRevision = simulation.revision }) // written by another instance
+			advance(3 * saveInterval)
+			decoded, err := simulation.saved.decode()
+			assert.NilError(t, err)
+			assert.DeepEqual(t, decoded.Evacuations.List(), evacuated)
+		}
+	})
+}
