Share unanswered openings, and eject by the callers' word

Cause: an opening without an answer for 50 ms counted against its server if a later one was answered.

Ruled out: each instance asks all others itself (datagrams grow with the square of a failure domain); only a pause after flows of other instances have come (the first openings are fooled before the first such packet).

Change: an opening counts once its caller retransmits it here or goes on with a server that got a later copy. It is then a sign in the failure domain's agreement: leaders ask who has seen life since, hold openings back, and who ejected the server alone takes it back when someone has. No ejection alone for a second after a flow of another instance has come, or while answers cease altogether. All of it is part of reset_silent.

New in detector: holds by tables and in virtual time.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -36,12 +36,14 @@
 	onChange func()
 	observer Observer
 	silent   atomic.Pointer[Silences] // never modified once stored
+	held     atomic.Pointer[Silences] // the same: servers to which openings are held back
 
 	mutex      sync.Mutex
 	lives      map[Server]time.Time // of the last sign of life here, or one that another instance told of
 	own        map[flowSign]waiting // signs of silence of this instance
 	unreported []flowSign
 	reportedAt time.Time
+	isUrgent   bool                  // a server was ejected here, which is reported without delay
 	refuted    map[Server]time.Time  // last sign of life of servers that were declared silent, to be told
 	candidates map[Server]*candidate // that this instance, a leader, may declare silent
 	sweptAt    time.Time
@@ -54,6 +56,8 @@
 	// ServerAlive is called when a declaration is taken back because of a sign of life;
 	// seenHere is whether it was seen at this instance.
 	ServerAlive(token uint32, seenHere bool)
+	// ServerHeld is called when this instance, a leader, has openings to a server held back.
+	ServerHeld(token uint32, evidence Evidence, duration time.Duration)
 }
 
 // Evidence is why a server was declared silent.
@@ -62,7 +66,9 @@
 	Longest          time.Duration // for which data was unanswered
 	Since            time.Duration // how long ago the oldest of it was sent
 	Removed          bool          // the server was removed from the list a short time ago
-	Hinted           bool          // another failure domain has declared it silent
+	Hinted           bool          // another failure domain has declared it silent, or holds back openings to it
+	Openings         int           // flows whose opening was unanswered
+	From             string        // the names of some of the instances, for holds
 }
 
 // flowSign identifies the unanswered data of one flow.
@@ -71,8 +77,12 @@
 	flow   uint32
 }
 
-// waiting is since when data has been unanswered, and when it was last retransmitted.
-type waiting struct{ since, copiedAt time.Time }
+// waiting is since when data or an opening has been unanswered, and when that was last shown.
+type waiting struct {
+	since, copiedAt time.Time
+	isOpening       bool
+	isEjected       bool // the instance has ejected the server for this opening
+}
 
 // Silence is a declaration in force.
 type Silence struct {
@@ -95,11 +105,12 @@
 		lives: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{},
 	}
 	detector.silent.Store(&Silences{})
+	detector.held.Store(&Silences{})
 	return detector
 }
 
-// SetChangeHook sets a function that is called after each change of what Silences returns, with
-// a lock held: it must not call the detector back. It has to be set before the first sign.
+// SetChangeHook sets a function that is called after each change of what Silences or Holds returns,
+// and after signs of life that others have told of, with a lock held: it must not call the detector back. It has to be set before the first sign.
 func (detector *Detector) SetChangeHook(onChange func()) { detector.onChange = onChange }
 
 // Silences returns the declarations in force, as a pointer that differs after each change.
@@ -118,22 +129,26 @@
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	server := newServer(backendServer)
+	if len(detector.candidates) > 0 && detector.refutesOpening(server, at) {
+		detector.refuted[server] = at
+	}
 	if detector.noteLife(server, at) {
 		detector.refuted[server] = at
 		detector.observer.ServerAlive(server.Token, true)
 	}
 }
 
-// noteLife notes a sign of life, and reports whether it takes back a declaration. The mutex
+// noteLife notes a sign of life, and reports whether it takes back a declaration or a hold. The mutex
 // must be held.
 func (detector *Detector) noteLife(server Server, at time.Time) bool {
 	if !at.After(detector.lives[server]) {
 		return false
 	}
 	detector.lives[server] = at
+	isReleased := detector.release(server, at)
 	silence, ok := (*detector.silent.Load())[server.Token]
 	if !ok || silence.Server != server || !at.After(silence.RefutedAfter()) {
-		return false
+		return isReleased
 	}
 	changed := maps.Clone(*detector.silent.Load())
 	delete(changed, server.Token)
@@ -146,11 +161,15 @@
 func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	sign := flowSign{server: newServer(backendServer), flow: flow}
+	detector.recordSign(flowSign{server: newServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now})
+}
+
+// recordSign notes a sign of silence. The mutex must be held.
+func (detector *Detector) recordSign(sign flowSign, waiting waiting) {
 	if _, known := detector.own[sign]; !known && len(detector.own) >= maxOwnSigns {
 		return
 	}
-	detector.own[sign] = waiting{since: now.Add(-waitedFor), copiedAt: now}
+	detector.own[sign] = waiting
 	detector.unreported = append(detector.unreported, sign)
 }
 
@@ -191,11 +210,11 @@
 
 // report returns the signs of silence that are to be reported now. The mutex must be held.
 func (detector *Detector) report(now time.Time) []Unanswered {
-	if len(detector.unreported) == 0 || now.Sub(detector.reportedAt) < reportInterval {
+	if len(detector.unreported) == 0 || !detector.isUrgent && now.Sub(detector.reportedAt) < reportInterval {
 		return nil
 	}
 	signs := detector.unreported
-	detector.unreported, detector.reportedAt = nil, now
+	detector.unreported, detector.reportedAt, detector.isUrgent = nil, now, false
 	if detector.isCutOff(now) {
 		return nil
 	}
@@ -205,7 +224,11 @@
 		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server.Token, now) {
 			continue
 		}
-		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waiting.copiedAt.Sub(waiting.since)})
+		waited := waiting.copiedAt.Sub(waiting.since)
+		if waiting.isOpening {
+			waited = now.Sub(waiting.since) // the leader compares its time with signs of life
+		}
+		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waited, Opening: waiting.isOpening, Ejected: waiting.isEjected})
 		if len(report) == maxEntries {
 			detector.unreported = signs[i+1:]
 			break
@@ -240,12 +263,18 @@
 	defer detector.mutex.Unlock()
 	var answer Message
 	for _, alive := range message.Alive {
-		if at := now.Add(-alive.Age); detector.noteLife(alive.Server, at) {
+		at := now.Add(-alive.Age)
+		isNews := place.IsLeader && at.After(detector.lives[alive.Server]) && detector.refutesOpening(alive.Server, at)
+		if detector.noteLife(alive.Server, at) {
 			detector.observer.ServerAlive(alive.Token, false)
-			if place.IsLeader {
-				detector.refuted[alive.Server] = at // to be told to the failure domain
-			}
+			isNews = place.IsLeader
 		}
+		if isNews {
+			detector.refuted[alive.Server] = at // to be told to the failure domain
+		}
+	}
+	if len(message.Alive) > 0 {
+		detector.onChange()
 	}
 	for _, question := range message.Questions {
 		if !detector.counts(question.Server, now.Add(-question.Age)) {
@@ -255,13 +284,16 @@
 	if !sameDomain {
 		if place.IsLeader {
 			detector.noteHints(message.Silent, now)
+			answer.Alive = append(answer.Alive, detector.noteHoldHints(message.Holds, now)...)
 		}
 		return answer
 	}
 	if place.IsLeader {
 		detector.count(from, message.Unanswered, now)
+		answer.Alive = append(answer.Alive, detector.refuteOpenings(message.Unanswered, now)...)
 	}
 	answer.Alive = append(answer.Alive, detector.apply(message.Silent, now)...)
+	answer.Alive = append(answer.Alive, detector.hold(message.Holds, now)...)
 	return answer
 }
 
@@ -305,6 +337,7 @@
 	if len(*detector.silent.Load()) > 0 {
 		detector.store(Silences{})
 	}
+	detector.storeHolds(Silences{})
 }
 
 // store replaces the declarations. The mutex must be held.
@@ -322,6 +355,9 @@
 	maps.DeleteFunc(detector.lives, func(_ Server, at time.Time) bool { return now.Sub(at) > lifeMemory })
 	maps.DeleteFunc(detector.own, func(_ flowSign, waiting waiting) bool { return now.Sub(waiting.copiedAt) > signMemory })
 	maps.DeleteFunc(detector.candidates, func(_ Server, candidate *candidate) bool { return candidate.isOld(now) })
+	held := maps.Clone(*detector.held.Load())
+	maps.DeleteFunc(held, func(_ uint32, hold Silence) bool { return !now.Before(hold.Until) })
+	detector.storeHolds(held)
 	changed := maps.Clone(*detector.silent.Load())
 	maps.DeleteFunc(changed, func(_ uint32, silence Silence) bool { return !now.Before(silence.Until) })
 	if len(changed) != len(*detector.silent.Load()) {
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -68,6 +68,8 @@
 func (testInstance *testInstance) ServerSilent(uint32, Evidence) {}
 func (testInstance *testInstance) ServerAlive(uint32, bool)      {}
 
+func (testInstance *testInstance) ServerHeld(uint32, Evidence, time.Duration) {}
+
 func newFleet(seed uint64) *fleet {
 	fleet := &fleet{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 5))}
 	for i := range 2 * domainSize {
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -44,6 +44,7 @@
 	askedAt  time.Time // of the first question; zero before it
 	since    time.Time // that it asked for life after
 	repeated bool      // the question was asked again
+	hold     holding   // for openings
 }
 
 // instanceFlow identifies a flow as one instance sees it.
@@ -60,7 +61,7 @@
 		}
 		found, flow := detector.candidate(sign.Server), instanceFlow{instance: instance, flow: sign.Flow}
 		if _, known := found.signs[flow]; known || len(found.signs) < maxEntries {
-			found.signs[flow] = waiting{since: now.Add(-sign.For), copiedAt: now}
+			found.signs[flow] = waiting{since: now.Add(-sign.For), copiedAt: now, isOpening: sign.Opening, isEjected: sign.Ejected}
 		}
 	}
 }
@@ -134,6 +135,7 @@
 	if float64(suspected) > max(minSilent, maxSilentShare*float64(place.Servers)) {
 		message.Silent = nil
 	}
+	detector.judgeHolds(&message, place, now)
 	return detector.declare(message, now)
 }
 
@@ -153,13 +155,17 @@
 	for list := message.Silent; len(list) > 0; list = list[min(maxEntries, len(list)):] {
 		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Silent: list[:min(maxEntries, len(list))]}})
 	}
+	for list := message.Holds; len(list) > 0; list = list[min(maxEntries, len(list)):] {
+		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Holds: list[:min(maxEntries, len(list))]}})
+	}
 	return outgoing
 }
 
 // weighed is evidence with its weight.
 type weighed struct {
 	Evidence
-	weight int
+	weight  int
+	hasData bool // some of the flows have unanswered data
 }
 
 // weigh returns the evidence against a server, after dropping the signs that are too old or that
@@ -177,8 +183,13 @@
 		}
 		instances[flow.instance] = true
 		waited, weight := waiting.copiedAt.Sub(waiting.since), 1
-		if waited >= longWait {
-			weight = 2
+		switch {
+		case waiting.isOpening:
+			weighed.Openings++
+		case waited >= longWait:
+			weight, weighed.hasData = 2, true
+		default:
+			weighed.hasData = true
 		}
 		weights[flow.flow] = max(weights[flow.flow], weight)
 		weighed.Longest = max(weighed.Longest, waited)
@@ -194,6 +205,9 @@
 
 // suffices reports whether the evidence is enough to ask for signs of life.
 func (weighed *weighed) suffices(place Place) bool {
+	if !weighed.hasData {
+		return false // it may serve its flows and take no new ones
+	}
 	weight := weighed.weight
 	if weighed.Removed {
 		weight += removalWeight
@@ -213,7 +227,8 @@
 }
 
 func (candidate *candidate) isOld(now time.Time) bool {
-	if now.Sub(candidate.hintedAt) <= signMemory || candidate.isRemoved(now) {
+	isHeld := now.Sub(candidate.hold.until) <= signMemory || now.Sub(candidate.hold.hintedAt) <= signMemory
+	if isHeld || now.Sub(candidate.hintedAt) <= signMemory || candidate.isRemoved(now) {
 		return false
 	}
 	for _, waiting := range candidate.signs {
--- a/detector/message.go
+++ b/detector/message.go
@@ -27,13 +27,17 @@
 	Questions  []ServerAge  `cbor:"2,keyasint,omitempty"` // from a leader: who has seen life of these servers since
 	Alive      []ServerAge  `cbor:"3,keyasint,omitempty"` // the last sign of life, as an answer or because the server was declared silent
 	Silent     []ServerAge  `cbor:"4,keyasint,omitempty"` // from a leader: servers that have been silent since, for its failure domain
+	Holds      []Hold       `cbor:"5,keyasint,omitempty"` // from a leader: servers that get no openings for a time
 }
 
-// Unanswered is data of a flow that a server has left unanswered.
+// Unanswered is data or the opening of a flow that a server has left unanswered.
 type Unanswered struct {
 	Server
 	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses, the same at all instances
 	For  time.Duration `cbor:"4,keyasint"`
+	// Opening says that it is the opening, and Ejected that the sender has ejected the server for it.
+	Opening bool `cbor:"5,keyasint,omitempty"`
+	Ejected bool `cbor:"6,keyasint,omitempty"`
 }
 
 // ServerAge names a server and how long ago something about it happened.
@@ -56,11 +60,16 @@
 			}
 		}
 	}
+	for _, hold := range message.Holds {
+		if hold.Age < 0 || hold.For < 0 {
+			return errors.Errorf("openings are held back for %s since %s", hold.For, hold.Age)
+		}
+	}
 	return nil
 }
 
 func (message *Message) isEmpty() bool {
-	return len(message.Unanswered)+len(message.Questions)+len(message.Alive)+len(message.Silent) == 0
+	return len(message.Unanswered)+len(message.Questions)+len(message.Alive)+len(message.Silent)+len(message.Holds) == 0
 }
 
 // Audience is the set of instances that a message is for.
--- a/director/director.go
+++ b/director/director.go
@@ -155,12 +155,12 @@
 }
 
 // failureCheck reports whether the server with a token is ejected because it fails its requests
-// or has fallen silent.
+// or has fallen silent, or gets no openings as some were left unanswered.
 type failureCheck func(token uint32, now time.Time) bool
 
 func newFailureCheck(ejections *examiner.Ejections, detector *detector.Detector) failureCheck {
 	return func(token uint32, now time.Time) bool {
-		return ejections.IsEjected(token, now) || detector.IsSilent(token, now)
+		return ejections.IsEjected(token, now) || detector.IsSilent(token, now) || detector.IsHeld(token, now)
 	}
 }
 
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -266,6 +266,21 @@
 		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed, "hinted", evidence.Hinted)
 }
 
+// ServerHeld counts and logs that this instance has openings to a server held back in its failure
+// domain.
+func (recorder *Recorder) ServerHeld(token uint32, evidence detector.Evidence, duration time.Duration) {
+	recorder.counters.Add("holds_declared", 1)
+	recorder.Event(logger.EventServerHeld, "backend_server", recorder.serverName(token), "openings", evidence.Openings, "instances", evidence.Instances,
+		"from", evidence.From, "since_ms", evidence.Since.Milliseconds(), "hinted", evidence.Hinted, "for", duration.String())
+}
+
+// ServerReadmitted counts and logs that the ejection of a server ended because another instance has
+// seen it alive.
+func (recorder *Recorder) ServerReadmitted(server *viewer.BackendServer, age time.Duration) {
+	recorder.counters.Add("readmitted", 1)
+	recorder.Event(logger.EventServerReadmitted, "backend_server", server.Name, "service", server.Service, "answered_ms_ago", age.Milliseconds())
+}
+
 // ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
 // instance saw the sign of life.
 func (recorder *Recorder) ServerAlive(token uint32, seenHere bool) {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -49,6 +49,8 @@
 	EventServerSilent         decider.EventKind = 517
 	EventServerAlive          decider.EventKind = 518
 	EventAnnouncementMissed   decider.EventKind = 520
+	EventServerHeld           decider.EventKind = 522
+	EventServerReadmitted     decider.EventKind = 523
 	EventWarmUpRateTooSmall   decider.EventKind = 521
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
@@ -91,6 +93,8 @@
 	EventFlowsReset:           "flows of a silent backend server are reset",
 	EventServerSilent:         "backend server declared silent",
 	EventServerAlive:          "backend server is not silent",
+	EventServerHeld:           "openings to a backend server held back",
+	EventServerReadmitted:     "ejected backend server taken back: it has answered others",
 	EventServerRemoved:        "backend server removed: not listed again after a store outage",
 	EventEvacuated:            "failure domain evacuated: its backend servers get no new flows",
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
--- a/placer/ejection.go
+++ b/placer/ejection.go
@@ -22,6 +22,7 @@
 	unanswered int           // consecutive openings without an answer
 	duration   time.Duration // of the last ejection; 0 before the first and after reset
 	until      time.Time     // end of the last ejection
+	readmitted bool          // an ejection was ended before its time since the last reset
 }
 
 func (ejection *ejection) active(now time.Time) bool { return now.Before(ejection.until) }
@@ -31,6 +32,15 @@
 
 var noEjection ejection
 
+// readmit ends the ejection before its time, once before the next reset, and reports whether it did.
+func (ejection *ejection) readmit(now time.Time) bool {
+	if ejection.readmitted || !ejection.active(now) {
+		return false
+	}
+	ejection.readmitted, ejection.until = true, now
+	return true
+}
+
 // openingUnanswered counts an opening without an answer and reports whether an ejection begins.
 func (ejection *ejection) openingUnanswered(limit int, now time.Time) bool {
 	if ejection.active(now) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -215,6 +215,32 @@
 	placer.domainEjection(backendServer).reset()
 }
 
+// Readmit ends the ejections of a server and of its failure domain for unanswered openings, since
+// it has answered other instances, and reports whether it did. The next opening that it leaves
+// unanswered here ejects it again, and then for the whole time: the way to it is broken.
+func (placer *Placer) Readmit(backendServer *viewer.BackendServer, now time.Time) bool {
+	isReadmitted := placer.stateOf(backendServer, now).ejection.readmit(now)
+	if placer.domainEjection(backendServer).readmit(now) {
+		isReadmitted = true
+	}
+	if isReadmitted {
+		placer.ReexamineServers()
+	}
+	return isReadmitted
+}
+
+// ReexamineServers makes the placer look anew which servers are ejected.
+func (placer *Placer) ReexamineServers() {
+	for _, index := range placer.indexes {
+		for _, domain := range index.others {
+			domain.examineAt = time.Time{}
+		}
+		if index.own != nil {
+			index.own.examineAt = time.Time{}
+		}
+	}
+}
+
 // OpeningUnanswered records that a server did not answer an opening, and reports
 // whether the server is ejected as a result.
 func (placer *Placer) OpeningUnanswered(backendServer *viewer.BackendServer, now time.Time) bool {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -238,3 +238,30 @@
 		assert.Assert(t, placed[domain] > share*9/10 && placed[domain] < share*11/10, "%v", placed)
 	}
 }
+
+func TestServerIsReadmittedOnce(t *testing.T) {
+	placer, servers := newPlacer(1), candidates("a", "b")
+	isSelected := func(at time.Time) bool {
+		for range 50 {
+			if placer.Select(servers, nil, at).Name == "a" {
+				return true
+			}
+		}
+		return false
+	}
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	assert.Assert(t, !placer.Readmit(servers[0], start), "it is not ejected")
+	placer.OpeningUnanswered(servers[0], start)
+	placer.OpeningUnanswered(servers[0], start)
+	assert.Assert(t, !isSelected(at(10)))
+	assert.Assert(t, placer.Readmit(servers[0], at(20)))
+	assert.Assert(t, isSelected(at(20)), "at once")
+	assert.Assert(t, placer.OpeningUnanswered(servers[0], at(100)))
+	assert.Assert(t, !placer.Readmit(servers[0], at(120)), "the way to it is broken")
+	assert.Assert(t, !isSelected(at(900)))
+	assert.Assert(t, isSelected(at(1100)))
+	placer.OpeningAnswered(servers[0], at(1200))
+	placer.OpeningUnanswered(servers[0], at(1300))
+	placer.OpeningUnanswered(servers[0], at(1300))
+	assert.Assert(t, placer.Readmit(servers[0], at(1320)))
+}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -145,6 +145,8 @@
 func (node *node) ServerSilent(uint32, detector.Evidence) {}
 func (node *node) ServerAlive(uint32, bool)               {}
 
+func (node *node) ServerHeld(uint32, detector.Evidence, time.Duration) {}
+
 // kill stops an instance without an announcement.
 func (node *node) kill() {
 	node.stop()
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -21,6 +21,8 @@
 	key             FlowKey
 	server          *viewer.BackendServer   // the last that the opening was sent to, or the one that answered it
 	attempted       []*viewer.BackendServer // servers that the opening was sent to; nil once established
+	sentAt          []time.Time             // when the opening was sent to each of them
+	judged          int                     // how many of them have been counted as unanswered
 	openingPacket   []byte                  // for retries; nil once established
 	openingSequence uint32                  // tells a retransmitted opening from that of a new flow
 	openedAt        time.Time               // when the first opening arrived
@@ -72,7 +74,7 @@
 	}
 	flow.openingSentAt = now
 	flow.lastPacketAt = now
-	flow.attempted = append(flow.attempted, server)
+	flow.attempted, flow.sentAt = append(flow.attempted, server), append(flow.sentAt, now)
 	steerer.unanswered = append(steerer.unanswered, flow)
 }
 
@@ -122,7 +124,10 @@
 	flow.establishedAt = now
 	steerer.silence.end(now)
 	isLastAttempt := flow.isLastAttempt(server)
-	flow.openingPacket, flow.attempted = nil, nil
+	if steerer.confirmsOpenings() {
+		steerer.noticeAnswer(flow, server, now)
+	}
+	flow.openingPacket, flow.attempted, flow.sentAt = nil, nil, nil
 	if flow.openingSentAt.After(steerer.newestAnsweredSentAt) {
 		steerer.newestAnsweredSentAt = flow.openingSentAt
 	}
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -79,6 +79,12 @@
 	return uint32(xxhash.Sum64(content[:]))
 }
 
+// follows reports whether a flow is followed.
+func (follower *follower) follows(key FlowKey) bool {
+	_, isFollowed := follower.flows[newFollowKey(key)]
+	return isFollowed
+}
+
 // observe updates the flow of a packet that follows the opening, and returns what the packet
 // says about the server.
 func (follower *follower) observe(packet *Packet, now time.Time) sign {
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -37,6 +37,15 @@
 type lifeRecorder interface {
 	RecordLife(server *viewer.BackendServer, at time.Time)
 	RecordUnanswered(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time)
+	// RecordUnansweredOpening notes that a caller had no answer to an opening which was sent to a
+	// server a time ago; isEjected is whether the server was ejected here for it.
+	RecordUnansweredOpening(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, isEjected bool, now time.Time)
+	// AnsweredSince reports whether a server is known to have answered anybody after it got an
+	// opening at a time, and how long ago.
+	AnsweredSince(server *viewer.BackendServer, sentAt, now time.Time) (time.Duration, bool)
+	// Holds returns the servers to which openings are held back, as a pointer that differs after
+	// each change.
+	Holds() *detector.Silences
 	// Silences returns the servers that are declared silent, as a pointer that differs after
 	// each change.
 	Silences() *detector.Silences
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -137,6 +137,9 @@
 	silences   *detector.Silences
 	alive      []time.Time
 	unanswered []time.Duration
+	openings   []string // servers that left them unanswered
+	holds      *detector.Silences
+	answered   bool // elsewhere
 }
 
 func (signs *signs) RecordLife(_ *viewer.BackendServer, at time.Time) {
@@ -147,6 +150,16 @@
 	signs.unanswered = append(signs.unanswered, waitedFor)
 }
 
+func (signs *signs) RecordUnansweredOpening(server *viewer.BackendServer, _ uint32, _ time.Duration, _ bool, _ time.Time) {
+	signs.openings = append(signs.openings, server.Name)
+}
+
+func (signs *signs) AnsweredSince(*viewer.BackendServer, time.Time, time.Time) (time.Duration, bool) {
+	return 0, signs.answered
+}
+
+func (signs *signs) Holds() *detector.Silences { return signs.holds }
+
 func (signs *signs) Silences() *detector.Silences { return signs.silences }
 
 // declare declares server a silent for a time.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -41,6 +41,11 @@
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
+	// Readmit ends the ejection of a server that has answered other instances, and reports
+	// whether it did.
+	Readmit(server *viewer.BackendServer, now time.Time) bool
+	// ReexamineServers is called when the servers to which openings are held back change.
+	ReexamineServers()
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	// ObserveView is called after each change of the view, also if no flows are opened.
 	ObserveView(now time.Time)
@@ -65,6 +70,9 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
+	// ServerReadmitted is called when an ejection ends because another instance has seen the
+	// server alive, a time ago.
+	ServerReadmitted(server *viewer.BackendServer, age time.Duration)
 	// FlowsReset is called when all flows of a silent server that pass this instance are reset.
 	FlowsReset(server *viewer.BackendServer, flows int)
 }
@@ -116,6 +124,7 @@
 	silence              silence
 	follower             follower
 	resetter             resetter
+	openings             openings
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
@@ -171,6 +180,8 @@
 	if flow == nil {
 		verdict.Reason = ReasonNewFlow
 		flow = steerer.track(packet, now)
+	} else if steerer.confirmsOpenings() {
+		steerer.noticeRetransmission(flow, now)
 	} else {
 		steerer.recordUnanswered(flow.server, now)
 	}
@@ -265,6 +276,9 @@
 		verdict.Reason = ReasonEvacuatedFlow
 	}
 	flow := steerer.flows[packet.Flow]
+	if flow == nil {
+		steerer.noticeArrival(packet, now)
+	}
 	if flow == nil || flow.isAdopted {
 		steerer.noticeUntracked(packet.Flow, now)
 	}
@@ -284,6 +298,7 @@
 // wait in the receive queue.
 func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
 	steerer.placer.ObserveView(now)
+	steerer.readmitServers(now)
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
@@ -350,7 +365,7 @@
 	// The missing answer counts against the server only if an opening that was sent
 	// later has been answered. Otherwise the network fabric may have changed its set of
 	// instances, so that the callers' packets now reach another instance.
-	if steerer.newestAnsweredSentAt.After(flow.openingSentAt) {
+	if !steerer.confirmsOpenings() && steerer.newestAnsweredSentAt.After(flow.openingSentAt) {
 		steerer.recordUnanswered(flow.server, now)
 	}
 	if len(flow.attempted) >= maxAttempts {
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -33,6 +33,7 @@
 	decided         []Reason
 	ended           []FlowSummary
 	ejected         []string
+	readmitted      []string
 	reset           []string // silent servers, with the number of their flows that are reset
 	responseLengths []uint32
 	responseTimes   []time.Duration
@@ -62,6 +63,10 @@
 	harness.ejected = append(harness.ejected, server.Name)
 }
 
+func (harness *harness) ServerReadmitted(server *viewer.BackendServer, _ time.Duration) {
+	harness.readmitted = append(harness.readmitted, server.Name)
+}
+
 func (harness *harness) FlowsReset(server *viewer.BackendServer, flows int) {
 	harness.reset = append(harness.reset, fmt.Sprint(server.Name, " ", flows))
 }
