--- a/steerer/opening_test.go
+++ b/steerer/opening_test.go
@@ -154,3 +154,26 @@
 	assert.DeepEqual(t, harness.readmitted, []string{"a"})
 	assert.DeepEqual(t, harness.ejected, []string{"a", "a"}) // the way from here to it is broken
 }
+
+func TestPlacerLooksAgainWhenHoldsChange(t *testing.T) {
+	harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+	harness.SetDetector(signs)
+	counter := &reexaminations{serverSelector: harness.placer}
+	harness.placer = counter
+	signs.holds = &detector.Silences{}
+	for at := range 50 {
+		harness.Next(after(at), after(at))
+	}
+	assert.Equal(t, counter.count, 1)
+	signs.holds = &detector.Silences{}
+	harness.Next(after(50), after(50))
+	assert.Equal(t, counter.count, 2)
+}
+
+// reexaminations counts how often the placer is told to look again.
+type reexaminations struct {
+	serverSelector
+	count int
+}
+
+func (reexaminations *reexaminations) ReexamineServers() { reexaminations.count++ }
