Hold back no openings to a server that has restarted under its name

Cause: holds were looked up by the server's token, which the next incarnation shares; it would have got no openings for up to 4 s. The fleet's case had changed the token too and so didn't see it; now it keeps the token (red before, green now). Added: a server late under a burst and a slow instance; no opening is held back in either, nor in the other cases.

Run: go test ./detector ./director, pass.

--- a/detector/opening.go
+++ b/detector/opening.go
@@ -68,10 +68,10 @@
 // change. Some may have ended by time.
 func (detector *Detector) Holds() *Silences { return detector.held.Load() }
 
-// IsHeld reports whether openings to the server with a token are held back.
-func (detector *Detector) IsHeld(token uint32, now time.Time) bool {
-	hold, ok := (*detector.held.Load())[token]
-	return ok && now.Before(hold.Until)
+// IsHeld reports whether openings to a server are held back; those to its next incarnation are not.
+func (detector *Detector) IsHeld(server *viewer.BackendServer, now time.Time) bool {
+	hold, ok := (*detector.held.Load())[server.Token]
+	return ok && now.Before(hold.Until) && hold.StartedAt == server.StartedAt
 }
 
 // suspect returns the evidence for a hold: the openings that a server has left unanswered since the
--- a/detector/opening_test.go
+++ b/detector/opening_test.go
@@ -23,7 +23,7 @@
 	sent       map[int][]time.Time      // openings that reached no server, by server
 	lateBy     time.Duration            // of the servers' answers
 	isMoved    bool                     // the routers take the callers' packets to other instances
-	held       int                      // looks at instances that held back a server
+	held       int                      // openings that instances held back
 	readmitted int
 }
 
@@ -60,7 +60,7 @@
 	if found.paused || opener.now.Before(opener.ejection(instance, server).until) {
 		return
 	}
-	if found.detector.IsHeld(opener.servers[server].server.Token, opener.now) || found.detector.IsSilent(opener.servers[server].server.Token, opener.now) {
+	if found.detector.IsHeld(&opener.servers[server].server, opener.now) || found.detector.IsSilent(opener.servers[server].server.Token, opener.now) {
 		opener.held++
 		return
 	}
@@ -123,7 +123,7 @@
 func (opener *opener) holders(server int) []int {
 	var holders []int
 	for i, instance := range opener.instances {
-		if instance.detector.IsHeld(opener.servers[server].server.Token, opener.now) {
+		if instance.detector.IsHeld(&opener.servers[server].server, opener.now) {
 			holders = append(holders, i)
 		}
 	}
@@ -145,36 +145,38 @@
 		name string
 		play func(opener *opener)
 		want []int // instances that hold back openings to server 0
+
+		isHeldBefore bool // some were held back before
 	}{
 		{"from a server that answers nobody", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.run(500*time.Millisecond, opener.everywhere(first))
-		}, first},
-		{"not from one that answers", func(opener *opener) { opener.run(2*time.Second, opener.everywhere(first)) }, nil},
+		}, first, false},
+		{"not from one that answers", func(opener *opener) { opener.run(2*time.Second, opener.everywhere(first)) }, nil, false},
 		{"not for one unanswered opening", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.open(0, 0)
 			opener.run(time.Second, func(int) {})
-		}, nil},
+		}, nil, false},
 		{"not from a server that answers others", func(opener *opener) {
 			opener.instances[2].cutFromServers = true
 			opener.run(2*time.Second, opener.everywhere(first))
-		}, nil},
+		}, nil, false},
 		{"for two openings of one instance, if nobody has seen life since", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.run(500*time.Millisecond, opener.everywhere([]int{2}))
-		}, first},
+		}, first, false},
 		{"not after the routers have changed their set", func(opener *opener) {
 			opener.run(100*time.Millisecond, opener.everywhere(first))
 			opener.isMoved = true
 			opener.run(100*time.Millisecond, opener.everywhere(first))
 			opener.isMoved = false
 			opener.run(300*time.Millisecond, opener.everywhere(first))
-		}, nil},
+		}, nil, false},
 		{"not by signs of an instance that is cut off", func(opener *opener) {
 			opener.instances[2].cutFromServers = true
 			opener.run(600*time.Millisecond, func(step int) { opener.open(2, step%10) })
-		}, nil},
+		}, nil, false},
 		{"not by an instance that was paused", func(opener *opener) {
 			opener.open(2, 0)
 			opener.open(2, 0)
@@ -183,43 +185,62 @@
 			opener.instances[2].detector.Forget()
 			opener.instances[2].paused = false
 			opener.run(300*time.Millisecond, func(int) {})
-		}, nil},
+		}, nil, false},
 		{"not while most servers look silent", func(opener *opener) {
 			for i := range 8 {
 				opener.servers[i].down = true
 			}
 			opener.run(600*time.Millisecond, func(step int) { opener.open(step%4, step%10) })
-		}, nil},
+		}, nil, true},
+		{"not from one that is late under a burst", func(opener *opener) {
+			opener.lateBy = 70 * time.Millisecond // openings are retried elsewhere before it answers
+			opener.run(600*time.Millisecond, func(step int) {
+				if step%10 == 0 {
+					opener.open(step/10%4, 0)
+				}
+				if step%4 == 0 {
+					opener.send(step/4%4, 0) // on open flows
+				}
+			})
+		}, nil, false},
+		{"not by an instance that is slow", func(opener *opener) { // it reads its callers' packets late
+			opener.run(2*time.Second, func(step int) {
+				opener.everywhere([]int{0, 1, 3})(step)
+				if step%20 == 0 {
+					opener.instances[2].detector.RecordUnansweredOpening(&opener.servers[0].server, uint32(5000+step), openingRetried, step >= 20, opener.now)
+				}
+			})
+		}, nil, false},
 		{"not from a server that restarts", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.run(500*time.Millisecond, opener.everywhere(first))
 			opener.servers[0].down = false
 			opener.servers[0].server.StartedAt++
-			opener.servers[0].server.Token++ // that no instance holds
 			opener.run(200*time.Millisecond, opener.everywhere(first))
-		}, nil},
+		}, nil, true},
 		{"with a dead leader too", func(opener *opener) {
 			opener.instances[0].paused = true
 			opener.servers[0].down = true
 			opener.run(500*time.Millisecond, opener.everywhere([]int{1, 2, 3}))
-		}, []int{1, 2, 3}},
+		}, []int{1, 2, 3}, false},
 		{"by one sign in another failure domain, if the first holds them back", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.run(350*time.Millisecond, opener.everywhere(first))
 			opener.open(6, 0)
 			opener.run(300*time.Millisecond, func(int) {})
-		}, all},
+		}, all, false},
 		{"until a sign of life", func(opener *opener) {
 			opener.servers[0].down = true
 			opener.run(500*time.Millisecond, opener.everywhere(first))
 			opener.instances[2].detector.RecordLife(&opener.servers[0].server, opener.now)
 			opener.run(250*time.Millisecond, func(int) {})
-		}, nil},
+		}, nil, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			opener := newOpener(1)
 			c.play(opener)
+			assert.Assert(t, c.want != nil || c.isHeldBefore || opener.held == 0, "%d openings were held back", opener.held)
 			assert.DeepEqual(t, opener.holders(0), c.want)
 		})
 	}
--- a/director/director.go
+++ b/director/director.go
@@ -158,9 +158,16 @@
 // or has fallen silent, or gets no openings as some were left unanswered.
 type failureCheck func(token uint32, now time.Time) bool
 
-func newFailureCheck(ejections *examiner.Ejections, detector *detector.Detector) failureCheck {
+func newFailureCheck(ejections *examiner.Ejections, detector *detector.Detector, current *viewer.Viewer) failureCheck {
+	isHeld := func(token uint32, now time.Time) bool {
+		if len(*detector.Holds()) == 0 {
+			return false
+		}
+		server := current.Current().ServerByToken(token)
+		return server != nil && detector.IsHeld(server, now)
+	}
 	return func(token uint32, now time.Time) bool {
-		return ejections.IsEjected(token, now) || detector.IsSilent(token, now) || detector.IsHeld(token, now)
+		return ejections.IsEjected(token, now) || detector.IsSilent(token, now) || isHeld(token, now)
 	}
 }
 
