--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -42,6 +42,7 @@
 	unsettledAt    time.Time            // when it last was paused, cut off or restarted
 	answeredAt     map[Server]time.Time // when it last saw a server answer
 	known          *Silences
+	evidence       Evidence // for the last hold, on a leader
 }
 
 type testServer struct {
@@ -68,7 +69,9 @@
 func (testInstance *testInstance) ServerSilent(uint32, Evidence) {}
 func (testInstance *testInstance) ServerAlive(uint32, bool)      {}
 
-func (testInstance *testInstance) ServerHeld(uint32, Evidence, time.Duration) {}
+func (testInstance *testInstance) ServerHeld(_ uint32, evidence Evidence, _ time.Duration) {
+	testInstance.evidence = evidence
+}
 
 func newFleet(seed uint64) *fleet {
 	fleet := &fleet{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 5))}
--- a/detector/opening.go
+++ b/detector/opening.go
@@ -18,6 +18,8 @@
 	maxHoldTime  = 4 * time.Second
 	// maxNamed is how many instances the evidence for a hold names.
 	maxNamed = 4
+	// ownName stands for the leader itself among them.
+	ownName = "itself"
 )
 
 // Hold tells the instances of a failure domain to open no flows at a server.
@@ -89,8 +91,12 @@
 		suspicion.Longest = max(suspicion.Longest, waiting.copiedAt.Sub(waiting.since))
 		suspicion.Since = max(suspicion.Since, now.Sub(waiting.since))
 	}
+	if instances[""] {
+		delete(instances, "")
+		instances[ownName] = true
+	}
 	names := slices.Sorted(maps.Keys(instances))
-	suspicion.Flows, suspicion.Openings, suspicion.Instances = len(flows), len(flows), len(instances)
+	suspicion.Flows, suspicion.Openings, suspicion.Instances = len(flows), len(flows), len(names)
 	suspicion.From = strings.Join(names[:min(len(names), maxNamed)], " ")
 	suspicion.Hinted = !candidate.hold.hintedAt.IsZero() && now.Sub(candidate.hold.hintedAt) <= signMemory
 	suspicion.since = now.Add(-suspicion.Since)
--- a/detector/opening_test.go
+++ b/detector/opening_test.go
@@ -333,3 +333,27 @@
 	}
 	return held
 }
+
+func TestEvidenceForAHoldNamesItsInstances(t *testing.T) {
+	opener := newOpener(1)
+	opener.servers[0].down = true
+	opener.run(500*time.Millisecond, opener.everywhere([]int{0, 2, 3}))
+	assert.Equal(t, opener.instances[0].evidence.From, "itself lb-2 lb-3")
+	assert.Equal(t, opener.instances[0].evidence.Openings, 4)
+}
+
+func TestMessagesAreFewWhileManyOpeningsStayUnanswered(t *testing.T) {
+	for _, down := range []int{1, 4, 10} {
+		opener := newOpener(1)
+		opener.fleet.sent = 0
+		for i := range down {
+			opener.servers[i].down = true
+		}
+		opener.run(4*time.Second, func(step int) {
+			opener.open(opener.random.IntN(2*domainSize), opener.random.IntN(len(opener.servers)))
+		})
+		rate := float64(opener.fleet.sent) / 8 / 4
+		t.Logf("%d servers down: %.1f datagrams a second and instance, %d openings lost", down, rate, len(opener.sent[0]))
+		assert.Assert(t, rate <= 30, "%d servers down: %.0f datagrams a second and instance", down, rate)
+	}
+}
