Take back the ejection of a failure domain too by signs of others

Cause: four openings at four servers eject a failure domain's servers here without an ejection of one server, so nobody was asked and it ended by time only. Test: TestFailureDomainIsReadmitted, red before. Run: go test ./placer ./steerer, pass.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -242,8 +242,8 @@
 }
 
 // OpeningUnanswered records that a server did not answer an opening, and reports
-// whether the server is ejected as a result.
+// whether the server, or all servers of its service in its failure domain, are ejected as a result.
 func (placer *Placer) OpeningUnanswered(backendServer *viewer.BackendServer, now time.Time) bool {
-	placer.domainEjection(backendServer).openingUnanswered(domainUnansweredLimit, now)
-	return placer.stateOf(backendServer, now).ejection.openingUnanswered(serverUnansweredLimit, now)
+	isDomainEjected := placer.domainEjection(backendServer).openingUnanswered(domainUnansweredLimit, now)
+	return placer.stateOf(backendServer, now).ejection.openingUnanswered(serverUnansweredLimit, now) || isDomainEjected
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -265,3 +265,14 @@
 	placer.OpeningUnanswered(servers[0], at(1300))
 	assert.Assert(t, placer.Readmit(servers[0], at(1320)))
 }
+
+func TestFailureDomainIsReadmitted(t *testing.T) {
+	placer, servers := newPlacer(1), serversInThreeDomains(5)
+	for i := range 3 {
+		assert.Assert(t, !placer.OpeningUnanswered(servers[5+i], start))
+	}
+	assert.Assert(t, placer.OpeningUnanswered(servers[8], start), "the servers of its failure domain are ejected")
+	assert.Assert(t, placer.isEjected(servers[9], start))
+	assert.Assert(t, placer.Readmit(servers[8], start))
+	assert.Assert(t, !placer.isEjected(servers[9], start))
+}
