Send urgent openings to servers that have just served a request

The load: servers' queues full nearly all the time, mostly of requests on open flows, which cannot be refused. What binds is where urgent openings go. Change: while at least max_shed_share is shed, an opening of a class that has less urgent ones below it waits up to 75 ms, a quarter of the objective and max_wait, until a server has just served a request, and is sent to that one; then to any. The play: callers' arrivals have random sources of their own, so that with and without admission control the same is asked for; the old check that compared counts of different demands failed by chance.

--- /dev/null
+++ b/admitter/freed_test.go
@@ -0,0 +1,58 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The load: the servers shed half of the requests, most of which come on open flows.
+func TestUrgentOpeningsAwaitServersThatHaveAPlace(t *testing.T) {
+	admitter, now := limited(t)
+	first, second, third := openingOf(1, 9001, Class{Priority: 1, IsRepeatable: true}), openingOf(2, 9002, query), openingOf(3, 9003, query)
+	for _, opening := range []Opening{first, second, third} {
+		assert.Equal(t, admitter.Decide(opening, now), Hold)
+	}
+	admitter.ServerFreed("s", 7, now)
+	admitter.ServerFreed("s", 8, now)
+	for i, want := range []Result{
+		{Flow: second.Flow, Decision: Admit, Server: 7}, {Flow: third.Flow, Decision: Admit, Server: 8},
+	} {
+		result, ok := admitter.Next(now)
+		assert.Assert(t, ok, "%d", i)
+		assert.Equal(t, result, want)
+	}
+	_, ok := admitter.Next(now)
+	assert.Assert(t, !ok, "the less urgent one waits")
+	wakeAt := admitter.WakeTime()
+	assert.Equal(t, wakeAt, now.Add(maxFreedWait))
+	result, ok := admitter.Next(wakeAt)
+	assert.Assert(t, ok)
+	assert.Equal(t, result, Result{Flow: first.Flow, Decision: Admit, Waited: maxFreedWait})
+	assert.Assert(t, admitter.WakeTime().IsZero())
+}
+
+// A server is named once, and not to an opening that comes later, when its place has gone.
+func TestPlaceIsNotKeptForLater(t *testing.T) {
+	admitter, now := limited(t)
+	admitter.ServerFreed("s", 7, now)
+	opening := openingOf(1, 9001, query)
+	assert.Equal(t, admitter.Decide(opening, now), Hold)
+	result, ok := admitter.Next(now.Add(maxFreedWait))
+	assert.Assert(t, ok)
+	assert.Equal(t, result.Server, uint32(0))
+}
+
+func TestNoOpeningAwaitsAServerWhileThereIsRoom(t *testing.T) {
+	admitter, now := NewAdmitter(testSettings), start
+	for i := range 500 {
+		now = now.Add(10 * time.Millisecond)
+		class := stream
+		if i%5 == 0 {
+			class = query
+		}
+		assert.Equal(t, admitter.Decide(openingOf(1, uint16(i), class), now), Admit)
+		admitter.RecordResponse("s", Response{Class: class, Duration: 60 * time.Millisecond, IsShort: i > 250 && i%20 == 0}, now)
+	}
+}
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -57,6 +57,7 @@
 }
 
 type playServer struct {
+	token   uint32
 	busy    int
 	queue   []func()
 	stopped bool
@@ -70,8 +71,9 @@
 
 type playInstance struct {
 	*Admitter
-	held   map[FlowID]func(Decision)
+	held   map[FlowID]func(Result)
 	counts map[*playServer]int // requests of this instance
+	wakeAt time.Time
 }
 
 type request struct {
@@ -85,6 +87,7 @@
 type play struct {
 	playedLoad
 	random    *rand.Rand
+	arrivals  [domains]*rand.Rand // apart, so that callers ask for the same whatever is decided
 	now       time.Time
 	events    eventQueue
 	servers   []*playServer
@@ -97,13 +100,14 @@
 func runPlay(load playedLoad, seed uint64, settings Settings) outcome {
 	play := &play{playedLoad: load, random: rand.New(rand.NewPCG(seed, 1)), now: start}
 	play.outcome.byClass, play.outcome.byDomain = map[int][2]int{}, map[int][2]int{}
-	for range domains * serversPerDomain {
-		play.servers = append(play.servers, &playServer{})
+	for i := range domains * serversPerDomain {
+		play.servers = append(play.servers, &playServer{token: uint32(i + 1)})
 	}
 	for range domains * instancesPerDomain {
-		play.instances = append(play.instances, &playInstance{Admitter: NewAdmitter(settings), held: map[FlowID]func(Decision){}, counts: map[*playServer]int{}})
+		play.instances = append(play.instances, &playInstance{Admitter: NewAdmitter(settings), held: map[FlowID]func(Result){}, counts: map[*playServer]int{}})
 	}
 	for domain := range domains {
+		play.arrivals[domain] = rand.New(rand.NewPCG(seed, uint64(2+domain)))
 		play.arrive(domain)
 	}
 	play.share()
@@ -129,8 +133,9 @@
 // arrive begins the next request of a domain's callers and schedules the one after it.
 func (play *play) arrive(domain int) {
 	perSecond := baseFactor * capacity / domains
+	random := play.arrivals[domain]
 	class := stream
-	if play.random.IntN(9) < 2 {
+	if random.IntN(9) < 2 {
 		class = query
 	}
 	if play.inBurst() {
@@ -139,7 +144,7 @@
 			extra *= domains
 		}
 		if !play.oneDomain || domain == 0 {
-			if play.streamsOnly && play.random.Float64()*(perSecond+extra) < extra {
+			if play.streamsOnly && random.Float64()*(perSecond+extra) < extra {
 				class = stream
 			}
 			perSecond += extra
@@ -154,7 +159,7 @@
 		play.outcome.afterAsked++
 	}
 	play.try(request)
-	play.after(time.Duration(play.random.ExpFloat64()/perSecond*float64(time.Second)), func() { play.arrive(domain) })
+	play.after(time.Duration(random.ExpFloat64()/perSecond*float64(time.Second)), func() { play.arrive(domain) })
 }
 
 func (play *play) isAfter(request *request) bool {
@@ -186,9 +191,9 @@
 	play.ports++
 	caller := netip.AddrFrom4([4]byte{100, 64, byte(request.domain), byte(play.random.IntN(250))})
 	flow := FlowID{Caller: netip.AddrPortFrom(caller, play.ports)}
-	decided := func(decision Decision) {
-		if decision == Admit {
-			play.send(request, &longFlow{server: play.place(instance), instance: instance})
+	decided := func(result Result) {
+		if result.Decision == Admit {
+			play.send(request, &longFlow{server: play.placeResult(instance, result), instance: instance})
 			return
 		}
 		if play.isAnyIdle() {
@@ -203,7 +208,7 @@
 		play.wake(instance)
 		return
 	}
-	decided(decision)
+	decided(Result{Decision: decision})
 }
 
 // objective is the time within which callers need the response.
@@ -219,11 +224,26 @@
 	for result, ok := instance.Next(play.now); ok; result, ok = instance.Next(play.now) {
 		decided := instance.held[result.Flow]
 		delete(instance.held, result.Flow)
-		decided(result.Decision)
+		decided(result)
 	}
-	if at := instance.WakeTime(); !at.IsZero() {
-		play.after(max(at.Sub(play.now), time.Millisecond), func() { play.wake(instance) })
+	at := instance.WakeTime()
+	if at.IsZero() || instance.wakeAt.After(play.now) && !at.Before(instance.wakeAt) {
+		return
+	}
+	delay := max(at.Sub(play.now), time.Millisecond)
+	instance.wakeAt = play.now.Add(delay)
+	play.after(delay, func() { play.wake(instance) })
+}
+
+// placeResult returns the server of an opening that was held, if its decision names one that still
+// serves, or else the best one.
+func (play *play) placeResult(instance *playInstance, result Result) *playServer {
+	if result.Server > 0 {
+		if server := play.servers[result.Server-1]; !server.stopped {
+			return server
+		}
 	}
+	return play.place(instance)
 }
 
 // place returns the best of three random servers, by the requests of the instance there.
@@ -258,9 +278,15 @@
 	server, sentAt := flow.server, play.now
 	flow.usedAt = play.now
 	flow.instance.counts[server]++
+	flow.instance.RequestBegan("s", play.now)
 	finish := func(isShed bool) {
 		play.after(roundTrip, func() {
 			flow.instance.counts[server]--
+			flow.instance.RequestEnded("s", play.now)
+			if !isShed {
+				flow.instance.ServerFreed("s", server.token, play.now)
+				play.wake(flow.instance)
+			}
 			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), IsShort: isShed}, play.now)
 			if request.class == stream {
 				play.flows[request.domain] = append(play.flows[request.domain], flow)
--- a/steerer/load.go
+++ b/steerer/load.go
@@ -39,7 +39,7 @@
 	if flow.isOutstanding {
 		return
 	}
-	steerer.listOutstanding(flow)
+	steerer.listOutstanding(flow, now)
 	steerer.placer.RequestBegan(flow.server, isFirst, now)
 }
 
@@ -49,13 +49,16 @@
 	if flow.isOutstanding {
 		return
 	}
-	steerer.listOutstanding(flow)
+	steerer.listOutstanding(flow, now)
 	steerer.placer.RequestMoved(flow.server, now)
 }
 
 // listOutstanding notes that a request of the flow counts as outstanding.
-func (steerer *Steerer) listOutstanding(flow *flow) {
+func (steerer *Steerer) listOutstanding(flow *flow, now time.Time) {
 	flow.isOutstanding = true
+	if steerer.admission != nil {
+		steerer.admission.RequestBegan(flow.server.Service, now)
+	}
 	if !flow.isListed {
 		flow.isListed = true
 		steerer.outstanding = append(steerer.outstanding, flow)
@@ -80,6 +83,9 @@
 		return
 	}
 	flow.isOutstanding = false
+	if steerer.admission != nil {
+		steerer.admission.RequestEnded(flow.server.Service, now)
+	}
 	steerer.placer.RequestEnded(flow.server, now)
 }
 
