End the limit of openings by what is outstanding, not by response times alone

After the burst callers ask for a sixth, so the few quick responses weigh little against the many slow ones of before: 0.3 s after the burst the queues were empty (41 of 60 servers with free slots), but the instances still saw ratios of 2 to 2.6, the fleet's figures, up to 0.45 s old, 2.6, and a budget of 2 openings a second for 80 asked for. Change: the response time is taken as the smaller of the measured one and the one that outstanding requests and the rate of responses give, with two standard deviations added to what is outstanding. The test fails without the change.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -32,6 +32,9 @@
 	}
 	assert.Assert(t, admitter.IsLimited("s"))
 	admitter.services["s"].held = nil
+	for range 24 { // 100 a second of 240 ms
+		admitter.RequestBegan("s", now)
+	}
 	return admitter, now
 }
 
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -48,6 +48,9 @@
 	// shedMemory is the time without a shed response, here and in the fleet, after which there
 	// is room.
 	shedMemory = time.Second
+	// chanceDeviations is how many standard deviations the outstanding requests may be too few by
+	// chance.
+	chanceDeviations = 2
 	// maxTokenTime is the time for which an unused budget is kept.
 	maxTokenTime = 50 * time.Millisecond
 )
@@ -208,10 +211,23 @@
 	}
 	return pressure{
 		shedShare:  mean(own.shedShare(), fleet.shedShare()),
-		delayRatio: mean(own.delayRatio(), fleet.delayRatio()),
+		delayRatio: mean(min(own.delayRatio(), serviceLoad.outstandingRatio(own)), fleet.delayRatio()),
 	}
 }
 
+// outstandingRatio returns how long the outstanding requests are likely to take, as a multiple of the
+// usual response time: what is outstanding takes as long as the servers need to answer that many.
+// It falls at once when callers ask for less, while response times tell of what was asked for
+// before. Few requests say little, so as many are added as may be missing by chance.
+func (serviceLoad *serviceLoad) outstandingRatio(own ServiceLoad) float64 {
+	atUsualTime := float64(own.Answered) * serviceLoad.usual
+	if atUsualTime == 0 {
+		return 1
+	}
+	outstanding := float64(serviceLoad.outstanding)
+	return (outstanding + chanceDeviations*math.Sqrt(outstanding+1)) / atUsualTime
+}
+
 // between returns 0 if value is zero or beyond it, 1 if it is one or beyond it, and in proportion
 // between them.
 func between(value, zero, one float64) float64 {
