Let the limit of openings keep responses in their objective

A full queue takes 160 ms and a request 40, and the objective is 200 ms: 6,298 of 20,000 answers came late from full queues. The instances' processors are used to two fifths. Change: while openings are limited, a response that took longer than its route's objective counts against the budget as a shed one does; instances share the number (field 7, older ones ignore it). Openings wait for a freed server only while more than half of max_shed_share is shed, and up to max_wait (before 75 ms) as far as their objective allows. The test fails without the change.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -80,9 +80,10 @@
 
 // Response is a complete response of a backend server.
 type Response struct {
-	Class    Class
-	Duration time.Duration // from the request to the end of the response
-	IsShort  bool          // much shorter than usual on its route, as if the request was not run
+	Class     Class
+	Duration  time.Duration // from the request to the end of the response
+	Objective time.Duration // within which the caller needed it; 0 if not stated
+	IsShort   bool          // much shorter than usual on its route, as if the request was not run
 }
 
 // RecordResponse counts a response.
--- a/admitter/freed.go
+++ b/admitter/freed.go
@@ -10,11 +10,6 @@
 // later the next request on an open flow has its place. So an urgent opening waits for a response
 // of any server, and is sent to that one at once.
 
-const (
-	// maxFreedWait is how long an urgent opening waits for a server that has just served a request.
-	maxFreedWait = 75 * time.Millisecond
-)
-
 // ServerFreed says that a server, by its token, has just served a request of a service, so that
 // its queue has a place.
 func (admitter *Admitter) ServerFreed(service string, token uint32, now time.Time) {
@@ -56,14 +51,14 @@
 	if !service.isLimited() && !service.showsShortage(own, maxShedShare, now) && fleet.excess(maxShedShare) <= 0 {
 		return false
 	}
-	return service.withFleet(own, fleet, now).delayRatio > emptyQueueRatio
+	seen := service.withFleet(own, fleet, now)
+	return seen.delayRatio > emptyQueueRatio && seen.shedShare > maxShedShare/2
 }
 
 // awaitServer queues an opening until a server has served a request, behind those that are at least
 // as urgent.
 func (admitter *Admitter) awaitServer(service *serviceLoad, opening Opening, now time.Time) {
-	wait := min(admitter.maxWait(opening), maxFreedWait)
-	held := &heldOpening{Opening: opening, heldAt: now, until: now.Add(wait)}
+	held := &heldOpening{Opening: opening, heldAt: now, until: now.Add(admitter.maxWait(opening))}
 	position, _ := slices.BinarySearchFunc(service.urgent, held, func(a, b *heldOpening) int {
 		if byClass := a.Class.Compare(b.Class); byClass != 0 {
 			return byClass
--- a/admitter/freed_test.go
+++ b/admitter/freed_test.go
@@ -26,10 +26,10 @@
 	_, ok := admitter.Next(now)
 	assert.Assert(t, !ok, "the less urgent one waits")
 	wakeAt := admitter.WakeTime()
-	assert.Equal(t, wakeAt, now.Add(maxFreedWait))
+	assert.Equal(t, wakeAt, now.Add(testSettings.MaxWait))
 	result, ok := admitter.Next(wakeAt)
 	assert.Assert(t, ok)
-	assert.Equal(t, result, Result{Flow: first.Flow, Decision: Admit, Waited: maxFreedWait})
+	assert.Equal(t, result, Result{Flow: first.Flow, Decision: Admit, Waited: testSettings.MaxWait})
 	assert.Assert(t, admitter.WakeTime().IsZero())
 }
 
@@ -39,7 +39,7 @@
 	admitter.ServerFreed("s", 7, now)
 	opening := openingOf(1, 9001, query)
 	assert.Equal(t, admitter.Decide(opening, now), Hold)
-	result, ok := admitter.Next(now.Add(maxFreedWait))
+	result, ok := admitter.Next(now.Add(testSettings.MaxWait))
 	assert.Assert(t, ok)
 	assert.Equal(t, result.Server, uint32(0))
 }
@@ -77,3 +77,24 @@
 		})
 	}
 }
+
+// The load: the servers work off all that they get, but after a wait that is longer than what
+// callers can use.
+func TestLimitKeepsResponsesInTheirObjective(t *testing.T) {
+	budgets := map[time.Duration]float64{}
+	for _, objective := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond} {
+		admitter, now := limited(t)
+		for i := range 80 {
+			now = now.Add(10 * time.Millisecond)
+			if i == 50 { // by now hardly anything is shed
+				admitter.services["s"].budget = 50
+			}
+			admitter.Decide(openingOf(byte(i), uint16(i), stream), now)
+			response := Response{Class: stream, Duration: 240 * time.Millisecond, Objective: objective, IsShort: i%32 == 0}
+			admitter.RecordResponse("s", response, now)
+		}
+		budgets[objective] = admitter.services["s"].budget
+	}
+	assert.Equal(t, budgets[0], budgets[500*time.Millisecond])
+	assert.Assert(t, budgets[200*time.Millisecond] < budgets[0]/2, "%v", budgets)
+}
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -70,6 +70,7 @@
 	admitted rate      // openings
 	answered rate      // responses, shed ones included
 	shed     rate      // responses of servers with full queues
+	late     rate      // responses that took longer than their objective
 	delay    rate      // of each response that was not shed, as a multiple of the usual time
 	usual    float64   // response time in seconds while there is room; 0 before the first
 	shedAt   time.Time // of the last shed response
@@ -94,6 +95,7 @@
 		admitted: rate{span: loadSpan},
 		answered: rate{span: loadSpan},
 		shed:     rate{span: loadSpan},
+		late:     rate{span: loadSpan},
 		delay:    rate{span: loadSpan},
 	}
 }
@@ -120,6 +122,9 @@
 	}
 	serviceLoad.class(response.Class).served.add(1, now)
 	serviceLoad.answered.add(1, now)
+	if response.Objective > 0 && response.Duration > response.Objective {
+		serviceLoad.late.add(1, now)
+	}
 	if serviceLoad.usual == 0 {
 		serviceLoad.usual = seconds
 	}
@@ -134,7 +139,7 @@
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
 // twice maxShedShare of the responses is shed. From then on the budget is what was admitted
-// less the responses that were shed beyond maxShedShare, and grows as the queues get short. The
+// less the responses that were shed, or took longer than their objective, beyond maxShedShare, and grows as the queues get short. The
 // limit ends when the budget is more than callers ask for, or nothing is shed any more.
 func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
@@ -160,8 +165,8 @@
 	if fleet.Offered > 0 {
 		serviceLoad.budget += followShare * (float64(fleet.Admitted/fleet.Offered)*offered - serviceLoad.budget)
 	}
-	if seen.shedShare > maxShedShare && seen.delayRatio > emptyQueueRatio {
-		excess := (seen.shedShare - maxShedShare) * answered
+	if failed := seen.shedShare + seen.lateShare; failed > maxShedShare && seen.delayRatio > emptyQueueRatio {
+		excess := (failed - maxShedShare) * answered
 		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
 	} else {
 		growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
@@ -185,6 +190,7 @@
 		Answered: float32(serviceLoad.answered.perSecond(now)),
 		Shed:     float32(serviceLoad.shed.perSecond(now)),
 		Delay:    float32(serviceLoad.delay.perSecond(now)),
+		Late:     float32(serviceLoad.late.perSecond(now)),
 		Admitted: float32(serviceLoad.admitted.perSecond(now)),
 	}
 	for _, load := range serviceLoad.classes {
@@ -196,6 +202,7 @@
 // pressure is how full the servers of a service are.
 type pressure struct {
 	shedShare  float64 // of the responses
+	lateShare  float64 // of the responses, that took longer than their objective
 	delayRatio float64 // recent response time over the usual one
 }
 
@@ -211,6 +218,7 @@
 	}
 	return pressure{
 		shedShare:  mean(own.shedShare(), fleet.shedShare()),
+		lateShare:  mean(own.lateShare(), fleet.lateShare()),
 		delayRatio: mean(min(own.delayRatio(), serviceLoad.outstandingRatio(own)), fleet.delayRatio()),
 	}
 }
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -287,7 +287,7 @@
 				flow.instance.ServerFreed("s", server.token, play.now)
 				play.wake(flow.instance)
 			}
-			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), IsShort: isShed}, play.now)
+			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), Objective: request.objective(), IsShort: isShed}, play.now)
 			if request.class == stream {
 				play.flows[request.domain] = append(play.flows[request.domain], flow)
 			}
--- a/admitter/shared.go
+++ b/admitter/shared.go
@@ -21,17 +21,18 @@
 // ServiceLoad is the load of one service, in events per second.
 type ServiceLoad struct {
 	Service  string  `cbor:"1,keyasint"`
-	Answered float32 `cbor:"2,keyasint"` // responses, shed ones included
-	Shed     float32 `cbor:"3,keyasint"` // responses of servers with full queues
-	Offered  float32 `cbor:"4,keyasint"` // openings that callers ask for
-	Admitted float32 `cbor:"5,keyasint"` // openings that are sent to servers
-	Delay    float32 `cbor:"6,keyasint"` // the sum over the responses that were not shed of their time as a multiple of the usual
+	Answered float32 `cbor:"2,keyasint"`           // responses, shed ones included
+	Shed     float32 `cbor:"3,keyasint"`           // responses of servers with full queues
+	Offered  float32 `cbor:"4,keyasint"`           // openings that callers ask for
+	Admitted float32 `cbor:"5,keyasint"`           // openings that are sent to servers
+	Late     float32 `cbor:"7,keyasint,omitempty"` // responses that took longer than their objective
+	Delay    float32 `cbor:"6,keyasint"`           // the sum over the responses that were not shed of their time as a multiple of the usual
 }
 
 // IsValid reports whether a load that another instance sent has possible figures.
 func (load Load) IsValid() bool {
 	for _, service := range load {
-		for _, figure := range []float32{service.Answered, service.Shed, service.Offered, service.Admitted, service.Delay} {
+		for _, figure := range []float32{service.Answered, service.Shed, service.Offered, service.Admitted, service.Delay, service.Late} {
 			if !(figure >= 0 && figure <= maxFigure) { // also if it is no number
 				return false
 			}
@@ -54,6 +55,14 @@
 	return float64(serviceLoad.Shed / serviceLoad.Answered)
 }
 
+// lateShare returns the part of the responses that took longer than their objective.
+func (serviceLoad *ServiceLoad) lateShare() float64 {
+	if serviceLoad.Answered == 0 {
+		return 0
+	}
+	return float64(serviceLoad.Late / serviceLoad.Answered)
+}
+
 // delayRatio returns the mean response time as a multiple of the usual one, 1 if there is no
 // response.
 func (serviceLoad *ServiceLoad) delayRatio() float64 {
@@ -76,6 +85,7 @@
 			sum.Offered += service.Offered
 			sum.Admitted += service.Admitted
 			sum.Delay += service.Delay
+			sum.Late += service.Late
 			sums[service.Service] = sum
 		}
 	}
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -170,9 +170,10 @@
 		return
 	}
 	steerer.admission.RecordResponse(flow.server.Service, admitter.Response{
-		Class:    classOf(route),
-		Duration: responseTime,
-		IsShort:  steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment),
+		Class:     classOf(route),
+		Duration:  responseTime,
+		Objective: route.Objective,
+		IsShort:   steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment),
 	}, now)
 }
 
--- a/steerer/queue_test.go
+++ b/steerer/queue_test.go
@@ -123,7 +123,7 @@
 	assert.Equal(t, len(admission.responses), 0, "more of the response may come")
 	harness.Next(soon, soon)
 	harness.Decide(laterPacket(1, token, 226, 0, Flags{FIN: true}), soon)
-	assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 200 * time.Millisecond, IsShort: true}})
+	assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 200 * time.Millisecond, Objective: 600 * time.Millisecond, IsShort: true}})
 }
 
 func TestPrematureEndOfAHeldFlowLeavesNothing(t *testing.T) {
