Learn the usual response time by time, not by the number of responses

With 400 responses a second, a weight of 0.02 each takes in the 100 slow ones that come while the queues fill, before anything is shed. Full queues then look half empty there (a ratio of 1.5), the budget grows, and its callers get the places of the others'. Ruled out: that flows which are used again at once profit from the place just freed (most pause for more than 0.1 s in all domains); that flows opened in the burst stand better (shed shares after 1.5 s: 0.306 of those opened before, 0.302 and 0.312 of those in it). Change: after the first 50 responses, which are averaged, one counts by the time since the last, 10 s for a weight of 1 - 1/e, and 0.02 at most.

--- a/admitter/freed.go
+++ b/admitter/freed.go
@@ -52,7 +52,7 @@
 		return false
 	}
 	seen := service.withFleet(own, fleet, now)
-	return seen.delayRatio > emptyQueueRatio && seen.shedShare > maxShedShare/2
+	return seen.delayRatio > halfQueueRatio && seen.shedShare > maxShedShare/2
 }
 
 // awaitServer queues an opening until a server has served a request, behind those that are at least
--- a/admitter/freed_test.go
+++ b/admitter/freed_test.go
@@ -98,3 +98,18 @@
 	assert.Equal(t, budgets[0], budgets[500*time.Millisecond])
 	assert.Assert(t, budgets[200*time.Millisecond] < budgets[0]/2, "%v", budgets)
 }
+
+// The load: a burst fills the queues of the servers, before they shed.
+func TestUsualTimeIsNotThatOfABurst(t *testing.T) {
+	admitter, now := NewAdmitter(testSettings), start
+	respond := func(count int, duration time.Duration) {
+		for range count {
+			now = now.Add(time.Second / 400)
+			admitter.RecordResponse("s", Response{Class: stream, Duration: duration}, now)
+		}
+	}
+	respond(1200, 60*time.Millisecond)
+	respond(100, 240*time.Millisecond)
+	usual := admitter.services["s"].usual
+	assert.Assert(t, usual < 0.07, "%.3f s after a quarter of a second of long responses", usual)
+}
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -41,8 +41,11 @@
 	// shedTimeRatio is the part of the usual response time from which a short response counts
 	// as shed after a wait. A shorter one is a failure.
 	shedTimeRatio = 0.4
-	// usualSmoothing is the weight of a response in the usual response time.
+	// usualSmoothing is the largest weight of a response in the usual response time, but for the
+	// first responses, and usualSpan the time after which responses count e times less, however many
+	// there are: a burst fills the queues before anything is shed.
 	usualSmoothing = 0.02
+	usualSpan      = 10 * time.Second
 	// usualLimit is the multiple of the usual response time for which a response counts at most.
 	usualLimit = 3
 	// shedMemory is the time without a shed response, here and in the fleet, after which there
@@ -66,14 +69,16 @@
 
 // serviceLoad is the load of one service and the budget that follows from it.
 type serviceLoad struct {
-	classes  map[Class]*classLoad
-	admitted rate      // openings
-	answered rate      // responses, shed ones included
-	shed     rate      // responses of servers with full queues
-	late     rate      // responses that took longer than their objective
-	delay    rate      // of each response that was not shed, as a multiple of the usual time
-	usual    float64   // response time in seconds while there is room; 0 before the first
-	shedAt   time.Time // of the last shed response
+	classes   map[Class]*classLoad
+	admitted  rate      // openings
+	answered  rate      // responses, shed ones included
+	shed      rate      // responses of servers with full queues
+	late      rate      // responses that took longer than their objective
+	delay     rate      // of each response that was not shed, as a multiple of the usual time
+	usual     float64   // response time in seconds while there is room; 0 before the first
+	learned   int       // responses in usual
+	learnedAt time.Time // when the last one was taken into it
+	shedAt    time.Time // of the last shed response
 
 	budget       float64 // openings per second; unlimited if there is room
 	controlledAt time.Time
@@ -131,10 +136,22 @@
 	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
 	isCalm := !serviceLoad.isLimited() && !isFleetShort && serviceLoad.shed.weightAt(now) < calmShed
 	if isCalm {
-		serviceLoad.usual += usualSmoothing * (min(seconds, usualLimit*serviceLoad.usual) - serviceLoad.usual)
+		serviceLoad.learnUsual(min(seconds, usualLimit*serviceLoad.usual), now)
 	}
 }
 
+// learnUsual takes the time in seconds of a response, received while there was room, into the
+// usual response time.
+func (serviceLoad *serviceLoad) learnUsual(seconds float64, now time.Time) {
+	serviceLoad.learned++
+	weight := min(usualSmoothing, now.Sub(serviceLoad.learnedAt).Seconds()/usualSpan.Seconds())
+	if first := 1 / float64(serviceLoad.learned); first > usualSmoothing {
+		weight = first
+	}
+	serviceLoad.learnedAt = now
+	serviceLoad.usual += weight * (seconds - serviceLoad.usual)
+}
+
 func (serviceLoad *serviceLoad) isLimited() bool { return !math.IsInf(serviceLoad.budget, 1) }
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
