Share how long outstanding requests take, and let no old figure hold growth back

Cause, by a trace of the openings refused with room: 0.7 to 1.1 s after the burst instances with one or two outstanding requests still had budgets of 2 to 10 openings a second for 20 to 30 asked for. The fleet's figure, by response times alone, said 2.0 to 2.7 times the usual time, weighs as eight responses, and pulled the budget to its share of 0.75 s ago. Change: the shared sum of response times is the smaller of the measured one and the one by what is outstanding, as the own one was already; the budget follows the fleet's share only while it does not grow. Ruled out: fewer deviations for chance (1, 1.5: no sooner), following alone (no sooner).

--- a/admitter/load.go
+++ b/admitter/load.go
@@ -179,14 +179,14 @@
 	}
 	offered, answered := float64(own.Offered), float64(own.Answered)
 	seen := serviceLoad.withFleet(own, fleet, now)
-	if fleet.Offered > 0 {
+	growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
+	if fleet.Offered > 0 && growth == 0 { // the fleet's figures are older than own growth
 		serviceLoad.budget += followShare * (float64(fleet.Admitted/fleet.Offered)*offered - serviceLoad.budget)
 	}
 	if failed := seen.shedShare + seen.lateShare; failed > maxShedShare && seen.delayRatio > emptyQueueRatio {
 		excess := (failed - maxShedShare) * answered
 		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
 	} else {
-		growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
 		serviceLoad.budget += growth * answered * elapsed.Seconds() / growthTime.Seconds()
 		if serviceLoad.budget > releaseShare*offered+1 {
 			serviceLoad.budget = unlimited
@@ -213,6 +213,7 @@
 	for _, load := range serviceLoad.classes {
 		own.Offered += float32(load.openings.perSecond(now))
 	}
+	own.Delay = min(own.Delay, float32(serviceLoad.outstandingRatio(own))*(own.Answered-own.Shed))
 	return own
 }
 
@@ -236,7 +237,7 @@
 	return pressure{
 		shedShare:  mean(own.shedShare(), fleet.shedShare()),
 		lateShare:  mean(own.lateShare(), fleet.lateShare()),
-		delayRatio: mean(min(own.delayRatio(), serviceLoad.outstandingRatio(own)), fleet.delayRatio()),
+		delayRatio: mean(own.delayRatio(), fleet.delayRatio()),
 	}
 }
 
