Let the play of too little room have handshakes

The play was wrong: a request reached its server with the opening. On a server the place just freed has to last for a handshake more. The bounds stay.

--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -193,7 +193,8 @@
 	flow := FlowID{Caller: netip.AddrPortFrom(caller, play.ports)}
 	decided := func(result Result) {
 		if result.Decision == Admit {
-			play.send(request, &longFlow{server: play.placeResult(instance, result), instance: instance})
+			server := play.placeResult(instance, result)
+			play.after(roundTrip, func() { play.send(request, &longFlow{server: server, instance: instance}) }) // after the handshake
 			return
 		}
 		if play.isAnyIdle() {
