--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -115,10 +115,6 @@
 	service := admitter.service(opening.Service, now)
 	service.class(opening.Class).openings.add(1, now)
 	service.control(admitter.settings.MaxShedShare, admitter.sharedService(opening.Service, now), now)
-	if admitter.awaitsServer(service, opening.Service, opening.Class, now) {
-		admitter.awaitServer(service, opening, now)
-		return Hold
-	}
 	if !service.isLimited() {
 		service.take(now)
 		return Admit
@@ -168,7 +164,7 @@
 	}
 	admitter.expiredAt = now
 	for name, service := range admitter.services {
-		if now.Sub(service.lastUsed) > serviceLifetime && !service.isWaiting() {
+		if now.Sub(service.lastUsed) > serviceLifetime && len(service.held) == 0 {
 			delete(admitter.services, name)
 		}
 	}
@@ -183,7 +179,7 @@
 func (admitter *Admitter) waitingServices() []string {
 	var names []string
 	for name, service := range admitter.services {
-		if service.isWaiting() {
+		if len(service.held) > 0 {
 			names = append(names, name)
 		}
 	}
--- a/admitter/load.go
+++ b/admitter/load.go
@@ -85,10 +85,8 @@
 	tokens       float64 // openings that may be admitted now
 	refilledAt   time.Time
 	held         []*heldOpening
-	urgent       []*heldOpening // that wait for a server that has just served a request
-	freed        []*heldOpening // for which there is one
-	outstanding  int            // requests of this instance at the servers
-	wasLimited   bool           // at the last summary or since
+	outstanding  int  // requests of this instance at the servers
+	wasLimited   bool // at the last summary or since
 	events       events
 	lastUsed     time.Time
 }
--- a/admitter/play_test.go
+++ b/admitter/play_test.go
@@ -57,7 +57,6 @@
 }
 
 type playServer struct {
-	token   uint32
 	busy    int
 	queue   []func()
 	stopped bool
@@ -100,8 +99,8 @@
 func runPlay(load playedLoad, seed uint64, settings Settings) outcome {
 	play := &play{playedLoad: load, random: rand.New(rand.NewPCG(seed, 1)), now: start}
 	play.outcome.byClass, play.outcome.byDomain = map[int][2]int{}, map[int][2]int{}
-	for i := range domains * serversPerDomain {
-		play.servers = append(play.servers, &playServer{token: uint32(i + 1)})
+	for range domains * serversPerDomain {
+		play.servers = append(play.servers, &playServer{})
 	}
 	for range domains * instancesPerDomain {
 		play.instances = append(play.instances, &playInstance{Admitter: NewAdmitter(settings), held: map[FlowID]func(Result){}, counts: map[*playServer]int{}})
@@ -193,7 +192,7 @@
 	flow := FlowID{Caller: netip.AddrPortFrom(caller, play.ports)}
 	decided := func(result Result) {
 		if result.Decision == Admit {
-			server := play.placeResult(instance, result)
+			server := play.place(instance)
 			play.after(roundTrip, func() { play.send(request, &longFlow{server: server, instance: instance}) }) // after the handshake
 			return
 		}
@@ -236,17 +235,6 @@
 	play.after(delay, func() { play.wake(instance) })
 }
 
-// placeResult returns the server of an opening that was held, if its decision names one that still
-// serves, or else the best one.
-func (play *play) placeResult(instance *playInstance, result Result) *playServer {
-	if result.Server > 0 {
-		if server := play.servers[result.Server-1]; !server.stopped {
-			return server
-		}
-	}
-	return play.place(instance)
-}
-
 // place returns the best of three random servers, by the requests of the instance there.
 func (play *play) place(instance *playInstance) *playServer {
 	var best *playServer
@@ -284,10 +272,7 @@
 		play.after(roundTrip, func() {
 			flow.instance.counts[server]--
 			flow.instance.RequestEnded("s", play.now)
-			if !isShed {
-				flow.instance.ServerFreed("s", server.token, play.now)
-				play.wake(flow.instance)
-			}
+			play.wake(flow.instance)
 			flow.instance.RecordResponse("s", Response{Class: request.class, Duration: play.now.Sub(sentAt), Objective: request.objective(), IsShort: isShed}, play.now)
 			if request.class == stream {
 				play.flows[request.domain] = append(play.flows[request.domain], flow)
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -13,7 +13,6 @@
 	heldAt  time.Time
 	until   time.Time // when it is refused
 	evicted bool      // its place in the queue went to a more urgent one
-	server  uint32    // the token of the server that has just served a request; 0 if any may serve it
 }
 
 // Result is the decision about an opening that was held.
@@ -21,26 +20,15 @@
 	Flow     FlowID
 	Decision Decision
 	Waited   time.Duration
-	Server   uint32 // the token of the server that has just served a request; 0 if any may serve it
-}
-
-// maxWait is how long an opening may be held.
-func (admitter *Admitter) maxWait(opening Opening) time.Duration {
-	if opening.Objective == 0 {
-		return admitter.settings.MaxWait
-	}
-	return min(admitter.settings.MaxWait, time.Duration(objectiveShare*float64(opening.Objective)))
-}
-
-// isWaiting reports whether openings are held.
-func (serviceLoad *serviceLoad) isWaiting() bool {
-	return len(serviceLoad.held)+len(serviceLoad.urgent)+len(serviceLoad.freed) > 0
 }
 
 // hold queues an opening if a place within its time is likely, and refuses it or one that is
 // less urgent otherwise.
 func (admitter *Admitter) hold(service *serviceLoad, opening Opening, now time.Time) Decision {
-	wait := admitter.maxWait(opening)
+	wait := admitter.settings.MaxWait
+	if opening.Objective > 0 {
+		wait = min(wait, time.Duration(objectiveShare*float64(opening.Objective)))
+	}
 	limit := int(service.budget*wait.Seconds() + 0.5)
 	held := &heldOpening{Opening: opening, heldAt: now, until: now.Add(wait)}
 	held.places = admitter.callerRate(opening.Flow.Caller.Addr()).weightAt(now)
@@ -75,13 +63,6 @@
 	admitter.expire(now)
 	for _, name := range admitter.waitingServices() {
 		service := admitter.services[name]
-		if next := service.nextUrgent(admitter.settings.Enabled, now); next != nil {
-			admitter.take(service, next.Opening, now)
-			return service.end(next, Admit, now), true
-		}
-		if len(service.held) == 0 {
-			continue
-		}
 		if admitter.settings.Enabled {
 			service.control(admitter.settings.MaxShedShare, admitter.sharedService(name, now), now)
 		}
@@ -103,7 +84,7 @@
 
 // end counts the decision about an opening that was held, and returns it.
 func (serviceLoad *serviceLoad) end(held *heldOpening, decision Decision, now time.Time) Result {
-	result := Result{Flow: held.Flow, Decision: decision, Waited: now.Sub(held.heldAt), Server: held.server}
+	result := Result{Flow: held.Flow, Decision: decision, Waited: now.Sub(held.heldAt)}
 	serviceLoad.events.end(result, held.Class)
 	return result
 }
@@ -121,7 +102,7 @@
 	defer admitter.mutex.Unlock()
 	var earliest time.Time
 	for _, service := range admitter.services {
-		if !service.isWaiting() {
+		if len(service.held) == 0 {
 			continue
 		}
 		if due := service.dueAt(); earliest.IsZero() || due.Before(earliest) {
@@ -133,24 +114,6 @@
 
 // dueAt returns when the next held opening may be released or refused.
 func (serviceLoad *serviceLoad) dueAt() time.Time {
-	if len(serviceLoad.freed) > 0 {
-		return serviceLoad.freed[0].heldAt
-	}
-	due := serviceLoad.heldDueAt()
-	for _, held := range serviceLoad.urgent {
-		if due.IsZero() || held.until.Before(due) {
-			due = held.until
-		}
-	}
-	return due
-}
-
-// heldDueAt returns when the next of the openings that wait for the budget may be released or
-// refused; the zero time if there is none.
-func (serviceLoad *serviceLoad) heldDueAt() time.Time {
-	if len(serviceLoad.held) == 0 {
-		return time.Time{}
-	}
 	due := serviceLoad.controlledAt.Add(controlInterval)
 	for _, held := range serviceLoad.held {
 		if held.evicted {
--- a/admitter/summary.go
+++ b/admitter/summary.go
@@ -9,15 +9,13 @@
 
 // Summary describes how the openings of one service fared since the previous summary.
 type Summary struct {
-	Service    string
-	IsLimited  bool
-	WasLimited bool    // at the previous summary or since
-	Budget     float64 // openings per second; 0 unless they are limited
+	Service   string
+	IsLimited bool
+	Budget    float64 // openings per second; 0 unless they are limited
 
 	Load                ServiceLoad // as this instance sees it
 	ResponseTimeRatio   float64     // recent response time over the usual one
 	Held, Released      int
-	SentToFreed         int // released to a server that had just served a request
 	Refused             map[Class]int
 	LongestWait         time.Duration
 	Waiting             int // openings that are held now
@@ -27,7 +25,6 @@
 // events counts what happened to openings since the last summary.
 type events struct {
 	held, released int
-	sentToFreed    int
 	refused        map[Class]int
 	longestWait    time.Duration
 }
@@ -43,22 +40,19 @@
 	events.longestWait = max(events.longestWait, result.Waited)
 	if result.Decision == Admit {
 		events.released++
-		if result.Server != 0 {
-			events.sentToFreed++
-		}
 		return
 	}
 	events.refuse(class)
 }
 
-// Summaries returns a summary of each service whose openings are limited or held, or were since
-// the previous call, sorted by service.
+// Summaries returns a summary of each service whose openings are limited, or were since the
+// previous call, sorted by service.
 func (admitter *Admitter) Summaries(now time.Time) []Summary {
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
 	var summaries []Summary
 	for name, service := range admitter.services {
-		if !service.isLimited() && !service.wasLimited && service.events.held == 0 && !service.isWaiting() {
+		if !service.isLimited() && !service.wasLimited {
 			continue
 		}
 		summaries = append(summaries, service.summary(name, now))
@@ -76,15 +70,13 @@
 	summary := Summary{
 		Service:           name,
 		IsLimited:         serviceLoad.isLimited(),
-		WasLimited:        serviceLoad.wasLimited,
 		Load:              own,
 		ResponseTimeRatio: own.delayRatio(),
 		Held:              serviceLoad.events.held,
 		Released:          serviceLoad.events.released,
-		SentToFreed:       serviceLoad.events.sentToFreed,
 		Refused:           serviceLoad.events.refused,
 		LongestWait:       serviceLoad.events.longestWait,
-		Waiting:           len(serviceLoad.held) + len(serviceLoad.urgent),
+		Waiting:           len(serviceLoad.held),
 	}
 	if summary.IsLimited {
 		summary.Budget = math.Round(serviceLoad.budget)
--- a/director/admission.go
+++ b/director/admission.go
@@ -30,14 +30,13 @@
 const summaryInterval = time.Second
 
 // AdmissionSummarized logs the beginning and the end of a limit of openings, and one line in
-// summaryInterval while it lasts or openings are held.
+// summaryInterval while it lasts.
 func (recorder *Recorder) AdmissionSummarized(summary admitter.Summary) {
 	recorder.mutex.Lock()
-	wasLogged := recorder.limitedServices[summary.Service]
+	wasLimited := recorder.limitedServices[summary.Service]
 	recorder.limitedServices[summary.Service] = summary.IsLimited
 	recorder.mutex.Unlock()
-	isOrWasLimited := summary.IsLimited || summary.WasLimited || wasLogged
-	if isOrWasLimited && !wasLogged {
+	if !wasLimited {
 		recorder.Event(logger.EventOpeningsLimited, "service", summary.Service)
 	}
 	refused := map[string]int{}
@@ -47,9 +46,9 @@
 	recorder.Event(logger.EventOpeningsSummarized, "service", summary.Service, "per_second", summary.Budget,
 		"asked", round(summary.Load.Offered), "sent", round(summary.Load.Admitted),
 		"answered", round(summary.Load.Answered), "shed", round(summary.Load.Shed), "response_time_ratio", summary.ResponseTimeRatio,
-		"held", summary.Held, "released", summary.Released, "sent_to_freed", summary.SentToFreed, "refused", refused, "waiting", summary.Waiting,
+		"held", summary.Held, "released", summary.Released, "refused", refused, "waiting", summary.Waiting,
 		"longest_wait_ms", summary.LongestWait.Milliseconds(), "fleet_known", summary.HasFigureOfTheFleet)
-	if isOrWasLimited && !summary.IsLimited {
+	if !summary.IsLimited {
 		recorder.Event(logger.EventOpeningsUnlimited, "service", summary.Service)
 	}
 }
--- a/director/admission_test.go
+++ b/director/admission_test.go
@@ -28,9 +28,8 @@
 	}
 	summary.IsLimited = false
 	recorder.AdmissionSummarized(summary)
-	recorder.AdmissionSummarized(admitter.Summary{Service: "desk-sync", Held: 2, SentToFreed: 1})
 	cleanup()
-	for event, want := range map[string]int{`"event":603`: 1, `"event":605`: 5, `"sent_to_freed":1`: 1, `"event":604`: 1, `"class":"priority_1","waited_ms":80`: 1, `"refused":{"priority_1":3}`: 4} {
+	for event, want := range map[string]int{`"event":603`: 1, `"event":605`: 4, `"event":604`: 1, `"class":"priority_1","waited_ms":80`: 1, `"refused":{"priority_1":3}`: 4} {
 		assert.Equal(t, strings.Count(log.String(), event), want, "%s in %s", event, log)
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -104,12 +104,6 @@
 	return best
 }
 
-// MayPlace reports whether a server may be selected for an opening now, a cold one at random in
-// proportion to its share.
-func (placer *Placer) MayPlace(server *viewer.BackendServer, now time.Time) bool {
-	return !placer.isEjected(server, now) && placer.acceptsDraw(server, now)
-}
-
 // isCheaper reports whether a cold server that was drawn beside the others is to be taken in place
 // of best, which may be nil.
 func (placer *Placer) isCheaper(shared, best *viewer.BackendServer, now time.Time) bool {
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -89,7 +89,6 @@
 		flow.lastAcknowledgment = packet.Acknowledgment
 		if packet.PayloadLength == 0 { // otherwise the caller may have paused before its next request
 			flow.acknowledgedAt = now
-			steerer.reportFreed(flow, now)
 			steerer.endRequest(flow, now)
 		}
 	}
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -19,8 +19,6 @@
 	// RequestBegan counts a request, or an opening, as outstanding at a service until RequestEnded.
 	RequestBegan(service string, now time.Time)
 	RequestEnded(service string, now time.Time)
-	// ServerFreed says that a server, by its token, has just served a request.
-	ServerFreed(service string, token uint32, now time.Time)
 }
 
 // heldPacket is an opening that waits for a place. It has not been sent to any server.
@@ -91,11 +89,7 @@
 	if result.Decision == admitter.Refuse {
 		verdict.Action, verdict.Reason = Reset, ReasonNoRoom
 	} else {
-		freed := steerer.freedServer(result.Server, view, now)
-		if freed != nil {
-			verdict.Candidates = len(view.ActiveServers(freed.Service))
-		}
-		steerer.placeOpening(&held.Packet, freed, view, &verdict, now)
+		steerer.placeOpening(&held.Packet, view, &verdict, now)
 		if verdict.Reason == ReasonNewFlow {
 			verdict.Reason = ReasonReleased
 		}
@@ -104,28 +98,6 @@
 	return verdict, true
 }
 
-// freedServer returns the server with a token, or nil if it may get no new flow now.
-func (steerer *Steerer) freedServer(token uint32, view *viewer.View, now time.Time) *viewer.BackendServer {
-	if token == 0 {
-		return nil
-	}
-	server := view.ServerByToken(token)
-	if server == nil || !viewer.Contains(view.ActiveServers(server.Service), server) || !steerer.placer.MayPlace(server, now) {
-		return nil
-	}
-	return server
-}
-
-// reportFreed tells the admission that a server has served the flow's request, once its caller
-// has acknowledged the first part of a response that is not one of a full queue.
-func (steerer *Steerer) reportFreed(flow *flow, now time.Time) {
-	bytes := flow.lastAcknowledgment - flow.requestAcknowledgment
-	if steerer.admission == nil || !flow.isOutstanding || steerer.examiner.IsShort(flow.key.ServiceAddress, bytes) {
-		return
-	}
-	steerer.admission.ServerFreed(flow.server.Service, flow.server.Token, now)
-}
-
 // heldWakeTime returns when the next held opening or complete response is due.
 func (steerer *Steerer) heldWakeTime() time.Time {
 	if steerer.admission == nil {
--- a/steerer/queue_test.go
+++ b/steerer/queue_test.go
@@ -16,8 +16,7 @@
 	results   []admitter.Result
 	openings  []admitter.Opening
 	responses []admitter.Response
-	freed     []uint32 // tokens of servers
-	requests  int      // outstanding
+	requests  int // outstanding
 }
 
 func (fakeAdmission *fakeAdmission) Decide(opening admitter.Opening, _ time.Time) admitter.Decision {
@@ -43,10 +42,6 @@
 func (fakeAdmission *fakeAdmission) RequestBegan(string, time.Time) { fakeAdmission.requests++ }
 func (fakeAdmission *fakeAdmission) RequestEnded(string, time.Time) { fakeAdmission.requests-- }
 
-func (fakeAdmission *fakeAdmission) ServerFreed(_ string, token uint32, _ time.Time) {
-	fakeAdmission.freed = append(fakeAdmission.freed, token)
-}
-
 func newAdmissionHarness(decision admitter.Decision) (*harness, *fakeAdmission) {
 	harness, admission := newHarness("a", "b"), &fakeAdmission{decision: decision}
 	harness.viewer.ApplyConfiguration(&viewer.Configuration{Version: 2, Routes: []viewer.Route{{
@@ -138,50 +133,15 @@
 	assert.Equal(t, len(harness.held), 0)
 }
 
-// The load: full servers; only the one that has just served a request has a place.
-func TestHeldOpeningGoesToTheServerThatHasAPlace(t *testing.T) {
-	for port := range uint16(20) {
-		harness, admission := newAdmissionHarness(admitter.Hold)
-		harness.applyServers(2, "a", "b", "c", "d")
-		harness.Decide(opening(port), start)
-		admission.results = []admitter.Result{{Flow: flowID(flowOf(port)), Decision: admitter.Admit, Server: tokenOf("c")}}
-		verdict, ok := harness.Next(start, start)
-		assert.Assert(t, ok)
-		assert.Equal(t, verdict.Server.Name, "c")
-		assert.Equal(t, verdict.Reason, ReasonReleased)
-		assert.Equal(t, verdict.Candidates, 4)
-	}
-}
-
-func TestHeldOpeningGoesElsewhereIfThatServerHasLeft(t *testing.T) {
-	harness, admission := newAdmissionHarness(admitter.Hold)
-	harness.Decide(opening(1), start)
-	harness.applyServers(2, "a")
-	admission.results = []admitter.Result{{Flow: flowID(flowOf(1)), Decision: admitter.Admit, Server: tokenOf("b")}}
-	verdict, ok := harness.Next(start, start)
-	assert.Assert(t, ok)
-	assert.Equal(t, verdict.Server.Name, "a")
-}
-
-func TestServedRequestFreesItsServerOnce(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		bytes uint32
-		want  int
-	}{{"shed", shortResponse - 1, 0}, {"served", shortResponse, 1}} {
-		t.Run(c.name, func(t *testing.T) {
-			harness, admission := newAdmissionHarness(admitter.Admit)
-			token := harness.Decide(opening(1), start).Server.Token
-			harness.Decide(laterPacket(1, token, 100, 0, Flags{}), start)
-			harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start)
-			assert.Equal(t, admission.requests, 1)
-			assert.Equal(t, len(admission.freed), 0)
-			now := start.Add(100 * time.Millisecond)
-			harness.Decide(laterPacket(1, token, 100+c.bytes, 0, Flags{}), now)
-			harness.Decide(laterPacket(1, token, 100+c.bytes+50, 0, Flags{}), now)
-			harness.Decide(laterPacket(1, token, 100+c.bytes+50, 0, Flags{FIN: true}), now)
-			assert.Equal(t, admission.requests, 0)
-			assert.Equal(t, len(admission.freed), c.want)
-		})
-	}
+func TestOutstandingRequestsAreCounted(t *testing.T) {
+	harness, admission := newAdmissionHarness(admitter.Admit)
+	token := harness.Decide(opening(1), start).Server.Token
+	harness.Decide(laterPacket(1, token, 100, 0, Flags{}), start)
+	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start)
+	assert.Equal(t, admission.requests, 1)
+	now := start.Add(100 * time.Millisecond)
+	harness.Decide(laterPacket(1, token, 100+shortResponse, 0, Flags{}), now)
+	harness.Decide(laterPacket(1, token, 150+shortResponse, 0, Flags{}), now)
+	harness.Decide(laterPacket(1, token, 150+shortResponse, 0, Flags{FIN: true}), now)
+	assert.Equal(t, admission.requests, 0)
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -24,9 +24,6 @@
 // placer.Placer implements it.
 type serverSelector interface {
 	Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer
-	// MayPlace reports whether a server may be selected for an opening now, a cold one at random in
-	// proportion to its share.
-	MayPlace(server *viewer.BackendServer, now time.Time) bool
 	// MayOpen reports whether an opening may be sent to a server now.
 	MayOpen(server *viewer.BackendServer, now time.Time) bool
 	// OpeningSent is called for each opening, and each copy of one, that is sent to a server.
@@ -141,7 +138,7 @@
 		verdict.Reason = ReasonFromServer
 	case packet.IsOpening() && !steerer.admit(packet, view, &verdict, now):
 	case packet.IsOpening():
-		steerer.placeOpening(packet, nil, view, &verdict, now)
+		steerer.placeOpening(packet, view, &verdict, now)
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
@@ -155,8 +152,8 @@
 // and otherwise to a server that it was not sent to before, if there is one; then the
 // retransmission counts as an unanswered opening of the previous server. An opening with
 // another sequence number, or more than retransmissionWindow after the first, begins a
-// new flow. Its first server is freed, if that is not nil.
-func (steerer *Steerer) placeOpening(packet *Packet, freed *viewer.BackendServer, view *viewer.View, verdict *Verdict, now time.Time) {
+// new flow.
+func (steerer *Steerer) placeOpening(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow := steerer.flows[packet.Flow]
 	if flow != nil && (flow.openingSequence != packet.Sequence || now.Sub(flow.openedAt) > retransmissionWindow) {
 		steerer.endFlow(flow, EndPortReused, now)
@@ -166,10 +163,7 @@
 		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
-	server := freed
-	if server == nil || flow != nil {
-		server = steerer.selectServer(packet.Flow, flow, view, verdict, now)
-	}
+	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
 	if server == nil {
 		return
 	}
