--- a/admitter/load.go
+++ b/admitter/load.go
@@ -26,11 +26,12 @@
 	// count as empty; then the budget is never cut. From halfQueueRatio it does not grow.
 	emptyQueueRatio = 1.5
 	halfQueueRatio  = 2
-	// fleetWeight is the number of own responses that count as much as the fleet's figures.
+	// fleetWeight is the number of own responses, or openings, that count as much as the fleet's
+	// figures.
 	fleetWeight = 8
 	// minShed is how many recent shed responses show too little room.
 	minShed = 1.5
-	// calmShed is the number of recent shed responses below which the usual time is learned.
+	// calmShed is the number of recent shed responses that count as none.
 	calmShed = 0.1
 	// displaceableShare is the part of what the servers work off that less urgent classes must
 	// have for a class to be admitted without a limit: its requests take places of theirs.
@@ -46,6 +47,8 @@
 	// there are: a burst fills the queues before anything is shed.
 	usualSmoothing = 0.02
 	usualSpan      = 10 * time.Second
+	// usualSamples is the number of responses that make the usual response time known.
+	usualSamples = 20
 	// usualLimit is the multiple of the usual response time for which a response counts at most.
 	usualLimit = 3
 	// shedMemory is the time without a shed response, here and in the fleet, after which there
@@ -75,8 +78,8 @@
 	shed      rate      // responses of servers with full queues
 	late      rate      // responses that took longer than their objective
 	delay     rate      // of each response that was not shed, as a multiple of the usual time
-	usual     float64   // response time in seconds while there is room; 0 before the first
-	learned   int       // responses in usual
+	usual     float64   // response time in seconds while there is room
+	learned   int       // responses in usual; it is known from usualSamples on
 	learnedAt time.Time // when the last one was taken into it
 	shedAt    time.Time // of the last shed response
 
@@ -112,11 +115,13 @@
 	return load
 }
 
-// recordResponse counts a response.
-func (serviceLoad *serviceLoad) recordResponse(response Response, isFleetShort bool, now time.Time) {
+// recordResponse counts a response. Before the usual time is known, a response only serves to
+// learn it.
+func (serviceLoad *serviceLoad) recordResponse(response Response, fleet ServiceLoad, now time.Time) {
 	seconds := response.Duration.Seconds()
+	isKnown := serviceLoad.learned >= usualSamples
 	if response.IsShort {
-		if seconds >= shedTimeRatio*serviceLoad.usual {
+		if isKnown && seconds >= shedTimeRatio*serviceLoad.usual {
 			serviceLoad.answered.add(1, now)
 			serviceLoad.shed.add(1, now)
 			serviceLoad.shedAt = now
@@ -124,15 +129,16 @@
 		return
 	}
 	serviceLoad.class(response.Class).served.add(1, now)
-	serviceLoad.answered.add(1, now)
+	if !isKnown {
+		serviceLoad.learnUsual(seconds/max(fleet.delayRatio(), 1), now)
+		return
+	}
 	if response.Objective > 0 && response.Duration > response.Objective {
 		serviceLoad.late.add(1, now)
 	}
-	if serviceLoad.usual == 0 {
-		serviceLoad.usual = seconds
-	}
+	serviceLoad.answered.add(1, now)
 	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
-	isCalm := !serviceLoad.isLimited() && !isFleetShort && serviceLoad.shed.weightAt(now) < calmShed
+	isCalm := !serviceLoad.isLimited() && fleet.Answered == 0 && serviceLoad.shed.weightAt(now) < calmShed
 	if isCalm {
 		serviceLoad.learnUsual(min(seconds, usualLimit*serviceLoad.usual), now)
 	}
@@ -153,9 +159,10 @@
 func (serviceLoad *serviceLoad) isLimited() bool { return !math.IsInf(serviceLoad.budget, 1) }
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
-// twice maxShedShare of the responses is shed. From then on the budget is what was admitted
-// less the responses that were shed, or took longer than their objective, beyond maxShedShare, and grows as the queues get short. The
-// limit ends when the budget is more than callers ask for, or nothing is shed any more.
+// twice maxShedShare of the responses is shed. From then on the budget is what was admitted, or
+// would be in proportion to the fleet, less the responses that were shed, or took longer than their
+// objective, beyond maxShedShare, and grows as the queues get short. The limit ends when the budget
+// is more than callers ask for, or nothing is shed any more.
 func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
 	if elapsed < controlInterval {
@@ -163,27 +170,31 @@
 	}
 	serviceLoad.controlledAt = now
 	own := serviceLoad.own(now)
+	offered, answered := float64(own.Offered), float64(own.Answered)
+	admitted := serviceLoad.admittedWithFleet(own, fleet, now)
 	if !serviceLoad.isLimited() {
 		if !serviceLoad.showsShortage(own, 2*maxShedShare, now) && fleet.excess(2*maxShedShare) <= 0 {
 			return
 		}
-		serviceLoad.budget = float64(own.Admitted)
+		serviceLoad.budget = admitted
 		serviceLoad.wasLimited = true
 		serviceLoad.refilledAt, serviceLoad.tokens = now, 0
+		if serviceLoad.opensRarely(now) {
+			serviceLoad.tokens = 1
+		}
 	}
-	if fleet.Shed == 0 && now.Sub(serviceLoad.shedAt) > shedMemory {
+	if float64(fleet.Shed)*loadSpan.Seconds() < calmShed && now.Sub(serviceLoad.shedAt) > shedMemory {
 		serviceLoad.budget = unlimited
 		return
 	}
-	offered, answered := float64(own.Offered), float64(own.Answered)
 	seen := serviceLoad.withFleet(own, fleet, now)
 	growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
 	if fleet.Offered > 0 && growth == 0 { // the fleet's figures are older than own growth
-		serviceLoad.budget += followShare * (float64(fleet.Admitted/fleet.Offered)*offered - serviceLoad.budget)
+		serviceLoad.budget += followShare * (fleet.admittedShare()*offered - serviceLoad.budget)
 	}
 	if failed := seen.shedShare + seen.lateShare; failed > maxShedShare && seen.delayRatio > emptyQueueRatio {
 		excess := (failed - maxShedShare) * answered
-		serviceLoad.budget += correctionShare * (float64(own.Admitted) - excess - serviceLoad.budget)
+		serviceLoad.budget += correctionShare * (admitted - excess - serviceLoad.budget)
 	} else {
 		serviceLoad.budget += growth * answered * elapsed.Seconds() / growthTime.Seconds()
 		if serviceLoad.budget > releaseShare*offered+1 {
@@ -252,6 +263,21 @@
 	return (outstanding + chanceDeviations*math.Sqrt(outstanding+1)) / atUsualTime
 }
 
+// admittedWithFleet returns the openings admitted per second; an instance with few recent ones
+// counts at least those that it would admit in proportion to the fleet.
+func (serviceLoad *serviceLoad) admittedWithFleet(own, fleet ServiceLoad, now time.Time) float64 {
+	admitted := float64(own.Admitted)
+	if serviceLoad.opensRarely(now) {
+		admitted = max(admitted, fleet.admittedShare()*float64(own.Offered))
+	}
+	return admitted
+}
+
+// opensRarely reports whether few openings were admitted here of late.
+func (serviceLoad *serviceLoad) opensRarely(now time.Time) bool {
+	return serviceLoad.admitted.weightAt(now) < fleetWeight
+}
+
 // between returns 0 if value is zero or beyond it, 1 if it is one or beyond it, and in proportion
 // between them.
 func between(value, zero, one float64) float64 {
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -42,6 +42,8 @@
 	unsettledAt    time.Time            // when it last was paused, cut off or restarted
 	answeredAt     map[Server]time.Time // when it last saw a server answer
 	known          *Silences
+	toldAt         map[Silence]time.Time // when one of the failure domain was first seen to know better than its hold
+	evidence       Evidence              // for the last hold, on a leader
 }
 
 type testServer struct {
@@ -68,10 +70,14 @@
 func (testInstance *testInstance) ServerSilent(uint32, Evidence) {}
 func (testInstance *testInstance) ServerAlive(uint32, bool)      {}
 
+func (testInstance *testInstance) ServerHeld(_ uint32, evidence Evidence, _ time.Duration) {
+	testInstance.evidence = evidence
+}
+
 func newFleet(seed uint64) *fleet {
 	fleet := &fleet{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 5))}
 	for i := range 2 * domainSize {
-		instance := &testInstance{name: fmt.Sprint("lb-", i), domain: i / domainSize, answeredAt: map[Server]time.Time{}}
+		instance := &testInstance{name: fmt.Sprint("lb-", i), domain: i / domainSize, answeredAt: map[Server]time.Time{}, toldAt: map[Silence]time.Time{}}
 		instance.restart()
 		fleet.instances = append(fleet.instances, instance)
 	}
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -48,6 +48,7 @@
 	rejectedByStore  map[string]bool // names of instances whose calls the store rejects
 	cutOff           map[string]bool // names of instances cut off from all others, but not from the store
 	refusesFetch     map[string]bool // names of instances whose fetches fail
+	oldPrograms      map[string]bool // names of instances whose program has no short reports of suspicions
 	partitioned      map[string]bool // failure domains cut off from the store and the other domains
 	nodes            map[netip.AddrPort]*node
 	started          []*node
@@ -57,6 +58,7 @@
 	serversReadTime  time.Duration // additional duration of a read of the server list
 	callDelay        time.Duration // duration of a call of the store
 	nextVersion      uint64        // version published right after the configuration was read; 0 for none
+	datagramDelay    time.Duration // between instances
 }
 
 // coldEntry is what a cold server has written into the store.
@@ -85,16 +87,18 @@
 
 	suspicionCount int
 
-	sentDatagrams, sentBytes     int // heartbeats
+	sentDatagrams, sentBytes     int // heartbeats and reports of suspicions
+	suspicionBytes               int // received in datagrams that carry suspicions
 	servedSnapshots, servedBytes int
+	savedBytes                   int // of the snapshots that it saved
 	askedCount                   int // announcements that it missed
 	storeCalls                   int
 }
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, coldEntries: map[string]coldEntry{},
-		cutOff: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
+		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, datagramDelay: networkDelay, coldEntries: map[string]coldEntry{},
+		cutOff: map[string]bool{}, oldPrograms: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
 
@@ -145,6 +149,8 @@
 func (node *node) ServerSilent(uint32, detector.Evidence) {}
 func (node *node) ServerAlive(uint32, bool)               {}
 
+func (node *node) ServerHeld(uint32, detector.Evidence, time.Duration) {}
+
 // kill stops an instance without an announcement.
 func (node *node) kill() {
 	node.stop()
@@ -239,6 +245,7 @@
 
 func (node *node) SaveSnapshot(ctx context.Context, snapshot SavedSnapshot) (saved SavedSnapshot, err error) {
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
+		node.savedBytes += len(snapshot.Content)
 		if simulation.saved.ObjectRevision == snapshot.ObjectRevision {
 			simulation.revision++
 			simulation.saved = snapshot
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -41,6 +42,11 @@
 	RequestEnded(server *viewer.BackendServer, now time.Time)
 	OpeningAnswered(server *viewer.BackendServer, now time.Time)
 	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
+	// Readmit ends the ejection of a server that has answered other instances, and reports
+	// whether it did.
+	Readmit(server *viewer.BackendServer, now time.Time) bool
+	// ReexamineServers is called when the servers to which openings are held back change.
+	ReexamineServers()
 	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
 	// ObserveView is called after each change of the view, also if no flows are opened.
 	ObserveView(now time.Time)
@@ -65,6 +71,9 @@
 	FlowEnded(summary *FlowSummary)
 	// ServerEjected is called when a server is ejected because it does not answer openings.
 	ServerEjected(server *viewer.BackendServer)
+	// ServerReadmitted is called when an ejection ends because another instance has seen the
+	// server alive, a time ago.
+	ServerReadmitted(server *viewer.BackendServer, age time.Duration)
 	// FlowsReset is called when all flows of a silent server that pass this instance are reset.
 	FlowsReset(server *viewer.BackendServer, flows int)
 }
@@ -113,9 +122,11 @@
 	admission            admission             // nil if every opening is sent at once
 	held                 map[FlowKey]*heldPacket
 	complete             []completeResponse // in the order of their last acknowledgment
+	completeShort        []completeResponse // the same of short ones, after completionTime
 	silence              silence
 	follower             follower
 	resetter             resetter
+	openings             openings
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
@@ -136,9 +147,8 @@
 		verdict.Reason = ReasonNoView
 	case packet.Flags.SYN && packet.Flags.ACK:
 		verdict.Reason = ReasonFromServer
-	case packet.IsOpening() && !steerer.admit(packet, view, &verdict, now):
 	case packet.IsOpening():
-		steerer.placeOpening(packet, view, &verdict, now)
+		steerer.decideOpening(packet, view, &verdict, now)
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
@@ -152,8 +162,8 @@
 // and otherwise to a server that it was not sent to before, if there is one; then the
 // retransmission counts as an unanswered opening of the previous server. An opening with
 // another sequence number, or more than retransmissionWindow after the first, begins a
-// new flow.
-func (steerer *Steerer) placeOpening(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
+// new flow. The opening goes to the service, or to one that is drawn if that is empty.
+func (steerer *Steerer) placeOpening(packet *Packet, service string, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow := steerer.flows[packet.Flow]
 	if flow != nil && (flow.openingSequence != packet.Sequence || now.Sub(flow.openedAt) > retransmissionWindow) {
 		steerer.endFlow(flow, EndPortReused, now)
@@ -163,7 +173,7 @@
 		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
-	server := steerer.selectServer(packet.Flow, flow, view, verdict, now)
+	server := steerer.selectServer(packet.Flow, service, flow, view, verdict, now)
 	if server == nil {
 		return
 	}
@@ -171,6 +181,8 @@
 	if flow == nil {
 		verdict.Reason = ReasonNewFlow
 		flow = steerer.track(packet, now)
+	} else if steerer.confirmsOpenings() {
+		steerer.noticeRetransmission(flow, now)
 	} else {
 		steerer.recordUnanswered(flow.server, now)
 	}
@@ -193,8 +205,9 @@
 }
 
 // selectServer returns the server for an opening, or nil after setting the refusal
-// in verdict; flow is nil if the flow is not tracked yet.
-func (steerer *Steerer) selectServer(key FlowKey, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
+// in verdict; flow is nil if the flow is not tracked yet. It draws a service if the route does
+// not have the given one.
+func (steerer *Steerer) selectServer(key FlowKey, service string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
 	route := view.Route(key.ServiceAddress)
 	if route == nil {
 		steerer.refuse(verdict, ReasonNoRoute, now)
@@ -204,7 +217,9 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	service := steerer.drawService(route)
+	if !route.Has(service) {
+		service = steerer.drawService(route, view)
+	}
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
@@ -232,23 +247,30 @@
 	}
 }
 
-// drawService draws one of the route's services at random, in proportion to their weights.
-func (steerer *Steerer) drawService(route *viewer.Route) string {
+// drawService draws one of the route's services at random, in proportion to their weights. A
+// service without active servers is drawn only if no other has any.
+func (steerer *Steerer) drawService(route *viewer.Route, view *viewer.View) string {
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
 	}
+	shares := slices.DeleteFunc(slices.Clone(route.Shares), func(share viewer.Share) bool {
+		return len(view.ActiveServers(share.Service)) == 0
+	})
+	if len(shares) == 0 {
+		shares = route.Shares
+	}
 	total := 0.0
-	for _, share := range route.Shares {
+	for _, share := range shares {
 		total += share.Weight
 	}
 	draw := steerer.random.Float64() * total
-	for _, share := range route.Shares {
+	for _, share := range shares {
 		if draw < share.Weight {
 			return share.Service
 		}
 		draw -= share.Weight
 	}
-	return ""
+	return shares[len(shares)-1].Service
 }
 
 // forwardByToken forwards a later packet to the server that its token names.
@@ -265,6 +287,9 @@
 		verdict.Reason = ReasonEvacuatedFlow
 	}
 	flow := steerer.flows[packet.Flow]
+	if flow == nil {
+		steerer.noticeArrival(packet, now)
+	}
 	if flow == nil || flow.isAdopted {
 		steerer.noticeUntracked(packet.Flow, now)
 	}
@@ -284,6 +309,7 @@
 // wait in the receive queue.
 func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
 	steerer.placer.ObserveView(now)
+	steerer.readmitServers(now)
 	if verdict, ok := steerer.nextRetry(now, drained); ok {
 		return verdict, true
 	}
@@ -350,7 +376,7 @@
 	// The missing answer counts against the server only if an opening that was sent
 	// later has been answered. Otherwise the network fabric may have changed its set of
 	// instances, so that the callers' packets now reach another instance.
-	if steerer.newestAnsweredSentAt.After(flow.openingSentAt) {
+	if !steerer.confirmsOpenings() && steerer.newestAnsweredSentAt.After(flow.openingSentAt) {
 		steerer.recordUnanswered(flow.server, now)
 	}
 	if len(flow.attempted) >= maxAttempts {
@@ -358,7 +384,7 @@
 	}
 	view := steerer.currentView()
 	verdict := Verdict{Flow: flow.key, Raw: flow.openingPacket}
-	server := steerer.selectServer(flow.key, flow, view, &verdict, now)
+	server := steerer.selectServer(flow.key, "", flow, view, &verdict, now)
 	if server == nil || viewer.Contains(flow.attempted, server) {
 		return Verdict{}, false
 	}
