Send no copy of an opening that was refused

An instance that is 0.1 s or more behind with its packets has the caller's copy (after 0.2 s) of an opening in its socket when it refuses the opening. The copy was taken for one that another instance may have sent, so it went to a server: the refused flow could still open, and unanswered it was retried at up to three more servers, which were ejected for it. Change: refusals for lack of room are remembered for 2 s, and copies of such openings are dropped (`refused_copy`).

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -217,6 +217,7 @@
 	}
 	steerer.lastSweepAt = now
 	steerer.expireClosed(now)
+	steerer.expireRefused(now)
 	steerer.follower.expire(now)
 	steerer.placer.ExpireServers(now.Add(-serverStateLifetime))
 	for _, flow := range steerer.flows {
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -93,6 +93,7 @@
 	ReasonFlowServerSilent Reason = "flow_server_silent" // a flow was reset, because its server has fallen silent
 	ReasonHeld             Reason = "held"               // the opening waits for a place at a server
 	ReasonHeldCopy         Reason = "held_copy"          // a copy of an opening that waits
+	ReasonRefusedCopy      Reason = "refused_copy"       // a copy of an opening that was refused
 	ReasonReleased         Reason = "released"           // an opening that was held was sent to a server
 	ReasonNoRoom           Reason = "refused_no_room"    // the servers cannot work off the opening's request in time
 	ReasonNoView           Reason = "no_view"            // configuration or servers not yet known
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pimentowind/pimentowind/admitter"
@@ -54,6 +55,10 @@
 		verdict.Reason = ReasonHeldCopy
 		return
 	}
+	if packet.Acknowledgment > 0 && steerer.wasRefused(packet.Flow, now) {
+		verdict.Reason = ReasonRefusedCopy
+		return
+	}
 	isCopy := packet.Acknowledgment > 0 || steerer.flows[packet.Flow] != nil
 	isFull := len(steerer.held) >= maxFlows || len(steerer.flows) >= maxFlows
 	route := view.Route(packet.Flow.ServiceAddress)
@@ -76,6 +81,7 @@
 		steerer.held[packet.Flow] = held
 	case admitter.Refuse:
 		verdict.Action, verdict.Reason = Reset, ReasonNoRoom
+		steerer.rememberRefused(packet.Flow, now)
 	default:
 		steerer.placeAdmitted(packet, opening, view, verdict, now)
 	}
@@ -118,11 +124,31 @@
 		verdict.Reason = ReasonJustResumed
 	default:
 		steerer.refuse(&verdict, ReasonNoRoom, now)
+		steerer.rememberRefused(key, now)
 	}
 	steerer.observer.Decided(&verdict, view)
 	return verdict, true
 }
 
+// rememberRefused notes that an opening was refused for lack of room: a copy of it may already wait
+// in the socket, and must not reach a server after the refusal.
+func (steerer *Steerer) rememberRefused(key FlowKey, now time.Time) {
+	if len(steerer.refusedAt) < maxFlows {
+		steerer.refusedAt[key] = now
+	}
+}
+
+// wasRefused reports whether an opening was refused here a moment ago.
+func (steerer *Steerer) wasRefused(key FlowKey, now time.Time) bool {
+	refusedAt, ok := steerer.refusedAt[key]
+	return ok && now.Sub(refusedAt) < retransmissionWindow
+}
+
+// expireRefused forgets the refusals of which no copies come any more.
+func (steerer *Steerer) expireRefused(now time.Time) {
+	maps.DeleteFunc(steerer.refusedAt, func(_ FlowKey, at time.Time) bool { return now.Sub(at) > retransmissionWindow })
+}
+
 // heldWakeTime returns when the next held opening or complete response is due.
 func (steerer *Steerer) heldWakeTime() time.Time {
 	var wakeAt time.Time
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -121,6 +121,7 @@
 	foreignAt            time.Time             // when the last packet of another instance's flow arrived
 	admission            admission             // nil if every opening is sent at once
 	held                 map[FlowKey]*heldPacket
+	refusedAt            map[FlowKey]time.Time // when openings were refused for lack of room; at most maxFlows
 	complete             []completeResponse // in the order of their last acknowledgment
 	completeShort        []completeResponse // the same of short ones, after completionTime
 	silence              silence
@@ -134,7 +135,7 @@
 func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
 	return &Steerer{
 		currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random,
-		flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, held: map[FlowKey]*heldPacket{}, follower: newFollower(),
+		flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, refusedAt: map[FlowKey]time.Time{}, held: map[FlowKey]*heldPacket{}, follower: newFollower(),
 	}
 }
 
