Send no pin again to an instance that has it

Cause: an instance that was cut off or paused got all pins of all homes again when it came back, although it keeps its flow table; and each instance that was home under any view of the last ten minutes sent its share once more (isOrWasHome). Ruled out: a digest of the pins in each handover; it costs a round and a table. Change: a flow remembers when it was pinned; an instance that was not restarted or paused gets the pins since FailureTimeout before its last message.

--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -80,7 +80,8 @@
 		decider.counters.add(CountStaleIncarnation, 1)
 		return
 	}
-	joined := !member.reachable || heartbeat.Incarnation != member.incarnation
+	restarted := heartbeat.Incarnation != member.incarnation
+	joined := !member.reachable || restarted
 	viewInputs := [...]bool{member.reachable, member.leaving, member.integrated}
 	member.incarnation = heartbeat.Incarnation
 	member.reachable = true
@@ -101,7 +102,7 @@
 		decider.adoptActive(state)
 	}
 	if joined {
-		decider.startHandover(member)
+		decider.startHandover(member, restarted)
 	}
 	decider.updateHandovers()
 	if joined || viewInputs != [...]bool{member.reachable, member.leaving, member.integrated} {
@@ -113,8 +114,8 @@
 }
 
 // startHandover sends to an instance that is new, restarted or reachable again everything that it
-// needs.
-func (decider *Decider) startHandover(member *member) {
+// needs; one that was restarted or paused has lost what it received earlier.
+func (decider *Decider) startHandover(member *member, restarted bool) {
 	member.handoverComplete = false
 	member.hasOurAddresses = false
 	member.pinsPending = member.integrated
@@ -127,7 +128,7 @@
 	heartbeat.Self = &decider.config.Self
 	decider.send(member, Message{Heartbeat: &heartbeat})
 	decider.sendSnapshot(member)
-	decider.sendHomePins(member)
+	decider.sendHomePins(member, restarted)
 	decider.send(member, Message{Handover: &Handover{CompleteFor: member.incarnation}})
 }
 
@@ -150,11 +151,16 @@
 
 // sendHomePins sends the pins of the flows that this instance is, or recently was, home of.
 // Those that it recently was home of are included because the view changes with each
-// instance that becomes reachable.
-func (decider *Decider) sendHomePins(to *member) {
+// instance that becomes reachable. An instance that was not restarted has those from
+// before it became unreachable.
+func (decider *Decider) sendHomePins(to *member, restarted bool) {
+	missingSince := uint32(0)
+	if !restarted {
+		missingSince = decider.firstMissingPin(to)
+	}
 	for i := range decider.flows.shards {
 		decider.flows.shards[i].forEach(func(key uint64, flow *flow) bool {
-			if flow.pinned && flow.state != closed && decider.isOrWasHome(key) {
+			if flow.pinned && flow.pinnedAt >= missingSince && flow.state != closed && decider.isOrWasHome(key) {
 				decider.counters.add(CountPinsToJoiners, 1)
 				decider.queuePin(to, Pin{Flow: key, Server: flow.serverID})
 			}
@@ -164,6 +170,17 @@
 	decider.flushMemberPins(to)
 }
 
+// firstMissingPin returns the pinnedAt of the first pins that an unreachable instance may not have
+// received. A message sent FailureTimeout before its last one has arrived. Pins that it
+// may have removed as idle count as not received.
+func (decider *Decider) firstMissingPin(member *member) uint32 {
+	received := member.lastHeard.Add(-FailureTimeout)
+	if received.Before(decider.started) || decider.now.Sub(received) > establishedTimeout/2 {
+		return 0
+	}
+	return decider.uptimeSeconds(received)
+}
+
 // receiveHandover applies the state that another instance hands over to this one.
 func (decider *Decider) receiveHandover(member *member, handover *Handover) {
 	for _, instance := range handover.Members {
--- a/decider/merge.go
+++ b/decider/merge.go
@@ -10,7 +10,7 @@
 	decider.integrated = false
 	decider.integrationStartedAt = decider.now
 	for _, member := range decider.sortedMembers {
-		member.reachable, member.handoverComplete, member.hasOurAddresses = false, false, false
+		member.disconnect()
 	}
 	for _, service := range decider.sortedServices {
 		service.allPinned = false
