--- a/director/director.go
+++ b/director/director.go
@@ -68,6 +68,16 @@
 	builder := &builder{output: output}
 	defer builder.Close()
 	defer stopWork()
+	container, err := builder.wire(file, settings)
+	if err != nil {
+		return err
+	}
+	err = container.Invoke(func(instance instance) error { return instance.run(ctx, work, hangups) })
+	return dig.RootCause(err)
+}
+
+// wire returns a container that constructs the components of an instance.
+func (builder *builder) wire(file string, settings *configurer.PlatformSettings) (*dig.Container, error) {
 	container := dig.New()
 	constructors := []any{
 		func() *configurer.PlatformSettings { return settings },
@@ -91,11 +101,10 @@
 	}
 	for _, constructor := range constructors {
 		if err := container.Provide(constructor); err != nil {
-			return errors.Wrap(err, "wire instance")
+			return nil, errors.Wrap(err, "wire instance")
 		}
 	}
-	err = container.Invoke(func(instance instance) error { return instance.run(ctx, work, hangups) })
-	return dig.RootCause(err)
+	return container, nil
 }
 
 // instance holds the components that run together; dig fills in the fields.
