Send pins with heartbeats, and states when they change

Ruled out: a lower rate of pins. Change: pins go out with new heartbeats, which are due half an interval after the last ones. A pin waits for them if no instance that lacks it sends its flow's packets elsewhere (pinCanWait). States are repeated for a second after a change and with each digest. Unreachable instances get heartbeats at the interval, mostly without states. Pins are read before the state that tells of them. A domain now counts as unreachable for FailureTimeout after its first instance is back.

--- a/decider/leave.go
+++ b/decider/leave.go
@@ -37,5 +37,4 @@
 			return true
 		})
 	}
-	decider.pinsQueued = true
 }
--- a/decider/pins_test.go
+++ b/decider/pins_test.go
@@ -94,3 +94,75 @@
 	assert.Equal(t, fleet.deciders["b1"].Counters()["pins_to_joiners"]-before, uint64(0))
 	fleet.checkFlows(servers)
 }
+
+func TestDomainCountsAsUnreachableWhileItsInstancesReturn(t *testing.T) {
+	fleet := newStartedFleet(t)
+	decider := fleet.deciders["a1"]
+	fleet.run(FailureTimeout)
+	assert.Assert(t, decider.hasAllPins())
+	fleet.isolatedDomain = "c"
+	fleet.run(5 * time.Second)
+	fleet.isolatedDomain = ""
+	fleet.run(time.Second)
+	assert.Assert(t, decider.members["c1"].reachable)
+	assert.Assert(t, !decider.hasAllPins())
+	fleet.run(2 * time.Second)
+	assert.Assert(t, decider.hasAllPins())
+}
+
+func TestPinsGoOutWithTheNextHeartbeatsIfOthersRelyOnThem(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		allPinned   bool
+		isPrepared  bool
+		isPicked    bool // by the active epoch
+		sinceLast   time.Duration
+		isSent      bool
+		inHeartbeat bool
+	}{
+		{"exception to the active epoch, heartbeats just sent", true, false, false, minHeartbeatGap / 2, true, false},
+		{"exception to the active epoch, heartbeats sent some time ago", true, false, false, minHeartbeatGap, true, true},
+		{"exception to a staged epoch", true, false, true, minHeartbeatGap, false, false},
+		{"exception to an epoch that may be active elsewhere", true, true, true, minHeartbeatGap, true, true},
+		{"packets are relayed", false, false, false, minHeartbeatGap, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			decider := newStartedFleet(t).deciders["a1"]
+			decider.TakeOutbox()
+			service := decider.sortedServices[0]
+			service.allPinned, service.prepared = test.allPinned, EpochID{}
+			if test.isPrepared {
+				service.prepared = service.active.ID
+			}
+			decider.lastHeartbeat = decider.now.Add(-test.sinceLast)
+			flow := newFlow(established)
+			if test.isPicked {
+				flow.serverID = service.active.pick(7).id
+			}
+			decider.pinFlow(service, 7, &flow)
+			decider.flushPins()
+			messages := decider.TakeOutbox()
+			assert.Equal(t, len(messages) == len(decider.sortedMembers), test.isSent, "%d messages", len(messages))
+			for _, outgoing := range messages {
+				assert.Assert(t, len(outgoing.Message.Pins) > 0)
+				assert.Equal(t, outgoing.Message.Heartbeat != nil, test.inHeartbeat)
+			}
+		})
+	}
+}
+
+func TestQueuedPinsComeWithTheStateThatTellsOfThem(t *testing.T) {
+	fleet := newStartedFleet(t)
+	decider := fleet.deciders["a1"]
+	decider.TakeOutbox()
+	service := decider.sortedServices[0]
+	service.allPinned, service.prepared = false, EpochID{}
+	flow := newFlow(established)
+	decider.pinFlow(service, 7, &flow)
+	decider.announceState(service)
+	decider.flushHeartbeat()
+	for _, outgoing := range decider.TakeOutbox() {
+		assert.Equal(t, len(outgoing.Message.Heartbeat.Services), 1)
+		assert.Assert(t, len(outgoing.Message.Pins) > 0)
+	}
+}
