Give servers beyond a partition their weights back when it heals

Cause: the imbalance of the cut does not arise in it. Each side ejects the servers that it cannot reach and probes them with a twentieth of their weight; after the cut these epochs need more pins than the budget allows in a minute, so none is retired and the slow start does not go on: at the end the servers of the domain had 0.05 to 0.09 of their weight and half of the others' flows. Ruled out: weights frozen at the start (they are, and are right), the smaller side's view. Change: when a failure domain is back, the owner of a service gives the servers there and in its own domain the weights that all instances last agreed on, where its policy or the newest epoch has under half of them. Servers that are down are ejected again. Test: TestServersBeyondAPartitionGetTheirWeightsBack fails without the call.

--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -184,3 +184,54 @@
 	}
 	t.Fatal("the unpin was not sent")
 }
+
+// newFleetOfDomains returns a started fleet whose services have backend servers in three failure
+// domains.
+func newFleetOfDomains(t *testing.T) *fleet {
+	fleet := newFleet(t, "a1", "a2", "b1", "b2", "c1", "c2")
+	sheet := testSheet()
+	for i := range sheet.Services[0].BackendServers {
+		sheet.Services[0].BackendServers[i].FailureDomain = []string{"a", "b", "c", "c"}[i]
+	}
+	fleet.applySheet(1, sheet)
+	fleet.run(25 * time.Second)
+	return fleet
+}
+
+// openFlowsFor opens flows for a time; servers beyond the partition do not answer.
+func (fleet *fleet) openFlowsFor(duration time.Duration, firstPort int) {
+	domains := map[string]string{}
+	for _, server := range fleet.deciders["a1"].serviceNamed("counter").spec.BackendServers {
+		domains[server.Address.String()] = server.FailureDomain
+	}
+	for port, end := firstPort, fleet.now.Add(duration); fleet.now.Before(end); port++ {
+		for _, name := range fleet.names {
+			verdict := fleet.send(name, openingPacket(port))
+			if verdict.Kind == ToBackendServer && fleet.canReach(name, domains[verdict.Address.String()]) {
+				fleet.accept(name, openingPacket(port).Tuple, verdict.Address)
+			}
+			port++
+		}
+		fleet.run(100 * time.Millisecond)
+	}
+}
+
+func TestServersBeyondAPartitionGetTheirWeightsBack(t *testing.T) {
+	fleet := newFleetOfDomains(t)
+	fleet.openFlowsFor(12*time.Second, 1)
+	before := fleet.deciders["a1"].Weights("counter")
+	fleet.isolatedDomain = "c"
+	fleet.openFlowsFor(15*time.Second, 10_000)
+	lowest := 1.0
+	for _, weight := range fleet.deciders["a1"].Weights("counter") {
+		lowest = min(lowest, weight)
+	}
+	assert.Assert(t, lowest < readmittedShare, "no server was ejected")
+	fleet.isolatedDomain = ""
+	fleet.openFlowsFor(8*time.Second, 20_000)
+	for _, name := range fleet.names {
+		for server, weight := range fleet.deciders[name].Weights("counter") {
+			assert.Assert(t, weight > readmittedShare*before[server], "%s has %s at %.2f of %.2f", name, server, weight, before[server])
+		}
+	}
+}
--- a/decider/health.go
+++ b/decider/health.go
@@ -59,3 +59,48 @@
 	}
 	return false
 }
+
+// readmitServers gives backend servers that were ejected while a failure domain was unreachable
+// the weights that all instances last agreed on, without a slow start: the servers of the
+// domain that is back were cut off rather than down, and those here were so for its instances.
+// One that is down is ejected again.
+func (decider *Decider) readmitServers(domain string) {
+	for _, service := range decider.sortedServices {
+		if service.listed && decider.owns(service) && decider.readmitServersOf(service, domain) {
+			decider.propose(service, true)
+		}
+	}
+}
+
+// readmitServersOf reports whether a weight changes, in the policy or against the newest epoch,
+// which may come from the other side of the partition.
+func (decider *Decider) readmitServersOf(service *service, domain string) bool {
+	newest := service.newestEpoch()
+	if service.lastAgreed == nil || newest == nil {
+		return false
+	}
+	if !service.policy.owned {
+		decider.takeOwnership(service)
+	}
+	changed := false
+	for _, row := range service.spec.BackendServers {
+		if row.FailureDomain != domain && row.FailureDomain != decider.config.Self.FailureDomain {
+			continue
+		}
+		id := serverID(service.name, row.Address)
+		lowest := readmittedShare * float64(service.lastAgreed.weight(id))
+		if row.State == parser.Active && service.policy.nextWeight(service, row) < lowest {
+			service.policy.server(id).readmit(service.lastAgreed.weight(id))
+			decider.recordEvent(EventServerRestored, "service", service.name, "backend_server", row.Name)
+			changed = true
+		}
+		changed = changed || float64(newest.weight(id)) < lowest
+	}
+	return changed
+}
+
+// readmit ends an ejection or slow start, and sets the weight.
+func (serverPolicy *serverPolicy) readmit(weight float32) {
+	serverPolicy.ejected, serverPolicy.slowStart, serverPolicy.ejectionTime = false, 1, baseEjectionTime
+	serverPolicy.measuredWeight = float64(weight)
+}
