--- a/decider/open.go
+++ b/decider/open.go
@@ -191,9 +191,8 @@
 		return false
 	}
 	// Without all pins, instances relay such flows to their home. A pin then only saves
-	// that, so it may be left out when the pin budget is used up, unless the scan that
-	// would pin the flow has passed it.
-	return service.reliesOnPins() || service.hasPassed(key) || decider.reservePinBudget(service, len(decider.reachable)-1)
+	// that, so it may be left out when the pin budget is used up.
+	return service.reliesOnPins() || decider.reservePinBudget(service, len(decider.reachable)-1)
 }
 
 // refusalCounter returns the counter of a reason to refuse an opening.
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -102,12 +102,6 @@
 // reliance on having all pins; until this one is prepared they relay those on which epochs differ.
 func (service *service) reliesOnPins() bool { return service.allPinned || service.isPrepared() }
 
-// hasPassed reports whether the pass that pins flows has scanned the shard of a flow.
-func (service *service) hasPassed(key uint64) bool {
-	pinning := service.active != nil && service.scanned == service.targetEpoch().ID
-	return pinning && int(key%flowShards) < service.scanCursor
-}
-
 // pinCanWait reports whether no instance that lacks the pin of a flow sends its packets to another
 // backend server: until this one is prepared, the active epoch decides or the packet is relayed.
 func (service *service) pinCanWait(key uint64, serverID uint32) bool {
