--- a/decider/merge.go
+++ b/decider/merge.go
@@ -111,7 +111,6 @@
 			decider.unreachableDomains[domain] = decider.now
 		case wasUnreachable && decider.now.Sub(returnedAt) > FailureTimeout:
 			delete(decider.unreachableDomains, domain)
-			decider.readmitServers(domain)
 		}
 	}
 }
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -25,7 +25,6 @@
 	maxEjectionTime     = 60 * time.Second
 	slowStartShare      = 0.05 // share of its weight that a new or probed backend server starts with
 	slowStartFactor     = 2.0  // growth of that share per WeightInterval
-	readmittedShare     = 0.5  // share of the agreed weight up to which a backend server counts as ejected or in slow start
 	shedThreshold       = 0.2  // share of shed openings above which a weight is lowered
 )
 
