--- a/decider/config.go
+++ b/decider/config.go
@@ -9,19 +9,17 @@
 
 // Timings of the protocol between instances.
 const (
-	HeartbeatInterval          = 500 * time.Millisecond
-	FailureTimeout             = 1600 * time.Millisecond   // three heartbeats and some delay
-	SuspectTimeout             = 1100 * time.Millisecond   // two heartbeats and some delay; relayed packets then skip the instance
-	ActivationTimeout          = 2500 * time.Millisecond   // after which an urgent epoch is activated without all pins
-	nonUrgentActivationTimeout = 30 * time.Second          // the same for an epoch that is not urgent
-	PauseThreshold             = time.Second               // a longer gap between ticks means that the process was paused
-	ReportInterval             = 2 * time.Second           // between load reports to the owner of a service
-	WeightInterval             = 10 * time.Second          // between changes of measured weights
-	RetransmissionWindow       = 10 * time.Second          // in which a caller may still retransmit an opening
-	ForgetTimeout              = 10 * time.Minute          // after which an unlisted unreachable instance is removed
-	minHeartbeatGap            = HeartbeatInterval / 2     // since the last heartbeats, after which pins are sent with new ones
-	lostHeartbeatInterval      = HeartbeatInterval * 3 / 4 // least time between heartbeats to a listed unreachable instance
-	unlistedHeartbeatInterval  = 2 * time.Second           // between heartbeats to an unlisted unreachable instance
+	HeartbeatInterval            = 500 * time.Millisecond
+	FailureTimeout               = 1600 * time.Millisecond // three heartbeats and some delay
+	SuspectTimeout               = 1100 * time.Millisecond // two heartbeats and some delay; relayed packets then skip the instance
+	ActivationTimeout            = 2500 * time.Millisecond // after which an urgent epoch is activated without all pins
+	nonUrgentActivationTimeout   = 30 * time.Second        // the same for an epoch that is not urgent
+	PauseThreshold               = time.Second             // a longer gap between ticks means that the process was paused
+	ReportInterval               = 2 * time.Second         // between load reports to the owner of a service
+	WeightInterval               = 10 * time.Second        // between changes of measured weights
+	RetransmissionWindow         = 10 * time.Second        // in which a caller may still retransmit an opening
+	ForgetTimeout                = 10 * time.Minute        // after which an unlisted unreachable instance is removed
+	unreachableHeartbeatInterval = 2 * time.Second         // between heartbeats to an unlisted unreachable instance
 )
 
 // Limits of the background work between instances.
@@ -33,7 +31,7 @@
 	maxOldViews            = 16               // earlier views kept to find the flows whose home has changed
 	oldViewsLifetime       = 10 * time.Minute // after the last change of view
 	stateRepeatPeriod      = time.Second      // in which heartbeats repeat a changed ServiceState
-	heartbeatsPerDigest    = 4                // one heartbeat in this many carries the digest of the active epochs and all states
+	heartbeatsPerDigest    = 4                // one heartbeat in this many carries the digest of the active epochs
 	heartbeatsPerAddresses = 16               // one heartbeat in this many repeats the sender's addresses
 )
 
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -35,11 +35,11 @@
 	lastLossAt           time.Time // when an instance last became unreachable without announcing its stop
 	viewDigest           uint32    // of view
 	pinBudget            *rate.Limiter
-	orphanCursor         int                  // next shard that markOrphans searches, flowShards when it is done
-	missingHandovers     int                  // reachable instances whose handover is not complete
-	pinsPending          bool                 // an instance that was unreachable has not sent all its pins
-	unreachableDomains   map[string]time.Time // failure domains that are or were unreachable as a whole, by when an instance there was reachable again
-	integrated           bool                 // up to date with the other instances, so that it can be a home
+	orphanCursor         int  // next shard that markOrphans searches, flowShards when it is done
+	missingHandovers     int  // reachable instances whose handover is not complete
+	pinsPending          bool // an instance that was unreachable has not sent all its pins
+	domainUnreachable    bool // all listed instances of some failure domain are unreachable
+	integrated           bool // up to date with the other instances, so that it can be a home
 	integrationStartedAt time.Time
 	leaving              bool // a planned stop has begun
 	flowsHandedOver      bool
@@ -61,7 +61,7 @@
 	counters     counters
 	events       []Event
 	outbox       []Outgoing
-	pinsQueued   bool // pins that other instances rely on were queued since the last flushPins
+	pinsQueued   bool // pins or flows were queued since the last flushPins
 	heartbeatDue bool // the next flushHeartbeat sends heartbeats
 }
 
@@ -76,7 +76,6 @@
 		integrationStartedAt: now,
 		orphanCursor:         flowShards,
 		members:              map[string]*member{},
-		unreachableDomains:   map[string]time.Time{},
 		services:             map[uint64]*service{},
 		servicesByAddress:    map[serviceAddress]*service{},
 		servers:              map[uint32]*server{},
@@ -112,8 +111,6 @@
 		return
 	}
 	member.lastReceived = now
-	decider.receivePins(message.Pins) // before the state that tells that they were sent
-	decider.receiveFlows(message.Flows)
 	if message.Heartbeat != nil {
 		decider.receiveHeartbeat(member, message.Heartbeat)
 	}
@@ -126,6 +123,8 @@
 	if message.Sheet != nil {
 		decider.applySheet(message.Sheet.Version, message.Sheet.Content)
 	}
+	decider.receivePins(message.Pins)
+	decider.receiveFlows(message.Flows)
 	decider.receiveLoads(message.Loads)
 	decider.flushHeartbeat()
 }
@@ -145,7 +144,7 @@
 	decider.advanceClock(now)
 	decider.lastTick = now
 	decider.expireMembers()
-	decider.updateUnreachableDomains()
+	decider.domainUnreachable = decider.anyDomainUnreachable()
 	decider.expireOldViews()
 	decider.integrateWhenReady()
 	decider.markOrphans()
@@ -175,7 +174,8 @@
 	if !decider.heartbeatDue {
 		return
 	}
-	decider.heartbeatDue, decider.pinsQueued = false, false
+	decider.flushPins()
+	decider.heartbeatDue = false
 	decider.lastHeartbeat = decider.now
 	decider.sendHeartbeats()
 }
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -6,47 +6,29 @@
 	"github.com/pimentowind/pimentowind/picker"
 )
 
-// sendHeartbeats sends a heartbeat to all other instances, with what is queued for them; one that
-// is unreachable gets it less often, and mostly without the states, which its handover will bring.
+// sendHeartbeats sends a heartbeat to all other instances, with the unpins and flows queued for
+// them; one that is unlisted and unreachable gets it less often.
 func (decider *Decider) sendHeartbeats() {
 	decider.heartbeatCount++
 	heartbeat := decider.newHeartbeat()
 	for _, member := range decider.sortedMembers {
-		if decider.now.Sub(member.lastHeartbeatSent) < member.minHeartbeatInterval() {
+		if !member.reachable && !member.listed && decider.now.Sub(member.lastHeartbeatSent) < unreachableHeartbeatInterval {
 			continue
 		}
 		copied := heartbeat
-		if !member.reachable && !decider.isDigestDue() {
-			copied.Services = nil
-		}
 		if !member.hasOurAddresses || decider.heartbeatCount%heartbeatsPerAddresses == 0 {
 			copied.Self = &decider.config.Self
 		}
 		member.lastHeartbeatSent = decider.now
 		message := Message{Heartbeat: &copied}
 		if member.reachable {
-			message.Pins, message.Flows = PackPins(append(member.queuedUnpins, member.queuedPins...)), PackPins(member.queuedFlows)
-			member.queuedUnpins, member.queuedPins, member.queuedFlows = nil, nil, nil
+			message.Pins, message.Flows = PackPins(member.queuedUnpins), PackPins(member.queuedFlows) // not urgent, so they wait for a heartbeat
+			member.queuedUnpins, member.queuedFlows = nil, nil
 		}
 		decider.send(member, message)
 	}
 }
 
-// minHeartbeatInterval returns the least time between two heartbeats to the member.
-func (member *member) minHeartbeatInterval() time.Duration {
-	switch {
-	case member.reachable:
-		return 0
-	case member.listed:
-		return lostHeartbeatInterval
-	default:
-		return unlistedHeartbeatInterval
-	}
-}
-
-// isDigestDue reports whether the current heartbeats carry the digest and all states.
-func (decider *Decider) isDigestDue() bool { return decider.heartbeatCount%heartbeatsPerDigest == 0 }
-
 func (decider *Decider) newHeartbeat() Heartbeat {
 	heartbeat := Heartbeat{
 		Incarnation:  decider.config.Incarnation,
@@ -56,12 +38,11 @@
 		SheetVersion: decider.sheetVersion,
 		InForce:      decider.InForce(),
 	}
-	if decider.isDigestDue() {
+	if decider.heartbeatCount%heartbeatsPerDigest == 0 {
 		heartbeat.ActiveDigest = decider.activeDigest()
 	}
 	for _, service := range decider.sortedServices {
-		repeated := len(service.epochs) > 1 && decider.isDigestDue()
-		if repeated || decider.now.Sub(service.changedAt) < stateRepeatPeriod {
+		if len(service.epochs) > 1 || decider.now.Sub(service.changedAt) < stateRepeatPeriod {
 			heartbeat.Services = append(heartbeat.Services, decider.serviceState(service))
 		}
 	}
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -37,4 +37,5 @@
 			return true
 		})
 	}
+	decider.pinsQueued = true
 }
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -326,7 +326,6 @@
 		if member.reachable && decider.now.Sub(member.joinedAt) < joinWindow {
 			decider.counters.add(CountPinsToJoiners, 1)
 			decider.queuePin(member, pin)
-			decider.pinsQueued = true
 		}
 	}
 }
--- a/decider/merge.go
+++ b/decider/merge.go
@@ -1,7 +1,5 @@
 package decider
 
-import "time"
-
 // restartAfterPause puts an instance whose process was paused into the state of a new
 // one, but keeps its flows as hints: during the pause its lease as a home expired, and
 // other instances may have replaced it.
@@ -86,38 +84,22 @@
 	return true
 }
 
-// updateUnreachableDomains finds the failure domains of which all listed instances are
-// unreachable. They may be partitioned off and open flows that no instance on this side
-// knows. Instances come back one after another, and at different times for the instances here, so
-// a domain counts as unreachable for FailureTimeout after its first instance is back.
-func (decider *Decider) updateUnreachableDomains() {
+// anyDomainUnreachable reports whether all instances of a failure domain with listed
+// instances are unreachable. They may be partitioned off and open flows that no
+// instance on this side knows.
+func (decider *Decider) anyDomainUnreachable() bool {
 	reachable := map[string]bool{decider.config.Self.FailureDomain: true}
 	for _, member := range decider.sortedMembers {
-		if member.listed || member.reachable {
-			reachable[member.FailureDomain] = reachable[member.FailureDomain] || member.reachable
-		}
-	}
-	for domain := range decider.unreachableDomains {
-		if _, known := reachable[domain]; !known {
-			delete(decider.unreachableDomains, domain)
-		}
+		reachable[member.FailureDomain] = reachable[member.FailureDomain] || member.reachable
 	}
-	for domain, isReachable := range reachable {
-		returnedAt, wasUnreachable := decider.unreachableDomains[domain]
-		switch {
-		case !isReachable:
-			decider.unreachableDomains[domain] = time.Time{}
-		case wasUnreachable && returnedAt.IsZero():
-			decider.unreachableDomains[domain] = decider.now
-		case wasUnreachable && decider.now.Sub(returnedAt) > FailureTimeout:
-			delete(decider.unreachableDomains, domain)
+	for _, member := range decider.sortedMembers {
+		if member.listed && !reachable[member.FailureDomain] {
+			return true
 		}
 	}
+	return false
 }
 
-// isDomainUnreachable reports whether a failure domain is, or was until a moment ago, unreachable.
-func (decider *Decider) isDomainUnreachable() bool { return len(decider.unreachableDomains) > 0 }
-
 // recordAgreedEpochs records the active epochs as agreed by all instances, when no listed
 // instance is unreachable and neither the view nor the epoch has changed within
 // RetransmissionWindow.
--- a/decider/open.go
+++ b/decider/open.go
@@ -173,7 +173,7 @@
 	decider.countFlow(&opened)
 	opened.serverChanged = known && old.serverID != server.id
 	if packet.Tuple.Protocol == framer.ProtocolUDP && decider.needsPin(service, key, server) {
-		decider.pinFlow(service, key, &opened)
+		decider.pinFlow(key, &opened)
 		decider.flushPins()
 	}
 	decider.putFlow(key, opened)
@@ -192,7 +192,8 @@
 	}
 	// Without all pins, instances relay such flows to their home. A pin then only saves
 	// that, so it may be left out when the pin budget is used up.
-	return service.reliesOnPins() || decider.reservePinBudget(service, len(decider.reachable)-1)
+	prepared := service.active != nil && service.prepared == service.targetEpoch().ID
+	return service.allPinned || prepared || decider.reservePinBudget(service, len(decider.reachable)-1)
 }
 
 // refusalCounter returns the counter of a reason to refuse an opening.
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -159,11 +159,12 @@
 	}
 	if decider.isHome(key) {
 		decider.counters.add(CountPinsLearned, 1)
-		decider.pinFlow(server.service, key, learned)
+		decider.pinFlow(key, learned)
 		return
 	}
 	if home := decider.lastKnownHome(key); home != nil {
 		home.queuedFlows = append(home.queuedFlows, Pin{Flow: key, Server: server.id})
+		decider.pinsQueued = true
 	}
 }
 
@@ -175,7 +176,7 @@
 		// The caller has received the acceptance, which may have bypassed this home.
 		flow.state = established
 		if !flow.pinned && decider.isHome(key) && decider.needsPin(server.service, key, server) {
-			decider.pinFlow(server.service, key, &flow)
+			decider.pinFlow(key, &flow)
 		}
 	}
 	if packet.PayloadLength > 0 && packet.Tuple.Protocol == framer.ProtocolTCP {
@@ -217,7 +218,7 @@
 	if server := service.expectedServer(key); server != nil && decider.hasAllPins() {
 		return decider.forwardToServer(packet, key, decider.learnFlow(key, server, packet))
 	}
-	if own, known := decider.flows.get(key); known && own.counted && !decider.isDomainUnreachable() && decider.hasVisitedAll(packet) {
+	if own, known := decider.flows.get(key); known && own.counted && !decider.domainUnreachable && decider.hasVisitedAll(packet) {
 		return decider.forwardToServer(packet, key, own) // no other instance has opened it
 	}
 	if verdict, ok := decider.relayToNextRank(packet, key); ok {
@@ -239,7 +240,7 @@
 
 // hasAllPins reports whether this instance has every pin that the others rely on.
 func (decider *Decider) hasAllPins() bool {
-	return decider.integrated && !decider.pinsPending && !decider.isDomainUnreachable()
+	return decider.integrated && !decider.pinsPending && !decider.domainUnreachable
 }
 
 // relayToNextRank relays a packet to the next instance that may know its flow, in the
@@ -286,7 +287,7 @@
 	}
 	var beyond []viewEntry
 	for _, member := range decider.sortedMembers {
-		justJoined := decider.now.Sub(member.joinedAt) < FailureTimeout
+		justJoined := decider.now.Sub(member.joinedAt) < HeartbeatInterval
 		if member.listed && (!member.reachable || justJoined) {
 			beyond = append(beyond, viewEntry{hash: member.hash, member: member})
 		}
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -66,12 +66,13 @@
 // queuePin queues a pin for one member until the next flush.
 func (decider *Decider) queuePin(member *member, pin Pin) {
 	member.queuedPins = append(member.queuedPins, pin)
+	decider.pinsQueued = true
 	if len(member.queuedPins) >= maxPinsPerMessage {
 		decider.flushMemberPins(member)
 	}
 }
 
-// broadcastPin queues a pin for every reachable member.
+// broadcastPin queues a pin for every reachable member until the next flush.
 func (decider *Decider) broadcastPin(pin Pin) {
 	for _, member := range decider.sortedMembers {
 		if member.reachable {
@@ -80,12 +81,10 @@
 	}
 }
 
-// pinFlow binds a flow of this home to its backend server on every instance, at the next flush or,
-// if that is soon enough, with the next heartbeat.
-func (decider *Decider) pinFlow(service *service, key uint64, flow *flow) {
+// pinFlow binds a flow of this home to its backend server on every instance.
+func (decider *Decider) pinFlow(key uint64, flow *flow) {
 	decider.markPinned(flow)
 	decider.broadcastPin(Pin{Flow: key, Server: flow.serverID})
-	decider.pinsQueued = decider.pinsQueued || !service.pinCanWait(key, flow.serverID)
 }
 
 // markPinned marks a flow as pinned; a pin that is received again keeps its time.
@@ -108,17 +107,11 @@
 	}
 }
 
-// flushPins sends the queued pins, since other instances wait for them: with heartbeats,
-// unless the last ones have just been sent.
+// flushPins sends the queued pins at once, since other instances wait for them.
 func (decider *Decider) flushPins() {
 	if !decider.pinsQueued {
 		return
 	}
-	if decider.now.Sub(decider.lastHeartbeat) >= minHeartbeatGap {
-		decider.heartbeatDue = true
-		decider.flushHeartbeat()
-		return
-	}
 	decider.pinsQueued = false
 	for _, member := range decider.sortedMembers {
 		decider.flushMemberPins(member)
@@ -132,6 +125,13 @@
 	}
 }
 
+func (decider *Decider) flushMemberFlows(member *member) {
+	if len(member.queuedFlows) > 0 {
+		decider.send(member, Message{Flows: PackPins(member.queuedFlows)})
+		member.queuedFlows = nil
+	}
+}
+
 // receivePins applies the pins and unpins that another instance has sent.
 func (decider *Decider) receivePins(packed []byte) {
 	eachPin(packed, func(pin Pin) {
--- a/decider/return.go
+++ b/decider/return.go
@@ -120,7 +120,7 @@
 	decider.recordSignals(server, packet, &flow)
 	if accepted && !flow.pinned && (flow.serverChanged || decider.needsPin(server.service, key, server)) {
 		decider.counters.add(CountPinsAtAccept, 1)
-		decider.pinFlow(server.service, key, &flow)
+		decider.pinFlow(key, &flow)
 		decider.flushPins()
 	}
 	flow.applyFlags(packet.Flags, false)
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -78,43 +78,13 @@
 // advanceEpochs activates and retires epochs as far as the other instances' progress allows.
 func (decider *Decider) advanceEpochs() {
 	for _, service := range decider.sortedServices {
-		decider.updateBehind(service)
+		service.behind = decider.isOvertaken(service)
 		decider.activateWhenPrepared(service)
 		decider.retireEpochs(service)
 	}
 	decider.updateInForce()
 }
 
-// updateBehind records whether another instance opens flows by a newer epoch.
-func (decider *Decider) updateBehind(service *service) {
-	behind := decider.isOvertaken(service)
-	if behind != service.behind {
-		service.behind, service.changedAt = behind, decider.now
-	}
-}
-
-// isPrepared reports whether this instance is prepared for the target epoch.
-func (service *service) isPrepared() bool {
-	return service.active != nil && service.prepared == service.targetEpoch().ID
-}
-
-// reliesOnPins reports whether instances may forward packets of the service's flows in
-// reliance on having all pins; until this one is prepared they relay those on which epochs differ.
-func (service *service) reliesOnPins() bool { return service.allPinned || service.isPrepared() }
-
-// pinCanWait reports whether no instance that lacks the pin of a flow sends its packets to another
-// backend server: until this one is prepared, the active epoch decides or the packet is relayed.
-func (service *service) pinCanWait(key uint64, serverID uint32) bool {
-	if service.isPrepared() || service.active == nil {
-		return false
-	}
-	if !service.allPinned {
-		return true
-	}
-	picked := service.active.pick(key)
-	return picked != nil && picked.id == serverID
-}
-
 // scanFlows compares the next shards of the flow table with the target epoch. The first
 // pass reports flows that their homes may not know, the second pins flows.
 func (decider *Decider) scanFlows(service *service) {
@@ -139,13 +109,17 @@
 	if service.scanCursor < flowShards {
 		return
 	}
+	decider.flushPins()
+	for _, member := range decider.sortedMembers {
+		decider.flushMemberFlows(member)
+	}
 	service.scanCursor = 0
 	if pinning {
 		service.prepared = target.ID
 	} else {
 		service.scanned = target.ID
 	}
-	decider.announceState(service) // with the pins and flows that are queued
+	decider.announceState(service)
 }
 
 // scanShard pins or reports the flows of a shard for which the target epoch picks
@@ -180,7 +154,7 @@
 		if !decider.reservePinBudget(service, len(decider.reachable)-1) {
 			return false
 		}
-		decider.pinFlow(service, key, flow)
+		decider.pinFlow(key, flow)
 		decider.counters.add(CountPinsSent, 1)
 	case !pinning && flow.orphan && home != nil:
 		if !decider.reservePinBudget(service, 1) {
@@ -309,7 +283,6 @@
 	service.epochs = slices.DeleteFunc(slices.Clone(service.epochs), func(epoch *epoch) bool { return epoch.ID.Compare(active) < 0 })
 	service.generation++
 	service.allPinned = true
-	service.changedAt = decider.now
 	decider.counters.add(CountEpochsRetired, 1)
 }
 
