--- a/decider/decider.go
+++ b/decider/decider.go
@@ -26,11 +26,11 @@
 	heartbeatCount int
 
 	members              map[string]*member
-	sortedMembers        []*member   // by name, so that every run visits them in the same order
-	view                 []viewEntry // instances that can be home of a flow, by hash
-	oldViews             []oldView   // recent ones, oldest first
-	lastView             []viewEntry // last view that was not empty; while leaving, the view before the last change
-	reachable            []viewEntry // reachable instances and this one, by hash
+	sortedMembers        []*member     // by name, so that every run visits them in the same order
+	view                 []viewEntry   // instances that can be home of a flow, by hash
+	oldViews             [][]viewEntry // recent ones, oldest first
+	lastView             []viewEntry   // last view that was not empty; while leaving, the view before the last change
+	reachable            []viewEntry   // reachable instances and this one, by hash
 	viewChangedAt        time.Time
 	lastLossAt           time.Time // when an instance last became unreachable without announcing its stop
 	viewDigest           uint32    // of view
--- a/decider/flows.go
+++ b/decider/flows.go
@@ -17,12 +17,11 @@
 	datagram // a UDP flow, from its first datagram on
 )
 
-// flow is the entry of a flow in the flow table; 32 bytes with its padding.
+// flow is the entry of a flow in the flow table; 28 bytes with its padding.
 type flow struct {
 	serverID        uint32
 	lastSeen        uint32 // seconds since the start of the decider
 	expectedAck     uint32 // acknowledgment number that the pending response will carry
-	pinnedAt        uint32 // seconds since the start of the decider, if pinned
 	sentAt          uint32 // uptime in microseconds, wrapping, when the pending request or opening was forwarded
 	generation      uint16 // of the service when the entry was last found valid
 	state           flowState
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -80,8 +80,7 @@
 		decider.counters.add(CountStaleIncarnation, 1)
 		return
 	}
-	restarted := heartbeat.Incarnation != member.incarnation
-	joined := !member.reachable || restarted
+	joined := !member.reachable || heartbeat.Incarnation != member.incarnation
 	viewInputs := [...]bool{member.reachable, member.leaving, member.integrated}
 	member.incarnation = heartbeat.Incarnation
 	member.reachable = true
@@ -102,7 +101,7 @@
 		decider.adoptActive(state)
 	}
 	if joined {
-		decider.startHandover(member, restarted)
+		decider.startHandover(member)
 	}
 	decider.updateHandovers()
 	if joined || viewInputs != [...]bool{member.reachable, member.leaving, member.integrated} {
@@ -114,8 +113,8 @@
 }
 
 // startHandover sends to an instance that is new, restarted or reachable again everything that it
-// needs; one that was restarted or paused has lost what it received earlier.
-func (decider *Decider) startHandover(member *member, restarted bool) {
+// needs.
+func (decider *Decider) startHandover(member *member) {
 	member.handoverComplete = false
 	member.hasOurAddresses = false
 	member.pinsPending = member.integrated
@@ -128,7 +127,7 @@
 	heartbeat.Self = &decider.config.Self
 	decider.send(member, Message{Heartbeat: &heartbeat})
 	decider.sendSnapshot(member)
-	decider.sendHomePins(member, restarted)
+	decider.sendHomePins(member)
 	decider.send(member, Message{Handover: &Handover{CompleteFor: member.incarnation}})
 }
 
@@ -151,16 +150,11 @@
 
 // sendHomePins sends the pins of the flows that this instance is, or recently was, home of.
 // Those that it recently was home of are included because the view changes with each
-// instance that becomes reachable. An instance that was not restarted has those from
-// before it became unreachable.
-func (decider *Decider) sendHomePins(to *member, restarted bool) {
-	missingSince := uint32(0)
-	if !restarted {
-		missingSince = decider.firstMissingPin(to)
-	}
+// instance that becomes reachable.
+func (decider *Decider) sendHomePins(to *member) {
 	for i := range decider.flows.shards {
 		decider.flows.shards[i].forEach(func(key uint64, flow *flow) bool {
-			if flow.pinned && flow.pinnedAt >= missingSince && flow.state != closed && decider.isOrWasHome(key) {
+			if flow.pinned && flow.state != closed && decider.isOrWasHome(key) {
 				decider.counters.add(CountPinsToJoiners, 1)
 				decider.queuePin(to, Pin{Flow: key, Server: flow.serverID})
 			}
@@ -170,17 +164,6 @@
 	decider.flushMemberPins(to)
 }
 
-// firstMissingPin returns the pinnedAt of the first pins that an unreachable instance may not have
-// received. A message sent FailureTimeout before its last one has arrived. Pins that it
-// may have removed as idle count as not received.
-func (decider *Decider) firstMissingPin(member *member) uint32 {
-	received := member.lastHeard.Add(-FailureTimeout)
-	if received.Before(decider.started) || decider.now.Sub(received) > establishedTimeout/2 {
-		return 0
-	}
-	return decider.uptimeSeconds(received)
-}
-
 // receiveHandover applies the state that another instance hands over to this one.
 func (decider *Decider) receiveHandover(member *member, handover *Handover) {
 	for _, instance := range handover.Members {
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -25,7 +25,6 @@
 	hasOurAddresses   bool      // it has received the addresses of this instance
 	pinsPending       bool      // it was integrated when it became reachable, and may have opened flows whose pins are still to come
 	joinedAt          time.Time // when it last became reachable or was restarted
-	lastHeard         time.Time // when its last message came before it became unreachable
 	sheetVersion      uint64
 	inForce           uint64
 	activeDigest      uint64
@@ -43,12 +42,6 @@
 	member *member
 }
 
-// oldView is a view that another one has replaced.
-type oldView struct {
-	entries    []viewEntry
-	replacedAt time.Time
-}
-
 // MemberStatus describes another instance as this one sees it.
 type MemberStatus struct {
 	Name          string `json:"name"`
@@ -218,20 +211,12 @@
 
 // markUnreachable records that an instance is unreachable, and drops what is queued for it.
 func (decider *Decider) markUnreachable(member *member) {
-	member.disconnect()
+	member.reachable, member.handoverComplete, member.hasOurAddresses = false, false, false
 	member.queuedPins, member.queuedUnpins, member.queuedFlows = nil, nil, nil
 	decider.counters.add(CountMembersLost, 1)
 	decider.recordEvent(EventMemberLost, "instance", member.Name)
 }
 
-// disconnect records that nothing more is known to reach a member.
-func (member *member) disconnect() {
-	if member.reachable {
-		member.lastHeard = member.lastReceived
-	}
-	member.reachable, member.handoverComplete, member.hasOurAddresses = false, false, false
-}
-
 // unreachableListed counts the listed instances that are unreachable.
 func (decider *Decider) unreachableListed() int {
 	count := 0
@@ -249,7 +234,7 @@
 	if len(view) == 0 {
 		return
 	}
-	decider.oldViews = append(decider.oldViews, oldView{entries: view, replacedAt: decider.now})
+	decider.oldViews = append(decider.oldViews, view)
 	decider.oldViews = decider.oldViews[max(0, len(decider.oldViews)-maxOldViews):]
 }
 
@@ -260,21 +245,20 @@
 	}
 	home := decider.home(key)
 	for _, view := range decider.oldViews {
-		if homeInView(view.entries, key) != home {
+		if homeInView(view, key) != home {
 			return true
 		}
 	}
 	return false
 }
 
-// isOrWasHome reports whether this instance is home of a flow, or was under a view that was
-// replaced within joinWindow. After that the present home has the pins of the one before it.
+// isOrWasHome reports whether this instance is home of a flow, or was under a recent view.
 func (decider *Decider) isOrWasHome(key uint64) bool {
 	if decider.isHome(key) {
 		return true
 	}
 	for _, view := range decider.oldViews {
-		if decider.now.Sub(view.replacedAt) < joinWindow && homeInView(view.entries, key) == nil {
+		if homeInView(view, key) == nil {
 			return true
 		}
 	}
--- a/decider/merge.go
+++ b/decider/merge.go
@@ -10,7 +10,7 @@
 	decider.integrated = false
 	decider.integrationStartedAt = decider.now
 	for _, member := range decider.sortedMembers {
-		member.disconnect()
+		member.reachable, member.handoverComplete, member.hasOurAddresses = false, false, false
 	}
 	for _, service := range decider.sortedServices {
 		service.allPinned = false
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -83,17 +83,8 @@
 
 // pinFlow binds a flow of this home to its backend server on every instance.
 func (decider *Decider) pinFlow(key uint64, flow *flow) {
-	decider.markPinned(flow)
-	decider.broadcastPin(Pin{Flow: key, Server: flow.serverID})
-}
-
-// markPinned marks a flow as pinned; a pin that is received again keeps its time.
-func (decider *Decider) markPinned(flow *flow) {
-	if flow.pinned {
-		return
-	}
 	flow.pinned = true
-	flow.pinnedAt = decider.uptimeSeconds(decider.now)
+	decider.broadcastPin(Pin{Flow: key, Server: flow.serverID})
 }
 
 // broadcastUnpin removes the pin of a flow that has ended from every instance; this is not
@@ -191,7 +182,7 @@
 		flow.state = established
 	}
 	flow.serverID = pin.Server
-	decider.markPinned(&flow)
+	flow.pinned = true
 	flow.orphan = false
 	flow.lastSeen = decider.uptimeSeconds(decider.now)
 	decider.putFlow(pin.Flow, flow)
