--- a/decider/corner_test.go
+++ b/decider/corner_test.go
@@ -173,7 +173,7 @@
 	fleet := newStartedFleet(t)
 	decider := fleet.deciders["a1"]
 	member := decider.sortedMembers[0]
-	member.queuedUnpins = []Pin{{Flow: 7}}
+	member.queuedUnpins = AppendPin(nil, Pin{Flow: 7})
 	decider.TakeOutbox()
 	decider.Tick(decider.now.Add(HeartbeatInterval))
 	for _, outgoing := range decider.TakeOutbox() {
--- a/decider/heartbeat.go
+++ b/decider/heartbeat.go
@@ -22,7 +22,7 @@
 		member.lastHeartbeatSent = decider.now
 		message := Message{Heartbeat: &copied}
 		if member.reachable {
-			message.Pins, message.Flows = PackPins(member.queuedUnpins), PackPins(member.queuedFlows) // not urgent, so they wait for a heartbeat
+			message.Pins, message.Flows = member.queuedUnpins, member.queuedFlows // not urgent, so they wait for a heartbeat
 			member.queuedUnpins, member.queuedFlows = nil, nil
 		}
 		decider.send(member, message)
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -32,7 +32,7 @@
 		decider.flows.shards[i].forEach(func(key uint64, flow *flow) bool {
 			if !flow.pinned && flow.state != closed && homeInView(decider.lastView, key) == nil {
 				home := decider.home(key)
-				home.queuedFlows = append(home.queuedFlows, Pin{Flow: key, Server: flow.serverID})
+				home.queuedFlows = AppendPin(home.queuedFlows, Pin{Flow: key, Server: flow.serverID})
 			}
 			return true
 		})
--- a/decider/membership.go
+++ b/decider/membership.go
@@ -29,9 +29,9 @@
 	inForce           uint64
 	activeDigest      uint64
 	services          map[uint64]ServiceState // by hash of the service's name
-	queuedPins        []Pin
-	queuedUnpins      []Pin
-	queuedFlows       []Pin     // for it as their new home
+	queuedPins        []byte                  // encoded by AppendPin, as the next two
+	queuedUnpins      []byte
+	queuedFlows       []byte    // for it as their new home
 	sentSheetVersion  uint64    // newest version sent to it
 	differsSince      time.Time // when its active epochs began to differ from those of this instance
 }
--- a/decider/message.go
+++ b/decider/message.go
@@ -118,7 +118,7 @@
 	Heartbeat *Heartbeat   `cbor:"1,keyasint,omitempty"`
 	Handover  *Handover    `cbor:"2,keyasint,omitempty"`
 	Epochs    []Epoch      `cbor:"3,keyasint,omitempty"`
-	Pins      []byte       `cbor:"4,keyasint,omitempty"` // encoded by PackPins
+	Pins      []byte       `cbor:"4,keyasint,omitempty"` // encoded by AppendPin
 	Sheet     *SheetUpdate `cbor:"5,keyasint,omitempty"`
 	Loads     []ServerLoad `cbor:"6,keyasint,omitempty"`
 	Flows     []byte       `cbor:"7,keyasint,omitempty"` // encoded like pins, for the new home of the flows only
--- a/decider/packet.go
+++ b/decider/packet.go
@@ -163,7 +163,7 @@
 		return
 	}
 	if home := decider.lastKnownHome(key); home != nil {
-		home.queuedFlows = append(home.queuedFlows, Pin{Flow: key, Server: server.id})
+		home.queuedFlows = AppendPin(home.queuedFlows, Pin{Flow: key, Server: server.id})
 		decider.pinsQueued = true
 	}
 }
--- a/decider/pins.go
+++ b/decider/pins.go
@@ -1,73 +1,31 @@
 package decider
 
-import (
-	"cmp"
-	"encoding/binary"
-	"slices"
-)
+import "encoding/binary"
 
 const (
-	pinLength         = 8 // bytes of a pin in a packed group
+	pinLength         = 12 // bytes
 	maxPinsPerMessage = 1200
 )
 
-// PackPins encodes pins in groups of one backend server each: four bytes of its ID, the number
-// of flows as a varint, and eight bytes for each flow. Of several pins of a flow the last counts.
-func PackPins(pins []Pin) []byte {
-	if len(pins) == 0 {
-		return nil
-	}
-	sorted := lastOfEachFlow(pins)
-	slices.SortStableFunc(sorted, func(a, b Pin) int { return cmp.Compare(a.Server, b.Server) })
-	packed := make([]byte, 0, pinLength*(len(sorted)+1))
-	for len(sorted) > 0 {
-		server := sorted[0].Server
-		count := slices.IndexFunc(sorted, func(pin Pin) bool { return pin.Server != server })
-		if count < 0 {
-			count = len(sorted)
-		}
-		packed = binary.BigEndian.AppendUint32(packed, server)
-		packed = binary.AppendUvarint(packed, uint64(count))
-		for _, pin := range sorted[:count] {
-			packed = binary.BigEndian.AppendUint64(packed, pin.Flow)
-		}
-		sorted = sorted[count:]
-	}
-	return packed
-}
-
-// lastOfEachFlow returns the pins by flow, without those that a later one replaces.
-func lastOfEachFlow(pins []Pin) []Pin {
-	sorted := slices.Clone(pins)
-	slices.Reverse(sorted)
-	slices.SortStableFunc(sorted, func(a, b Pin) int { return cmp.Compare(a.Flow, b.Flow) })
-	return slices.CompactFunc(sorted, func(a, b Pin) bool { return a.Flow == b.Flow })
+// AppendPin appends the twelve bytes of a pin to buffer and returns it.
+func AppendPin(buffer []byte, pin Pin) []byte {
+	buffer = binary.BigEndian.AppendUint64(buffer, pin.Flow)
+	return binary.BigEndian.AppendUint32(buffer, pin.Server)
 }
 
 // eachPin calls handle for every complete pin in packed.
 func eachPin(packed []byte, handle func(Pin)) {
-	for len(packed) > 4 {
-		server := binary.BigEndian.Uint32(packed)
-		count, length := binary.Uvarint(packed[4:])
-		if length <= 0 {
-			return
-		}
-		packed = packed[4+length:]
-		for ; count > 0 && len(packed) >= pinLength; count-- {
-			handle(Pin{Flow: binary.BigEndian.Uint64(packed), Server: server})
-			packed = packed[pinLength:]
-		}
-		if count > 0 {
-			return
-		}
+	for len(packed) >= pinLength {
+		handle(Pin{Flow: binary.BigEndian.Uint64(packed), Server: binary.BigEndian.Uint32(packed[8:])})
+		packed = packed[pinLength:]
 	}
 }
 
 // queuePin queues a pin for one member until the next flush.
 func (decider *Decider) queuePin(member *member, pin Pin) {
-	member.queuedPins = append(member.queuedPins, pin)
+	member.queuedPins = AppendPin(member.queuedPins, pin)
 	decider.pinsQueued = true
-	if len(member.queuedPins) >= maxPinsPerMessage {
+	if len(member.queuedPins) >= maxPinsPerMessage*pinLength {
 		decider.flushMemberPins(member)
 	}
 }
@@ -93,7 +51,7 @@
 	decider.counters.add(CountUnpins, 1)
 	for _, member := range decider.sortedMembers {
 		if member.reachable {
-			member.queuedUnpins = append(member.queuedUnpins, Pin{Flow: key})
+			member.queuedUnpins = AppendPin(member.queuedUnpins, Pin{Flow: key})
 		}
 	}
 }
@@ -111,14 +69,14 @@
 
 func (decider *Decider) flushMemberPins(member *member) {
 	if len(member.queuedPins) > 0 {
-		decider.send(member, Message{Pins: PackPins(member.queuedPins)})
+		decider.send(member, Message{Pins: member.queuedPins})
 		member.queuedPins = nil
 	}
 }
 
 func (decider *Decider) flushMemberFlows(member *member) {
 	if len(member.queuedFlows) > 0 {
-		decider.send(member, Message{Flows: PackPins(member.queuedFlows)})
+		decider.send(member, Message{Flows: member.queuedFlows})
 		member.queuedFlows = nil
 	}
 }
--- a/decider/stage.go
+++ b/decider/stage.go
@@ -161,7 +161,7 @@
 			return false
 		}
 		flow.orphan = false
-		home.queuedFlows = append(home.queuedFlows, Pin{Flow: key, Server: flow.serverID})
+		home.queuedFlows = AppendPin(home.queuedFlows, Pin{Flow: key, Server: flow.serverID})
 		decider.counters.add(CountOrphansSent, 1)
 	}
 	return true
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -19,7 +19,7 @@
 
 // alpnProtocol is the ALPN protocol name; it changes when older instances cannot decode
 // the messages anymore.
-const alpnProtocol = "pimentowind/2"
+const alpnProtocol = "pimentowind/1"
 
 const (
 	queueLength      = 1024            // messages queued for one instance
