Soak: bursts, cold servers that return, silent servers beside changes of the routers

Cause: the soak did not reach what admission control, the budgets of servers that turn cold again, and the signs of silent servers promise.

Change: servers have three slots and shed a request that would wait longer than 40 ms. Three kinds of faults are appended: a burst of 675 openings a second for a service that works off 450, in two priorities; one or two failure domains are evacuated and taken back with servers that have turned cold and say so up to a second later; servers fall silent while the routers change their set each 0.4 s. Checked: an opening that was refused reached no server, before or after; no instance refuses an urgent opening while it admits a later, less urgent one; nothing is refused 2 s after a burst while a warm server is in reach; no opening is held longer than its bound, unless one of a service with room was late at the same instance too. Copies of openings carry their number, as callers' do. Limits of drains, evacuations and routes now hold also while other instances are killed, paused or stopped. Locks: no server's mutex is taken under the soak's any more (checkOpening does the reverse).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -40,6 +40,8 @@
 	seeds := application.Flag("seeds", "Number of consecutive seeds to run, one after another.").Default("1").Int()
 	duration := application.Flag("for", "How long to inject faults.").Default("60s").Duration()
 	instances := application.Flag("instances", "Number of instances, 250 at most.").Default("6").Int()
+	domains := application.Flag("failure-domains", "Number of failure domains.").Default("3").Int()
+	faults := application.Flag("fault", "Kind of fault to draw from; may be repeated. All by default.").Enums(soaker.FaultNames()...)
 	callers := application.Flag("callers", "Number of callers, 250 at most.").Default("4").Int()
 	regressions := application.Flag("regressions", "Run the regression seeds instead: those that found a defect before.").Bool()
 	keepGoing := application.Flag("keep-going", "Continue with the next seed after a violation.").Bool()
@@ -47,7 +49,7 @@
 		return nil, err
 	}
 	options := &options{keepGoing: *keepGoing}
-	options.settings = soaker.Settings{Instances: *instances, Callers: *callers, CheckTimeLimits: true}
+	options.settings = soaker.Settings{Instances: *instances, FailureDomains: *domains, Callers: *callers, FaultNames: *faults, CheckTimeLimits: true}
 	for i := range *seeds {
 		options.runs = append(options.runs, soaker.Regression{Seed: *seed + uint64(i), Duration: *duration})
 	}
@@ -117,8 +119,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, served %d, refused %d, failed %d, violations %d\n",
-		report.Seed, len(report.Timeline), report.Served, report.Refused, report.Failed, len(report.Violations))
+	fmt.Printf("seed %d: %d faults, served %d, refused %d, shed %d, failed %d, violations %d\n",
+		report.Seed, len(report.Timeline), report.Served, report.Refused, report.Shed, report.Failed, len(report.Violations))
 	if len(report.Violations) == 0 {
 		return true, os.RemoveAll(settings.Directory)
 	}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -77,6 +77,7 @@
 	served  outcome = iota
 	refused         // the flow was reset while it opened
 	failed          // no answer in time, or a reset of an open flow
+	shed            // the server's queue was full, and it did not execute the request
 )
 
 // open opens a flow to a route. If the flow does not open, it returns nil and the
@@ -96,11 +97,12 @@
 	caller.mutex.Unlock()
 	deadline := time.After(openingTimeout)
 	retransmissions := []<-chan time.Time{time.After(200 * time.Millisecond), time.After(600 * time.Millisecond)}
-	flow.send(packet{flags: flagSYN})
+	flow.sendOpening(0)
 	for {
 		select {
 		case received := <-flow.packets:
 			if received.flags&flagRST != 0 {
+				caller.soak.checkRefusal(flow.key)
 				flow.close()
 				return nil, refused
 			}
@@ -111,9 +113,9 @@
 				return flow, served
 			}
 		case <-retransmissions[0]:
-			flow.send(packet{flags: flagSYN})
+			flow.sendOpening(1)
 		case <-retransmissions[1]:
-			flow.send(packet{flags: flagSYN})
+			flow.sendOpening(2)
 		case <-deadline:
 			flow.close()
 			return nil, failed
@@ -121,10 +123,26 @@
 	}
 }
 
-func (flow *callerFlow) send(sent packet) {
+// sendOpening sends the opening, or a copy of it, whose acknowledgment number is its number.
+func (flow *callerFlow) sendOpening(copyNumber uint32) {
+	flow.expectedSequence = copyNumber
+	soak := flow.caller.soak
+	soak.openingMutex.Lock()
+	defer soak.openingMutex.Unlock()
+	if copyNumber == 0 {
+		soak.openings[flow.key] = &opening{sentAt: time.Now(), route: flow.key[1]}
+	}
+	opening := soak.openings[flow.key]
+	if instance := flow.send(packet{flags: flagSYN}); instance != nil {
+		opening.instances = append(opening.instances, instance)
+	}
+}
+
+// send returns the instance that the packet was sent to.
+func (flow *callerFlow) send(sent packet) *instance {
 	sent.source, sent.destination, sent.token = flow.key[0], flow.key[1], flow.token
 	sent.sequence, sent.acknowledgment = flow.sequence, flow.expectedSequence
-	flow.caller.soak.forwarder.forward(sent.encodeWithChecksum(), flow.key)
+	return flow.caller.soak.forwarder.forward(sent.encodeWithChecksum(), flow.key)
 }
 
 // sendRequest sends one request, retransmits it until an answer arrives, and checks the
@@ -162,7 +180,7 @@
 func (flow *callerFlow) acceptAnswer(id string, received packet) outcome {
 	answer := string(received.data)
 	name := answeringServer(answer)
-	if answer != "answer to "+id+" by "+name {
+	if answer != answerTo(id, name) && answer != shedAnswer(name) {
 		flow.caller.soak.recordViolation("request %s received the answer %q", id, answer)
 	}
 	if flow.server != "" && flow.server != name {
@@ -171,6 +189,9 @@
 	flow.server, flow.token = name, received.token
 	flow.sequence += uint32(len(id))
 	flow.expectedSequence += uint32(len(received.data))
+	if answer == shedAnswer(name) {
+		return shed
+	}
 	return served
 }
 
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -30,12 +30,16 @@
 // server's mutex.
 func (soak *soak) checkOpening(server *server, received packet) {
 	leavingAt := server.leavingAt
+	soak.openingMutex.Lock()
+	opening := soak.openings[[2]netip.AddrPort{received.source, received.destination}]
+	isUndisturbed := opening != nil && soak.isUndisturbed(opening)
+	soak.openingMutex.Unlock()
 	soak.mutex.Lock()
-	afterDrain := soak.isStable() && !leavingAt.IsZero() && time.Since(leavingAt) > drainNoticeLimit+timeTolerance
+	afterDrain := isUndisturbed && !leavingAt.IsZero() && time.Since(leavingAt) > drainNoticeLimit+timeTolerance
 	evacuatedAt, evacuated := soak.evacuatedAt[server.failureDomain()]
-	afterEvacuation := soak.isStable() && evacuated && time.Since(evacuatedAt) > evacuationLimit+timeTolerance
+	afterEvacuation := isUndisturbed && evacuated && time.Since(evacuatedAt) > evacuationLimit+timeTolerance
 	removedAt := soak.extraRouteRemovedAt
-	afterRemoval := soak.isStable() && received.destination == extraRoute && !removedAt.IsZero() && time.Since(removedAt) > configurationApplyLimit+timeTolerance
+	afterRemoval := isUndisturbed && received.destination == extraRoute && !removedAt.IsZero() && time.Since(removedAt) > configurationApplyLimit+timeTolerance
 	soak.mutex.Unlock()
 	switch {
 	case serviceByRoute[received.destination] != server.service:
@@ -80,6 +84,8 @@
 	case route == extraRoute:
 	case result == refused:
 		soak.report.Refused++
+	case result == shed:
+		soak.report.Shed++
 	default:
 		soak.report.Failed++
 	}
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -11,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/pimentowind/pimentowind/parser"
-	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/platform/standin"
 )
 
@@ -20,12 +17,15 @@
 	drainGracePeriod = 5 * time.Second         // shortest time that a leaving server keeps its flows
 	entryExpiryTime  = 3600 * time.Millisecond // after which an entry that is not renewed leaves the store
 	stopTimeout      = 6 * time.Second         // for an instance to exit after a signal
+
+	routerChangeInterval = 400 * time.Millisecond
 )
 
 // fault is a kind of fault that a run can inject.
 type fault struct {
-	name   string
-	inject func(soak *soak, parameters faultParameters) // returns when the fault is over
+	name       string
+	inject     func(soak *soak, parameters faultParameters) // returns when the fault is over
+	isConfined bool                                         // disturbs only the instances that disturb marks
 }
 
 // faultParameters holds the random parameters of one fault. They are drawn before the
@@ -42,42 +42,48 @@
 var faults = []fault{
 	{"kill", func(soak *soak, parameters faultParameters) {
 		soak.restartInstance(soak.target(parameters), syscall.SIGKILL, parameters.duration/4)
-	}},
+	}, true},
 	{"stop and start", func(soak *soak, parameters faultParameters) {
 		soak.restartInstance(soak.target(parameters), syscall.SIGTERM, 0)
-	}},
-	{"pause", pauseInstance},
-	{"hangup", func(soak *soak, parameters faultParameters) { soak.target(parameters).signal(syscall.SIGHUP) }},
-	{"kill most", killAllButTarget},
+	}, true},
+	{"pause", pauseInstance, true},
+	{"hangup", func(soak *soak, parameters faultParameters) {
+		defer soak.disturb(soak.target(parameters))()
+		soak.target(parameters).signal(syscall.SIGHUP)
+	}, true},
+	{"kill most", killAllButTarget, true},
 	{"store does not serve", func(soak *soak, parameters faultParameters) {
 		status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[parameters.choice%2]
 		soak.injectStoreFault(standin.StoreFaults{Status: status}, parameters.duration)
-	}},
+	}, false},
 	{"store is slow", func(soak *soak, parameters faultParameters) {
 		soak.injectStoreFault(standin.StoreFaults{Delay: 300 * time.Millisecond}, parameters.duration)
-	}},
+	}, false},
 	{"answers are lost", func(soak *soak, parameters faultParameters) {
 		soak.injectStoreFault(standin.StoreFaults{LostResponses: 3}, parameters.duration)
-	}},
-	{"entries lapse", expireEntries},
-	{"connections of one", func(soak *soak, parameters faultParameters) { soak.injectProxyFault(parameters, 1) }},
+	}, false},
+	{"entries lapse", expireEntries, false},
+	{"connections of one", func(soak *soak, parameters faultParameters) { soak.injectProxyFault(parameters, 1) }, false},
 	{"connections of half", func(soak *soak, parameters faultParameters) {
 		soak.injectProxyFault(parameters, (len(soak.instances)+1)/2)
-	}},
-	{"server crashes", crashServer},
-	{"server leaves", drainServer},
-	{"configuration", func(soak *soak, parameters faultParameters) { soak.publishConfiguration(parameters.choice%2 == 0) }},
-	{"instance cut from the others", partitionInstance},
-	{"failure domain cut from the others", partitionFailureDomain},
-	{"heartbeats of all", disturbHeartbeats},
+	}, false},
+	{"server crashes", crashServer, true},
+	{"server leaves", drainServer, true},
+	{"configuration", func(soak *soak, parameters faultParameters) { soak.publishConfiguration(parameters.choice%2 == 0) }, true},
+	{"instance cut from the others", partitionInstance, false},
+	{"failure domain cut from the others", partitionFailureDomain, false},
+	{"heartbeats of all", disturbHeartbeats, false},
 	{"store drops its history", func(soak *soak, parameters faultParameters) {
 		soak.store.DropHistory()
 		soak.injectStoreFault(standin.StoreFaults{HangWatches: parameters.choice%2 == 0}, parameters.duration)
-	}},
+	}, false},
 	{"evacuation begins or ends", func(soak *soak, parameters faultParameters) {
-		soak.toggleEvacuation(domainName(parameters.choice % failureDomainCount))
-	}},
-	{"servers fall silent", silenceServers},
+		soak.toggleEvacuation(soak.domainName(parameters.choice))
+	}, true},
+	{"servers fall silent", silenceServers, true},
+	{"burst", burst, true},
+	{"evacuated servers turn cold", returnCold, true},
+	{"servers fall silent, routers change", silenceDuringChanges, true},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
@@ -86,10 +92,7 @@
 	var group sync.WaitGroup
 	defer soak.endEvacuations()
 	defer group.Wait()
-	kinds := faults
-	if soak.settings.FaultKinds > 0 {
-		kinds = faults[:soak.settings.FaultKinds]
-	}
+	kinds := soak.kinds()
 	deadline := time.Now().Add(soak.settings.Duration)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		fault := kinds[soak.random.IntN(len(kinds))]
@@ -98,10 +101,10 @@
 			choice:   soak.random.IntN(1000),
 			duration: time.Duration(500+soak.random.IntN(4500)) * time.Millisecond,
 		}
-		soak.recordFaultStart(fmt.Sprintf("%s: target %d, choice %d, %s", fault.name, parameters.target, parameters.choice, parameters.duration))
+		soak.recordFaultStart(fmt.Sprintf("%s: target %d, choice %d, %s", fault.name, parameters.target, parameters.choice, parameters.duration), fault.isConfined)
 		group.Go(func() {
-			defer soak.recordFaultEnd()
 			fault.inject(soak, parameters)
+			soak.recordFaultEnd(fault.isConfined)
 		})
 		// One gap in eight is long enough for the time limits to apply.
 		gap := time.Duration(200+soak.random.IntN(1800)) * time.Millisecond
@@ -112,18 +115,61 @@
 	}
 }
 
-func (soak *soak) recordFaultStart(line string) {
+// kinds returns the kinds of faults that the run draws from.
+func (soak *soak) kinds() []fault {
+	if soak.settings.FaultKinds > 0 {
+		return faults[:soak.settings.FaultKinds]
+	}
+	if len(soak.settings.FaultNames) == 0 {
+		return faults
+	}
+	var kinds []fault
+	for _, fault := range faults {
+		if slices.Contains(soak.settings.FaultNames, fault.name) {
+			kinds = append(kinds, fault)
+		}
+	}
+	return kinds
+}
+
+// FaultNames returns the names of all kinds of faults.
+func FaultNames() []string {
+	var names []string
+	for _, fault := range faults {
+		names = append(names, fault.name)
+	}
+	return names
+}
+
+func (soak *soak) recordFaultStart(line string, isConfined bool) {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
 	soak.report.Timeline = append(soak.report.Timeline, soak.withTimestamps(line))
-	soak.activeFaults++
+	if !isConfined {
+		soak.activeFaults++
+	}
+}
+
+func (soak *soak) recordFaultEnd(isConfined bool) {
+	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
+	if !isConfined {
+		soak.activeFaults--
+		soak.lastFaultEnd = time.Now()
+	}
 }
 
-func (soak *soak) recordFaultEnd() {
+// disturb marks an instance as disturbed until the function that it returns is called.
+func (soak *soak) disturb(instance *instance) func() {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
-	soak.activeFaults--
-	soak.lastFaultEnd = time.Now()
+	instance.activeFaults++
+	return func() {
+		soak.mutex.Lock()
+		defer soak.mutex.Unlock()
+		instance.activeFaults--
+		instance.lastFaultEnd = time.Now()
+	}
 }
 
 // target returns the instance that a fault affects.
@@ -135,6 +181,7 @@
 // Overlapping restarts of one instance run one after another, so that it never has
 // two processes.
 func (soak *soak) restartInstance(instance *instance, signal syscall.Signal, downtime time.Duration) {
+	defer soak.disturb(instance)()
 	instance.restartMutex.Lock()
 	defer instance.restartMutex.Unlock()
 	instance.signal(signal)
@@ -147,6 +194,7 @@
 
 func pauseInstance(soak *soak, parameters faultParameters) {
 	instance := soak.target(parameters)
+	defer soak.disturb(instance)()
 	instance.signal(syscall.SIGSTOP)
 	time.Sleep(parameters.duration)
 	instance.signal(syscall.SIGCONT)
@@ -169,39 +217,6 @@
 	soak.store.SetFaults(standin.StoreFaults{})
 }
 
-// expireEntries makes the store unavailable until entries of backend servers have
-// expired: all entries, or every second one for a third of the choices. The store comes
-// back without them, and the servers write them again later.
-func expireEntries(soak *soak, parameters faultParameters) {
-	soak.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
-	time.Sleep(entryExpiryTime)
-	expired := map[string]*server{}
-	soak.mutex.Lock()
-	for i, name := range slices.Sorted(maps.Keys(soak.servers)) {
-		if parameters.choice%3 != 0 || i%2 == 0 {
-			expired[name] = soak.servers[name]
-		}
-	}
-	soak.mutex.Unlock()
-	for _, server := range expired {
-		server.removeEntry()
-	}
-	soak.store.SetFaults(standin.StoreFaults{})
-	time.Sleep(parameters.duration / 3)
-	for _, server := range expired {
-		server.mutex.Lock()
-		stopped, leaving := server.stopped, !server.leavingAt.IsZero()
-		server.mutex.Unlock()
-		switch {
-		case stopped:
-		case leaving:
-			server.writeEntry(parser.Leaving)
-		default:
-			server.writeEntry(parser.Active)
-		}
-	}
-}
-
 // injectProxyFault disturbs the connections of count instances to the store.
 func (soak *soak) injectProxyFault(parameters faultParameters, count int) {
 	mode := []proxyMode{proxyDelay, proxyReset, proxyDrop, proxyDropResponses}[parameters.choice%4]
@@ -270,81 +285,3 @@
 		instance.viewProxy.setMode(proxyPass)
 	}
 }
-
-// replaceServer selects a server that accepts new flows and starts another one for the
-// same service. It returns the selected server for the caller to stop, or nil if no
-// server accepts new flows.
-func (soak *soak) replaceServer(parameters faultParameters) *server {
-	soak.mutex.Lock()
-	var selected *server
-	for number := uint64(0); number <= soak.lastServerNumber && selected == nil; number++ {
-		name := fmt.Sprintf("i-%08x", (uint64(parameters.choice)+number)%(soak.lastServerNumber+1))
-		if server := soak.servers[name]; server != nil && server.acceptsFlows() {
-			selected = server
-		}
-	}
-	soak.mutex.Unlock()
-	if selected == nil {
-		return nil
-	}
-	if _, err := soak.addServer(selected.service); err != nil {
-		soak.recordViolation("%v", err)
-	}
-	return selected
-}
-
-// silenceServers makes every third server answer nothing for a time; it keeps its flows.
-func silenceServers(soak *soak, parameters faultParameters) {
-	soak.mutex.Lock()
-	for i, name := range slices.Sorted(maps.Keys(soak.servers)) {
-		if (i+parameters.choice)%3 == 0 {
-			server := soak.servers[name]
-			server.mutex.Lock()
-			server.silentTo = time.Now().Add(parameters.duration)
-			server.mutex.Unlock()
-		}
-	}
-	soak.mutex.Unlock()
-	time.Sleep(parameters.duration)
-}
-
-func (server *server) acceptsFlows() bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	return !server.stopped && server.leavingAt.IsZero()
-}
-
-// crashServer stops a server without notice. Its entry stays until it would expire.
-func crashServer(soak *soak, parameters faultParameters) {
-	if selected := soak.replaceServer(parameters); selected != nil {
-		selected.stop()
-		time.Sleep(entryExpiryTime)
-		selected.removeEntry()
-	}
-}
-
-// toggleEvacuation evacuates a failure domain, or ends its evacuation.
-func (soak *soak) toggleEvacuation(domain string) {
-	soak.mutex.Lock()
-	defer soak.mutex.Unlock()
-	if _, evacuated := soak.evacuatedAt[domain]; evacuated {
-		delete(soak.evacuatedAt, domain)
-		soak.store.Remove(platform.EvacuationsKind, domain)
-		return
-	}
-	soak.evacuatedAt[domain] = time.Now()
-	soak.store.Put(platform.EvacuationsKind, domain, "{}")
-}
-
-// endEvacuations ends all evacuations.
-func (soak *soak) endEvacuations() {
-	for _, domain := range soak.store.Names(platform.EvacuationsKind) {
-		soak.toggleEvacuation(domain)
-	}
-}
-
-func drainServer(soak *soak, parameters faultParameters) {
-	if selected := soak.replaceServer(parameters); selected != nil {
-		selected.drain(drainGracePeriod + parameters.duration)
-	}
-}
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -35,11 +35,13 @@
 	address       netip.Addr
 	binary        string
 	directory     string // for settings and log
-	failureDomain int
-	storeProxy    *proxy // carries the instance's connections to the store
-	viewProxy     *proxy // carries requests of other instances for its view
-	heartbeatLink *link  // carries heartbeats from other instances
-	ready         bool   // guarded by the router's mutex
+	failureDomain string
+	storeProxy    *proxy    // carries the instance's connections to the store
+	viewProxy     *proxy    // carries requests of other instances for its view
+	heartbeatLink *link     // carries heartbeats from other instances
+	ready         bool      // guarded by the router's mutex
+	activeFaults  int       // guarded by the soak's mutex
+	lastFaultEnd  time.Time // likewise
 
 	restartMutex sync.Mutex // held while the process is restarted
 
@@ -83,7 +85,7 @@
 // the peers that it contacts first.
 func (instance *instance) writeSettings(seeds []string) error {
 	settings := map[string]any{
-		"instance": instance.name, "failure_domain": domainName(instance.failureDomain), "address": instance.address.String(),
+		"instance": instance.name, "failure_domain": instance.failureDomain, "address": instance.address.String(),
 		"advertised_address": instance.heartbeatLink.socket.LocalAddr().(*net.UDPAddr).IP.String(),
 		"packet_address":     instance.endpoint(packetPort), "ready_address": instance.endpoint(readyPort),
 		"control_address": instance.endpoint(controlPort), "peer_ports": []int{peerPort}, "seeds": seeds,
--- a/internal/soaker/router.go
+++ b/internal/soaker/router.go
@@ -24,8 +24,9 @@
 	socket    *net.UDPConn
 	instances []*instance
 
-	mutex sync.Mutex
-	ready []*instance
+	mutex    sync.Mutex
+	ready    []*instance
+	excluded map[*instance]bool // not used although ready
 }
 
 func newRouter(ctx context.Context, address netip.Addr, instances []*instance) (*router, error) {
@@ -60,19 +61,32 @@
 	}
 }
 
-// setReady updates an instance and the list of ready instances.
+// setReady updates an instance and the list of those that are used.
 func (router *router) setReady(changed *instance, ready bool) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	changed.ready = ready
+	router.selectReady()
+}
+
+// selectReady updates the list of instances that are used.
+func (router *router) selectReady() {
 	router.ready = router.ready[:0]
 	for _, instance := range router.instances {
-		if instance.ready {
+		if instance.ready && !router.excluded[instance] {
 			router.ready = append(router.ready, instance)
 		}
 	}
 }
 
+// setExcluded replaces the instances that are not used although they are ready.
+func (router *router) setExcluded(excluded map[*instance]bool) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.excluded = excluded
+	router.selectReady()
+}
+
 // readyCount returns the number of ready instances.
 func (router *router) readyCount() int {
 	router.mutex.Lock()
@@ -81,8 +95,8 @@
 }
 
 // forward sends a caller's packet to a ready instance, or to any instance if none is
-// ready.
-func (router *router) forward(content []byte, key [2]netip.AddrPort) {
+// ready, and returns the instance.
+func (router *router) forward(content []byte, key [2]netip.AddrPort) *instance {
 	hash := fnv.New32a()
 	hash.Write([]byte(key[0].String() + key[1].String()))
 	router.mutex.Lock()
@@ -93,4 +107,5 @@
 	target := targets[int(hash.Sum32())%len(targets)]
 	router.mutex.Unlock()
 	router.socket.WriteToUDPAddrPort(content, netip.AddrPortFrom(target.address, packetPort))
+	return target
 }
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -16,6 +16,8 @@
 
 const (
 	processingTime = 20 * time.Millisecond // of one request
+	slots          = 3                     // requests that a server works on at a time
+	queueTime      = 40 * time.Millisecond // after which a request that waits for a slot is shed
 	identityLength = 8                     // bytes in front of a packet to a backend server
 )
 
@@ -35,15 +37,30 @@
 	resetFlows map[[2]netip.AddrPort]bool // flows that the server itself reset
 	coldUntil  time.Time                  // end of the warm-up; zero if it has none
 	openings   []time.Time                // within the last second of the warm-up
+	slotFreeAt [slots]time.Time           // when each slot has worked off its requests
 }
 
 // serverFlow is the server's state of one flow.
 type serverFlow struct {
 	sequence uint32
-	open     bool              // the caller has completed the handshake
-	answers  map[uint32][]byte // by sequence number of the request
+	open     bool               // the caller has completed the handshake
+	answers  map[uint32]*answer // by sequence number of the request
 }
 
+// answer is the server's answer to one request.
+type answer struct {
+	data    []byte
+	readyAt time.Time
+}
+
+// answerTo returns the answer to an executed request. It is several times as long as a shedAnswer.
+func answerTo(id, server string) string {
+	return strings.Repeat(".", 100) + " answer to " + id + " by " + server
+}
+
+// shedAnswer returns the answer to a request that was not executed, because no slot was free in time.
+func shedAnswer(server string) string { return "shed by " + server }
+
 func newServer(soak *soak, name string, identity uint64, service string, address netip.AddrPort) (*server, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
@@ -61,7 +78,7 @@
 func (server *server) writeEntry(state parser.State) {
 	entry := viewer.BackendServer{
 		Service: server.service, Address: server.socket.LocalAddr().(*net.UDPAddr).AddrPort(),
-		FailureDomain: server.failureDomain(), Slots: 3, State: state, StartedAt: 1,
+		FailureDomain: server.failureDomain(), Slots: slots, State: state, StartedAt: 1,
 		ColdUntil: viewer.Deadline{Time: server.coldUntil},
 	}
 	server.soak.store.Put(platform.ServersKind, server.name, platform.EncodeServer(&entry))
@@ -69,7 +86,7 @@
 
 // failureDomain returns a failure domain such that each service has servers in all of them.
 func (server *server) failureDomain() string {
-	return domainName(int(server.identity/3) % failureDomainCount)
+	return server.soak.domainName(int(server.identity / 3))
 }
 
 // removeEntry removes the server's entry from the store.
@@ -125,11 +142,12 @@
 
 // acceptOpening accepts a new flow. A retransmitted SYN receives the same answer.
 func (server *server) acceptOpening(key [2]netip.AddrPort, received packet) {
+	server.soak.checkReception(key, server, received)
 	server.checkWarmUp()
 	flow := server.flows[key]
 	if flow == nil {
 		server.soak.checkOpening(server, received)
-		flow = &serverFlow{sequence: rand.Uint32(), answers: map[uint32][]byte{}}
+		flow = &serverFlow{sequence: rand.Uint32(), answers: map[uint32]*answer{}}
 		server.flows[key] = flow
 	}
 	server.send(received, packet{flags: flagSYN | flagACK, sequence: flow.sequence, acknowledgment: received.sequence + 1})
@@ -137,20 +155,38 @@
 
 // handleRequest executes a request once and answers retransmissions with the same bytes.
 func (server *server) handleRequest(flow *serverFlow, received packet) {
-	answer, executed := flow.answers[received.sequence]
-	if !executed {
-		id := string(received.data)
-		server.soak.recordExecution(id, server)
-		answer = []byte("answer to " + id + " by " + server.name)
+	answer := flow.answers[received.sequence]
+	if answer == nil {
+		answer = server.execute(string(received.data))
 		flow.answers[received.sequence] = answer
 	}
-	time.AfterFunc(processingTime, func() {
+	time.AfterFunc(time.Until(answer.readyAt), func() {
 		server.send(received, packet{
-			flags: flagACK, sequence: received.acknowledgment, acknowledgment: received.sequence + uint32(len(received.data)), data: answer,
+			flags: flagACK, sequence: received.acknowledgment, acknowledgment: received.sequence + uint32(len(received.data)), data: answer.data,
 		})
 	})
 }
 
+// execute executes a request in the first free slot, or sheds it if none gets free within queueTime.
+func (server *server) execute(id string) *answer {
+	now := time.Now()
+	slot := &server.slotFreeAt[0]
+	for i := range server.slotFreeAt {
+		if server.slotFreeAt[i].Before(*slot) {
+			slot = &server.slotFreeAt[i]
+		}
+	}
+	if slot.After(now.Add(queueTime)) {
+		return &answer{data: []byte(shedAnswer(server.name)), readyAt: now.Add(queueTime)}
+	}
+	if slot.Before(now) {
+		*slot = now
+	}
+	*slot = slot.Add(processingTime)
+	server.soak.recordExecution(id, server)
+	return &answer{data: []byte(answerTo(id, server.name)), readyAt: *slot}
+}
+
 // send sends an answer to the caller directly, not through an instance.
 func (server *server) send(received, answer packet) {
 	answer.source, answer.destination, answer.token = received.destination, received.source, received.token
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -26,14 +26,16 @@
 	drainNoticeLimit        = 3 * time.Second        // from a server's announcement that it leaves to its last new flow
 	configurationApplyLimit = 3 * time.Second        // from the removal of a route to the last new flow to it
 	evacuationLimit         = 3 * time.Second        // from the evacuation of a failure domain to the last new flow to its servers
+	warmNoticeLimit         = 2 * time.Second        // from the end of a server's warm-up until all instances know of it
 	stabilizationTime       = 4 * time.Second        // without faults before the limits above apply
 	recoveryLimit           = 12 * time.Second       // from the last fault; the specification requires a quarter to be served again by then
 	timeTolerance           = 500 * time.Millisecond // added to a limit before a violation is recorded
 )
 
-const failureDomainCount = 3
-
-func domainName(number int) string { return fmt.Sprintf("domain-%d", number) }
+// domainName returns the name of one of the failure domains, whose numbers repeat.
+func (soak *soak) domainName(number int) string {
+	return fmt.Sprintf("domain-%d", number%soak.settings.FailureDomains)
+}
 
 // Addresses of the routes, and the service behind each. The extra route is added
 // and removed during the run.
@@ -41,19 +43,22 @@
 	mainRoute      = netip.MustParseAddrPort("198.18.0.1:443")
 	reportRoute    = netip.MustParseAddrPort("198.18.0.2:443")
 	extraRoute     = netip.MustParseAddrPort("198.18.0.3:443")
-	serviceByRoute = map[netip.AddrPort]string{mainRoute: "desk-sync", reportRoute: "report-desk", extraRoute: "desk-sync"}
+	bulkRoute      = netip.MustParseAddrPort("198.18.0.4:443") // less urgent than the others
+	serviceByRoute = map[netip.AddrPort]string{mainRoute: "desk-sync", reportRoute: "report-desk", extraRoute: "desk-sync", bulkRoute: "report-desk"}
 )
 
 // Settings configures one run.
 type Settings struct {
 	Seed            uint64
 	Duration        time.Duration // of fault injection, without startup and recovery
-	Instances       int           // spread over three failure domains
+	Instances       int
+	FailureDomains  int // over which instances and servers are spread
 	Callers         int
-	FaultKinds      int    // draws only from this many kinds at the head of the list; 0 for all
-	CheckTimeLimits bool   // checks time limits as well as invariants
-	Binary          string // path of the load balancer
-	Directory       string // for settings, logs and the report
+	FaultKinds      int      // draws only from this many kinds at the head of the list; 0 for all
+	FaultNames      []string // draws only from these kinds, if not empty
+	CheckTimeLimits bool     // checks time limits as well as invariants
+	Binary          string   // path of the load balancer
+	Directory       string   // for settings, logs and the report
 }
 
 // Report is the result of one run. Refused and Failed leave out the extra route, which
@@ -63,6 +68,7 @@
 	Served     int      // requests that were answered
 	Refused    int      // flows that were reset while opening
 	Failed     int      // flows that did not open and requests without an answer
+	Shed       int      // requests that a server did not execute, because its queue was full
 	Timeline   []string // injected faults, with the time of each
 	Violations []string
 }
@@ -70,7 +76,7 @@
 // forwarder passes callers' packets to the system under test; key holds the source and
 // the destination of a packet. Tests replace the router with faulty implementations.
 type forwarder interface {
-	forward(content []byte, key [2]netip.AddrPort)
+	forward(content []byte, key [2]netip.AddrPort) *instance
 }
 
 // soak is one run.
@@ -93,8 +99,14 @@
 	lastFaultEnd         time.Time
 	extraRouteRemovedAt  time.Time            // zero while the extra route is configured
 	evacuatedAt          map[string]time.Time // by failure domain; only while it is evacuated
+	returnedAt           map[string]time.Time // by failure domain; end of the last evacuation
 	configurationVersion uint64
 	lastServerNumber     uint64
+	activeBursts         int
+	lastBurstEnd         time.Time
+
+	openingMutex sync.Mutex // locked after a server's mutex and before soak.mutex
+	openings     map[[2]netip.AddrPort]*opening
 }
 
 // Run injects faults for settings.Duration, or until ctx ends, and then waits for the
@@ -122,6 +134,7 @@
 	err := soak.awaitRecovery(ctx)
 	stopLoad()
 	group.Wait()
+	soak.checkOrder()
 	return &soak.report, err
 }
 
@@ -129,7 +142,7 @@
 	return &soak{
 		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(),
 		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
-		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, report: Report{Seed: settings.Seed},
+		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, returnedAt: map[string]time.Time{}, openings: map[[2]netip.AddrPort]*opening{}, report: Report{Seed: settings.Seed},
 	}
 }
 
@@ -182,7 +195,7 @@
 	for i := range soak.settings.Instances {
 		instance := &instance{
 			name: fmt.Sprintf("lb-%d", i), address: address(1, i), binary: soak.settings.Binary,
-			directory: soak.settings.Directory, failureDomain: i % failureDomainCount,
+			directory: soak.settings.Directory, failureDomain: soak.domainName(i),
 		}
 		if err := instance.startProxies(i, storeAddress); err != nil {
 			return err
@@ -220,7 +233,7 @@
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
 	soak.configurationVersion += 1 + uint64(soak.random.IntN(3))
-	routes := []viewer.Route{newRoute("main", mainRoute), newRoute("report", reportRoute)}
+	routes := []viewer.Route{newRoute("main", mainRoute), newRoute("report", reportRoute), newRoute("bulk", bulkRoute)}
 	if withExtraRoute {
 		routes = append(routes, newRoute("extra", extraRoute))
 		soak.extraRouteRemovedAt = time.Time{}
@@ -232,7 +245,11 @@
 }
 
 func newRoute(name string, address netip.AddrPort) viewer.Route {
-	return viewer.Route{Name: name, Address: address, Shares: []viewer.Share{{Service: serviceByRoute[address], Weight: 1}}}
+	route := viewer.Route{Name: name, Address: address, Shares: []viewer.Share{{Service: serviceByRoute[address], Weight: 1}}}
+	if address == bulkRoute {
+		route.Priority = 1
+	}
+	return route
 }
 
 // addServer starts a backend server and writes its entry to the store.
@@ -262,7 +279,7 @@
 	var flows sync.WaitGroup
 	defer flows.Wait()
 	for ctx.Err() == nil {
-		route := []netip.AddrPort{mainRoute, mainRoute, reportRoute, extraRoute}[random.IntN(4)]
+		route := []netip.AddrPort{mainRoute, mainRoute, reportRoute, extraRoute, bulkRoute}[random.IntN(5)]
 		requests, pause := 1, time.Duration(0)
 		if random.IntN(5) == 0 {
 			requests, pause = 5, time.Duration(random.IntN(1500))*time.Millisecond
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -23,8 +23,9 @@
 // forwardFunc implements forwarder with a function.
 type forwardFunc func(content []byte, key [2]netip.AddrPort)
 
-func (forwardFunc forwardFunc) forward(content []byte, key [2]netip.AddrPort) {
+func (forwardFunc forwardFunc) forward(content []byte, key [2]netip.AddrPort) *instance {
 	forwardFunc(content, key)
+	return nil
 }
 
 // testSystem is a run without instances: one caller and two servers.
@@ -35,7 +36,7 @@
 
 func newTestSystem(t *testing.T) *testSystem {
 	t.Helper()
-	soak := newSoak(Settings{Seed: 1, CheckTimeLimits: true})
+	soak := newSoak(Settings{Seed: 1, FailureDomains: 3, CheckTimeLimits: true})
 	soak.packetPort = rehearser.FreeAddress().Port()
 	system := &testSystem{soak: soak}
 	var err error
@@ -156,7 +157,7 @@
 
 func TestCheckerReportsFlowAnsweredByTwoServers(t *testing.T) {
 	flow := &callerFlow{caller: newTestSystem(t).callers[0], server: "i-1"}
-	flow.acceptAnswer("x", packet{data: []byte("answer to x by i-2")})
+	flow.acceptAnswer("x", packet{data: []byte(answerTo("x", "i-2"))})
 	assert.Assert(t, strings.Contains(strings.Join(flow.caller.soak.report.Violations, ""), "moved from server i-1 to i-2"))
 }
 
@@ -166,7 +167,7 @@
 	directory := t.TempDir()
 	assert.NilError(t, rehearser.Build(t.Context(), "../..", directory))
 	report, err := Run(context.Background(), Settings{
-		Seed: 7, Duration: 8 * time.Second, Instances: 3, Callers: 2,
+		Seed: 7, Duration: 8 * time.Second, Instances: 3, FailureDomains: 3, Callers: 2,
 		Binary: filepath.Join(directory, "pimentowind"), Directory: directory,
 	})
 	assert.NilError(t, err)
