Soak: planned work fails no request, processes do not end by themselves, malformed datagrams

A request that fails while only planned work (stops, hangups, configurations, evacuations) was done is a violation now, as is a process that ends without being told; datagrams of random content and first halves of heartbeats are a new kind of fault.

--- a/internal/soaker/burst.go
+++ b/internal/soaker/burst.go
@@ -9,7 +9,7 @@
 
 const (
 	burstRate     = 675                    // openings a second; three servers work off two thirds
-	burstLimit    = 2 * time.Second        // from the end of a burst to the last refusal
+	burstLimit    = 2 * time.Second        // from the last request that a server sheds to the last refusal
 	holdLimit     = 100 * time.Millisecond // for which an opening is held, as the settings have it
 	seenInterval  = 50 * time.Millisecond  // by which the order of two sightings may differ from that at an instance
 	standInterval = time.Second            // in which an instance that stood still delays other services too
@@ -29,9 +29,6 @@
 // burst opens more flows of the service of reports than its servers can work off, a quarter of
 // them urgent.
 func burst(soak *soak, parameters faultParameters) {
-	soak.mutex.Lock()
-	soak.activeBursts++
-	soak.mutex.Unlock()
 	var flows sync.WaitGroup
 	ticker := time.NewTicker(time.Second / burstRate)
 	defer ticker.Stop()
@@ -39,10 +36,6 @@
 	for i := 0; ; i++ {
 		select {
 		case <-end:
-			soak.mutex.Lock()
-			soak.activeBursts--
-			soak.lastBurstEnd = time.Now()
-			soak.mutex.Unlock()
 			flows.Wait()
 			return
 		case <-ticker.C:
@@ -88,10 +81,10 @@
 	}
 	opening.isHeldLong = opening.refusedAt.Sub(opening.sentAt) > holdLimit+timeTolerance
 	soak.mutex.Lock()
-	withoutCause := soak.activeBursts == 0 && opening.sentAt.Sub(soak.lastBurstEnd) > burstLimit+timeTolerance
+	sinceShed := opening.sentAt.Sub(soak.lastShedAt)
 	soak.mutex.Unlock()
-	if withoutCause {
-		soak.recordViolation("opening %s was refused later than %s after the last burst", key, burstLimit)
+	if sinceShed > burstLimit+timeTolerance {
+		soak.recordViolation("opening %s was refused %s after a server last shed a request", key, sinceShed)
 	}
 }
 
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"time"
@@ -88,5 +89,28 @@
 		soak.report.Shed++
 	default:
 		soak.report.Failed++
+		time.AfterFunc(stallLimit, func() { soak.checkFailure(route) })
+	}
+}
+
+// checkFailure checks, when a stall would have been noticed, that a request had reason to fail.
+func (soak *soak) checkFailure(route netip.AddrPort) {
+	soak.mutex.Lock()
+	onlyPlanned := soak.activeUnplanned == 0 && time.Since(soak.lastUnplannedEnd) > stabilizationTime+openingTimeout+requestTimeout
+	soak.mutex.Unlock()
+	if onlyPlanned && soak.settings.CheckTimeLimits {
+		soak.recordViolation("a request to %s failed although only planned work was done", route)
+	}
+}
+
+// watchStalls counts the times when this process, which holds callers and servers, did not run as a
+// fault of everything.
+func (soak *soak) watchStalls(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(stallLimit / 10)
+		if stalled := time.Since(last); stalled > stallLimit {
+			soak.recordFaultStart(fmt.Sprintf("the soak stalled for %s", stalled), everything)
+			soak.recordFaultEnd(everything)
+		}
 	}
 }
--- a/internal/soaker/evacuation.go
+++ b/internal/soaker/evacuation.go
@@ -45,8 +45,12 @@
 }
 
 // returnCold evacuates one failure domain, or two for half of the choices, and takes them back
-// with servers that have turned cold and say so up to a second later.
+// with servers that have turned cold and say so up to a second later. While it does, others do nothing.
 func returnCold(soak *soak, parameters faultParameters) {
+	if !soak.returnMutex.TryLock() {
+		return
+	}
+	defer soak.returnMutex.Unlock()
 	var domains []string
 	for i := range min(1+parameters.choice%2, soak.settings.FailureDomains-1) {
 		domain := soak.domainName(parameters.choice + i)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -19,15 +20,25 @@
 	stopTimeout      = 6 * time.Second         // for an instance to exit after a signal
 
 	routerChangeInterval = 400 * time.Millisecond
+	malformedInterval    = 20 * time.Millisecond
 )
 
 // fault is a kind of fault that a run can inject.
 type fault struct {
-	name       string
-	inject     func(soak *soak, parameters faultParameters) // returns when the fault is over
-	isConfined bool                                         // disturbs only the instances that disturb marks
+	name   string
+	inject func(soak *soak, parameters faultParameters) // returns when the fault is over
+	scope  scope
 }
 
+// scope says what a kind of fault disturbs.
+type scope int
+
+const (
+	everything scope = iota
+	confined         // at most the instances that disturb marks, and requests
+	planned          // at most these instances; no request may fail
+)
+
 // faultParameters holds the random parameters of one fault. They are drawn before the
 // fault starts, so that the sequence of faults of a seed does not depend on how
 // earlier faults proceed.
@@ -42,48 +53,49 @@
 var faults = []fault{
 	{"kill", func(soak *soak, parameters faultParameters) {
 		soak.restartInstance(soak.target(parameters), syscall.SIGKILL, parameters.duration/4)
-	}, true},
+	}, confined},
 	{"stop and start", func(soak *soak, parameters faultParameters) {
 		soak.restartInstance(soak.target(parameters), syscall.SIGTERM, 0)
-	}, true},
-	{"pause", pauseInstance, true},
+	}, planned},
+	{"pause", pauseInstance, confined},
 	{"hangup", func(soak *soak, parameters faultParameters) {
 		defer soak.disturb(soak.target(parameters))()
 		soak.target(parameters).signal(syscall.SIGHUP)
-	}, true},
-	{"kill most", killAllButTarget, true},
+	}, planned},
+	{"kill most", killAllButTarget, confined},
 	{"store does not serve", func(soak *soak, parameters faultParameters) {
 		status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[parameters.choice%2]
 		soak.injectStoreFault(standin.StoreFaults{Status: status}, parameters.duration)
-	}, false},
+	}, everything},
 	{"store is slow", func(soak *soak, parameters faultParameters) {
 		soak.injectStoreFault(standin.StoreFaults{Delay: 300 * time.Millisecond}, parameters.duration)
-	}, false},
+	}, everything},
 	{"answers are lost", func(soak *soak, parameters faultParameters) {
 		soak.injectStoreFault(standin.StoreFaults{LostResponses: 3}, parameters.duration)
-	}, false},
-	{"entries lapse", expireEntries, false},
-	{"connections of one", func(soak *soak, parameters faultParameters) { soak.injectProxyFault(parameters, 1) }, false},
+	}, everything},
+	{"entries lapse", expireEntries, everything},
+	{"connections of one", func(soak *soak, parameters faultParameters) { soak.injectProxyFault(parameters, 1) }, everything},
 	{"connections of half", func(soak *soak, parameters faultParameters) {
 		soak.injectProxyFault(parameters, (len(soak.instances)+1)/2)
-	}, false},
-	{"server crashes", crashServer, true},
-	{"server leaves", drainServer, true},
-	{"configuration", func(soak *soak, parameters faultParameters) { soak.publishConfiguration(parameters.choice%2 == 0) }, true},
-	{"instance cut from the others", partitionInstance, false},
-	{"failure domain cut from the others", partitionFailureDomain, false},
-	{"heartbeats of all", disturbHeartbeats, false},
+	}, everything},
+	{"server crashes", crashServer, confined},
+	{"server leaves", drainServer, confined},
+	{"configuration", func(soak *soak, parameters faultParameters) { soak.publishConfiguration(parameters.choice%2 == 0) }, planned},
+	{"instance cut from the others", partitionInstance, everything},
+	{"failure domain cut from the others", partitionFailureDomain, everything},
+	{"heartbeats of all", disturbHeartbeats, everything},
 	{"store drops its history", func(soak *soak, parameters faultParameters) {
 		soak.store.DropHistory()
 		soak.injectStoreFault(standin.StoreFaults{HangWatches: parameters.choice%2 == 0}, parameters.duration)
-	}, false},
+	}, everything},
 	{"evacuation begins or ends", func(soak *soak, parameters faultParameters) {
 		soak.toggleEvacuation(soak.domainName(parameters.choice))
-	}, true},
-	{"servers fall silent", silenceServers, true},
-	{"burst", burst, true},
-	{"evacuated servers turn cold", returnCold, true},
-	{"servers fall silent, routers change", silenceDuringChanges, true},
+	}, planned},
+	{"servers fall silent", silenceServers, confined},
+	{"burst", burst, confined},
+	{"evacuated servers turn cold", returnCold, planned},
+	{"servers fall silent, routers change", silenceDuringChanges, confined},
+	{"malformed datagrams", sendMalformed, confined},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
@@ -101,10 +113,10 @@
 			choice:   soak.random.IntN(1000),
 			duration: time.Duration(500+soak.random.IntN(4500)) * time.Millisecond,
 		}
-		soak.recordFaultStart(fmt.Sprintf("%s: target %d, choice %d, %s", fault.name, parameters.target, parameters.choice, parameters.duration), fault.isConfined)
+		soak.recordFaultStart(fmt.Sprintf("%s: target %d, choice %d, %s", fault.name, parameters.target, parameters.choice, parameters.duration), fault.scope)
 		group.Go(func() {
 			fault.inject(soak, parameters)
-			soak.recordFaultEnd(fault.isConfined)
+			soak.recordFaultEnd(fault.scope)
 		})
 		// One gap in eight is long enough for the time limits to apply.
 		gap := time.Duration(200+soak.random.IntN(1800)) * time.Millisecond
@@ -141,22 +153,29 @@
 	return names
 }
 
-func (soak *soak) recordFaultStart(line string, isConfined bool) {
+func (soak *soak) recordFaultStart(line string, scope scope) {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
 	soak.report.Timeline = append(soak.report.Timeline, soak.withTimestamps(line))
-	if !isConfined {
+	if scope == everything {
 		soak.activeFaults++
 	}
+	if scope != planned {
+		soak.activeUnplanned++
+	}
 }
 
-func (soak *soak) recordFaultEnd(isConfined bool) {
+func (soak *soak) recordFaultEnd(scope scope) {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
-	if !isConfined {
+	if scope == everything {
 		soak.activeFaults--
 		soak.lastFaultEnd = time.Now()
 	}
+	if scope != planned {
+		soak.activeUnplanned--
+		soak.lastUnplannedEnd = time.Now()
+	}
 }
 
 // disturb marks an instance as disturbed until the function that it returns is called.
@@ -211,6 +230,24 @@
 	group.Wait()
 }
 
+// sendMalformed sends all instances datagrams of random content, and the first half of each heartbeat.
+func sendMalformed(soak *soak, parameters faultParameters) {
+	soak.setLinkMode(linkTruncatedCopy, nil, func(*instance) bool { return true })
+	random := rand.New(rand.NewPCG(uint64(parameters.choice), 0))
+	for end := time.Now().Add(parameters.duration); time.Now().Before(end); time.Sleep(malformedInterval) {
+		for _, instance := range soak.instances {
+			content := make([]byte, random.IntN(2*headerLength))
+			for i := range content {
+				content[i] = byte(random.Uint32())
+			}
+			for _, port := range []uint16{packetPort, peerPort} {
+				soak.router.socket.WriteToUDPAddrPort(content, netip.AddrPortFrom(instance.address, port))
+			}
+		}
+	}
+	soak.restoreConnections()
+}
+
 func (soak *soak) injectStoreFault(faults standin.StoreFaults, duration time.Duration) {
 	soak.store.SetFaults(faults)
 	time.Sleep(duration)
--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -48,6 +48,7 @@
 	mutex          sync.Mutex
 	command        *exec.Cmd
 	exited         chan struct{}
+	isEnded        bool   // the process was told to end, or its own end was reported
 	highestVersion uint64 // of the configuration, as reported by this process
 }
 
@@ -119,7 +120,7 @@
 	}
 	exited := make(chan struct{})
 	instance.mutex.Lock()
-	instance.command, instance.exited, instance.highestVersion = command, exited, 0
+	instance.command, instance.exited, instance.isEnded, instance.highestVersion = command, exited, false, 0
 	instance.mutex.Unlock()
 	go func() {
 		command.Wait() // an unexpected exit is visible in the log and to callers
@@ -132,6 +133,9 @@
 func (instance *instance) signal(signal syscall.Signal) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		instance.isEnded = true
+	}
 	select {
 	case <-instance.exited:
 	default:
@@ -139,6 +143,20 @@
 	}
 }
 
+// hasEnded reports once whether the process has ended without being told.
+func (instance *instance) hasEnded() bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	select {
+	case <-instance.exited:
+		wasEnded := instance.isEnded
+		instance.isEnded = true
+		return !wasEnded
+	default:
+		return false
+	}
+}
+
 // awaitExit waits until the process has exited, and kills it after timeout.
 func (instance *instance) awaitExit(timeout time.Duration) {
 	instance.mutex.Lock()
--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -17,6 +17,8 @@
 	linkDelay     linkMode = "delay"  // reorders them with datagrams sent after the mode ends
 	linkDropHalf  linkMode = "half"   // drops every second datagram
 	linkDuplicate linkMode = "double" // delivers every datagram twice
+
+	linkTruncatedCopy linkMode = "truncated" // delivers the first half, and then the whole
 )
 
 const linkDelayDuration = 700 * time.Millisecond
@@ -85,6 +87,9 @@
 		case linkDuplicate:
 			link.socket.WriteToUDP(content, link.target)
 			link.socket.WriteToUDP(content, link.target)
+		case linkTruncatedCopy:
+			link.socket.WriteToUDP(content[:count/2], link.target)
+			link.socket.WriteToUDP(content, link.target)
 		default:
 			link.socket.WriteToUDP(content, link.target)
 		}
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -177,6 +177,9 @@
 		}
 	}
 	if slot.After(now.Add(queueTime)) {
+		server.soak.mutex.Lock()
+		server.soak.lastShedAt = now
+		server.soak.mutex.Unlock()
 		return &answer{data: []byte(shedAnswer(server.name)), readyAt: now.Add(queueTime)}
 	}
 	if slot.Before(now) {
@@ -202,6 +205,8 @@
 	server.mutex.Unlock()
 	server.writeEntry(parser.Leaving)
 	time.AfterFunc(gracePeriod, func() {
+		server.soak.recordFaultStart("server "+server.name+" ends", confined)
+		defer server.soak.recordFaultEnd(confined)
 		server.stop()
 		server.removeEntry()
 	})
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -29,6 +29,7 @@
 	warmNoticeLimit         = 2 * time.Second        // from the end of a server's warm-up until all instances know of it
 	stabilizationTime       = 4 * time.Second        // without faults before the limits above apply
 	recoveryLimit           = 12 * time.Second       // from the last fault; the specification requires a quarter to be served again by then
+	stallLimit              = 200 * time.Millisecond // for which this process may not run
 	timeTolerance           = 500 * time.Millisecond // added to a limit before a violation is recorded
 )
 
@@ -96,14 +97,16 @@
 	executedBy           map[string]string // name of the server, by request ID
 	report               Report
 	activeFaults         int
+	activeUnplanned      int // faults by which requests may fail
+	lastUnplannedEnd     time.Time
 	lastFaultEnd         time.Time
 	extraRouteRemovedAt  time.Time            // zero while the extra route is configured
 	evacuatedAt          map[string]time.Time // by failure domain; only while it is evacuated
+	returnMutex          sync.Mutex           // held while evacuated failure domains are taken back cold
 	returnedAt           map[string]time.Time // by failure domain; end of the last evacuation
 	configurationVersion uint64
 	lastServerNumber     uint64
-	activeBursts         int
-	lastBurstEnd         time.Time
+	lastShedAt           time.Time // by any server
 
 	openingMutex sync.Mutex // locked after a server's mutex and before soak.mutex
 	openings     map[[2]netip.AddrPort]*opening
@@ -130,6 +133,7 @@
 		group.Go(func() { soak.generateLoad(loadContext, caller, random) })
 	}
 	group.Go(func() { soak.watchVersions(loadContext) })
+	group.Go(func() { soak.watchStalls(loadContext) })
 	soak.injectFaults(ctx)
 	err := soak.awaitRecovery(ctx)
 	stopLoad()
@@ -140,7 +144,7 @@
 
 func newSoak(settings Settings) *soak {
 	return &soak{
-		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(),
+		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(), lastUnplannedEnd: time.Now(),
 		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
 		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, returnedAt: map[string]time.Time{}, openings: map[[2]netip.AddrPort]*opening{}, report: Report{Seed: settings.Seed},
 	}
@@ -294,6 +298,9 @@
 func (soak *soak) watchVersions(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, instance := range soak.instances {
+			if instance.hasEnded() {
+				soak.recordViolation("%s ended by itself", instance.name)
+			}
 			if previous, current, decreased := instance.readVersion(); decreased {
 				soak.recordViolation("%s reverted from configuration version %d to %d", instance.name, previous, current)
 			}
