--- a/internal/soaker/burst.go
+++ b/internal/soaker/burst.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -111,43 +112,35 @@
 	return time.Since(server.coldUntil) > warmNoticeLimit
 }
 
-// openingsByInstance returns the openings of which one copy was sent, by the instance that got it.
-// The caller holds soak.openingMutex.
-func (soak *soak) openingsByInstance() map[*instance][]*opening {
-	openings := map[*instance][]*opening{}
-	for _, opening := range soak.openings {
-		if len(opening.instances) > 0 {
-			openings[opening.instances[0]] = append(openings[opening.instances[0]], opening)
-		}
-	}
-	return openings
-}
-
 // checkOrder checks, after the run, that no instance refused an urgent opening while it admitted a
 // later, less urgent one, and held none for too long unless it stood still.
 func (soak *soak) checkOrder() {
 	soak.openingMutex.Lock()
 	defer soak.openingMutex.Unlock()
-	for instance, openings := range soak.openingsByInstance() {
-		for _, opening := range openings {
-			if opening.route == reportRoute && !opening.refusedAt.IsZero() && slices.ContainsFunc(openings, opening.isOvertakenBy) {
-				soak.recordViolation("%s refused an urgent opening at %s and admitted a less urgent one meanwhile", instance.name, opening.refusedAt.Format(time.StampMilli))
-			}
-			if opening.isHeldLong && !slices.ContainsFunc(openings, opening.isDelayedLike) {
-				soak.recordViolation("%s held the opening of %s for too long", instance.name, opening.sentAt.Format(time.StampMilli))
-			}
+	openings := slices.Collect(maps.Values(soak.openings))
+	for _, opening := range openings {
+		if opening.route == reportRoute && !opening.refusedAt.IsZero() && slices.ContainsFunc(openings, opening.isOvertakenBy) {
+			soak.recordViolation("%s refused an urgent opening at %s and admitted a less urgent one meanwhile", opening.instances[0].name, opening.refusedAt.Format(time.StampMilli))
+		}
+		if opening.isHeldLong && !slices.ContainsFunc(openings, opening.isDelayedLike) {
+			soak.recordViolation("%s held the opening of %s for too long", opening.instances[0].name, opening.sentAt.Format(time.StampMilli))
 		}
 	}
 }
 
+// sharesInstance reports whether the first copies went to the same instance.
+func (opening *opening) sharesInstance(other *opening) bool {
+	return len(other.instances) > 0 && other.instances[0] == opening.instances[0]
+}
+
 // isOvertakenBy reports whether a less urgent opening was sent later and admitted while this one waited.
 func (opening *opening) isOvertakenBy(other *opening) bool {
-	return other.route == bulkRoute && other.server != "" && len(other.instances) == 1 &&
+	return other.route == bulkRoute && other.server != "" && len(other.instances) == 1 && opening.sharesInstance(other) &&
 		other.sentAt.After(opening.sentAt) && other.receivedAt.Before(opening.refusedAt.Add(-seenInterval))
 }
 
 // isDelayedLike reports whether an opening of the service that has room was late at the same time.
 func (opening *opening) isDelayedLike(other *opening) bool {
-	return serviceByRoute[other.route] != serviceByRoute[bulkRoute] && other.sentAt.Sub(opening.sentAt).Abs() < standInterval &&
+	return serviceByRoute[other.route] != serviceByRoute[bulkRoute] && opening.sharesInstance(other) && other.sentAt.Sub(opening.sentAt).Abs() < standInterval &&
 		other.server != "" && other.receivedAt.Sub(other.sentAt) > holdLimit
 }
--- a/internal/soaker/evacuation.go
+++ b/internal/soaker/evacuation.go
@@ -14,16 +14,14 @@
 	}
 }
 
-// evacuate evacuates a failure domain, and reports whether it was not evacuated before.
-func (soak *soak) evacuate(domain string) bool {
+// evacuate evacuates a failure domain, if it is not evacuated.
+func (soak *soak) evacuate(domain string) {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
-	if _, evacuated := soak.evacuatedAt[domain]; evacuated {
-		return false
+	if _, evacuated := soak.evacuatedAt[domain]; !evacuated {
+		soak.evacuatedAt[domain] = time.Now()
+		soak.store.Put(platform.EvacuationsKind, domain, "{}")
 	}
-	soak.evacuatedAt[domain] = time.Now()
-	soak.store.Put(platform.EvacuationsKind, domain, "{}")
-	return true
 }
 
 // endEvacuation takes a failure domain back, and reports whether it was evacuated.
@@ -51,15 +49,13 @@
 		return
 	}
 	defer soak.returnMutex.Unlock()
-	var domains []string
-	for i := range min(1+parameters.choice%2, soak.settings.FailureDomains-1) {
-		domain := soak.domainName(parameters.choice + i)
-		if soak.evacuate(domain) {
-			domains = append(domains, domain)
-		}
+	domains := min(1+parameters.choice%2, soak.settings.FailureDomains-1)
+	for i := range domains {
+		soak.evacuate(soak.domainName(parameters.choice + i))
 	}
 	time.Sleep(evacuationLimit + parameters.duration)
-	for _, domain := range domains {
+	for i := range domains {
+		domain := soak.domainName(parameters.choice + i)
 		turned := soak.turnCold(domain)
 		soak.endEvacuation(domain)
 		time.AfterFunc(time.Duration(parameters.choice)*time.Millisecond, func() {
