--- a/internal/soaker/instance.go
+++ b/internal/soaker/instance.go
@@ -35,17 +35,20 @@
 	address       netip.Addr
 	binary        string
 	directory     string // for settings and log
-	failureDomain int
-	storeProxy    *proxy // carries the instance's connections to the store
-	viewProxy     *proxy // carries requests of other instances for its view
-	heartbeatLink *link  // carries heartbeats from other instances
-	ready         bool   // guarded by the router's mutex
+	failureDomain string
+	storeProxy    *proxy    // carries the instance's connections to the store
+	viewProxy     *proxy    // carries requests of other instances for its view
+	heartbeatLink *link     // carries heartbeats from other instances
+	ready         bool      // guarded by the router's mutex
+	activeFaults  int       // guarded by the soak's mutex
+	lastFaultEnd  time.Time // likewise
 
 	restartMutex sync.Mutex // held while the process is restarted
 
 	mutex          sync.Mutex
 	command        *exec.Cmd
 	exited         chan struct{}
+	isEnded        bool   // the process was told to end, or its own end was reported
 	highestVersion uint64 // of the configuration, as reported by this process
 }
 
@@ -83,7 +86,7 @@
 // the peers that it contacts first.
 func (instance *instance) writeSettings(seeds []string) error {
 	settings := map[string]any{
-		"instance": instance.name, "failure_domain": domainName(instance.failureDomain), "address": instance.address.String(),
+		"instance": instance.name, "failure_domain": instance.failureDomain, "address": instance.address.String(),
 		"advertised_address": instance.heartbeatLink.socket.LocalAddr().(*net.UDPAddr).IP.String(),
 		"packet_address":     instance.endpoint(packetPort), "ready_address": instance.endpoint(readyPort),
 		"control_address": instance.endpoint(controlPort), "peer_ports": []int{peerPort}, "seeds": seeds,
@@ -117,7 +120,7 @@
 	}
 	exited := make(chan struct{})
 	instance.mutex.Lock()
-	instance.command, instance.exited, instance.highestVersion = command, exited, 0
+	instance.command, instance.exited, instance.isEnded, instance.highestVersion = command, exited, false, 0
 	instance.mutex.Unlock()
 	go func() {
 		command.Wait() // an unexpected exit is visible in the log and to callers
@@ -130,6 +133,9 @@
 func (instance *instance) signal(signal syscall.Signal) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		instance.isEnded = true
+	}
 	select {
 	case <-instance.exited:
 	default:
@@ -137,6 +143,20 @@
 	}
 }
 
+// hasEnded reports once whether the process has ended without being told.
+func (instance *instance) hasEnded() bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	select {
+	case <-instance.exited:
+		wasEnded := instance.isEnded
+		instance.isEnded = true
+		return !wasEnded
+	default:
+		return false
+	}
+}
+
 // awaitExit waits until the process has exited, and kills it after timeout.
 func (instance *instance) awaitExit(timeout time.Duration) {
 	instance.mutex.Lock()
