Give the test of a limit that outlives its cause the requests that are outstanding

Cause: the limit now begins and ends also by what is outstanding; the test's load had none, so it was not limited at all. Its servers now have the six requests that 100 a second of 60 ms leave outstanding. The bound is unchanged.

--- a/admitter/decayed_test.go
+++ b/admitter/decayed_test.go
@@ -38,6 +38,11 @@
 		}
 	}
 	step(2*time.Second, answer(20*time.Millisecond, false))
+	for _, admitter := range admitters {
+		for range 100 * 60 / 1000 { // outstanding at 100 requests a second of 60 ms
+			admitter.RequestBegan("s", now)
+		}
+	}
 	step(2*time.Second, answer(60*time.Millisecond, true))
 	assert.Assert(t, admitters[0].IsLimited("s"))
 	step(2*time.Second, answer(60*time.Millisecond, false))
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -122,8 +122,8 @@
 	admission            admission             // nil if every opening is sent at once
 	held                 map[FlowKey]*heldPacket
 	refusedAt            map[FlowKey]time.Time // when openings were refused for lack of room; at most maxFlows
-	complete             []completeResponse // in the order of their last acknowledgment
-	completeShort        []completeResponse // the same of short ones, after completionTime
+	complete             []completeResponse    // in the order of their last acknowledgment
+	completeShort        []completeResponse    // the same of short ones, after completionTime
 	silence              silence
 	follower             follower
 	resetter             resetter
