--- a/admitter/load.go
+++ b/admitter/load.go
@@ -42,15 +42,21 @@
 	// shedTimeRatio is the part of the usual response time from which a short response counts
 	// as shed after a wait. A shorter one is a failure.
 	shedTimeRatio = 0.4
-	// usualSmoothing is the weight of a response in the usual response time, once it is known.
+	// usualSmoothing is the largest weight of a response in the usual response time, but for the
+	// first responses, and usualSpan the time after which responses count e times less, however many
+	// there are: a burst fills the queues before anything is shed.
 	usualSmoothing = 0.02
-	// usualSamples is the number of responses whose mean makes the usual response time known.
+	usualSpan      = 10 * time.Second
+	// usualSamples is the number of responses that make the usual response time known.
 	usualSamples = 20
 	// usualLimit is the multiple of the usual response time for which a response counts at most.
 	usualLimit = 3
 	// shedMemory is the time without a shed response, here and in the fleet, after which there
 	// is room.
 	shedMemory = time.Second
+	// chanceDeviations is how many standard deviations the outstanding requests may be too few by
+	// chance.
+	chanceDeviations = 2
 	// maxTokenTime is the time for which an unused budget is kept.
 	maxTokenTime = 50 * time.Millisecond
 )
@@ -66,20 +72,23 @@
 
 // serviceLoad is the load of one service and the budget that follows from it.
 type serviceLoad struct {
-	classes  map[Class]*classLoad
-	admitted rate      // openings
-	answered rate      // responses, shed ones included
-	shed     rate      // responses of servers with full queues
-	delay    rate      // of each response that was not shed, as a multiple of the usual time
-	usual    float64   // response time in seconds while there is room
-	samples  int       // responses in usual, at most usualSamples; fewer if it is not known yet
-	shedAt   time.Time // of the last shed response
+	classes   map[Class]*classLoad
+	admitted  rate      // openings
+	answered  rate      // responses, shed ones included
+	shed      rate      // responses of servers with full queues
+	late      rate      // responses that took longer than their objective
+	delay     rate      // of each response that was not shed, as a multiple of the usual time
+	usual     float64   // response time in seconds while there is room
+	learned   int       // responses in usual; it is known from usualSamples on
+	learnedAt time.Time // when the last one was taken into it
+	shedAt    time.Time // of the last shed response
 
 	budget       float64 // openings per second; unlimited if there is room
 	controlledAt time.Time
 	tokens       float64 // openings that may be admitted now
 	refilledAt   time.Time
 	held         []*heldOpening
+	outstanding  int  // requests of this instance at the servers
 	wasLimited   bool // at the last summary or since
 	events       events
 	lastUsed     time.Time
@@ -92,6 +101,7 @@
 		admitted: rate{span: loadSpan},
 		answered: rate{span: loadSpan},
 		shed:     rate{span: loadSpan},
+		late:     rate{span: loadSpan},
 		delay:    rate{span: loadSpan},
 	}
 }
@@ -109,7 +119,7 @@
 // learn it.
 func (serviceLoad *serviceLoad) recordResponse(response Response, fleet ServiceLoad, now time.Time) {
 	seconds := response.Duration.Seconds()
-	isKnown := serviceLoad.samples >= usualSamples
+	isKnown := serviceLoad.learned >= usualSamples
 	if response.IsShort {
 		if isKnown && seconds >= shedTimeRatio*serviceLoad.usual {
 			serviceLoad.answered.add(1, now)
@@ -120,29 +130,39 @@
 	}
 	serviceLoad.class(response.Class).served.add(1, now)
 	if !isKnown {
-		serviceLoad.learnUsual(seconds / max(fleet.delayRatio(), 1))
+		serviceLoad.learnUsual(seconds/max(fleet.delayRatio(), 1), now)
 		return
 	}
+	if response.Objective > 0 && response.Duration > response.Objective {
+		serviceLoad.late.add(1, now)
+	}
 	serviceLoad.answered.add(1, now)
 	serviceLoad.delay.add(min(seconds/serviceLoad.usual, usualLimit), now)
 	isCalm := !serviceLoad.isLimited() && fleet.Answered == 0 && serviceLoad.shed.weightAt(now) < calmShed
 	if isCalm {
-		serviceLoad.usual += usualSmoothing * (min(seconds, usualLimit*serviceLoad.usual) - serviceLoad.usual)
+		serviceLoad.learnUsual(min(seconds, usualLimit*serviceLoad.usual), now)
 	}
 }
 
-// learnUsual makes seconds one of the first samples of the usual response time, their mean.
-func (serviceLoad *serviceLoad) learnUsual(seconds float64) {
-	serviceLoad.samples++
-	serviceLoad.usual += (seconds - serviceLoad.usual) / float64(serviceLoad.samples)
+// learnUsual takes the time in seconds of a response, received while there was room, into the
+// usual response time.
+func (serviceLoad *serviceLoad) learnUsual(seconds float64, now time.Time) {
+	serviceLoad.learned++
+	weight := min(usualSmoothing, now.Sub(serviceLoad.learnedAt).Seconds()/usualSpan.Seconds())
+	if first := 1 / float64(serviceLoad.learned); first > usualSmoothing {
+		weight = first
+	}
+	serviceLoad.learnedAt = now
+	serviceLoad.usual += weight * (seconds - serviceLoad.usual)
 }
 
 func (serviceLoad *serviceLoad) isLimited() bool { return !math.IsInf(serviceLoad.budget, 1) }
 
 // control corrects the budget at most once per controlInterval. The limit begins when more than
 // twice maxShedShare of the responses is shed. From then on the budget is what was admitted, or
-// would be in proportion to the fleet, less the responses that were shed beyond maxShedShare, and
-// grows as the queues get short. The limit ends when the budget is more than callers ask for, or nothing is shed any more.
+// would be in proportion to the fleet, less the responses that were shed, or took longer than their
+// objective, beyond maxShedShare, and grows as the queues get short. The limit ends when the budget
+// is more than callers ask for, or nothing is shed any more.
 func (serviceLoad *serviceLoad) control(maxShedShare float64, fleet ServiceLoad, now time.Time) {
 	elapsed := min(now.Sub(serviceLoad.controlledAt), 5*controlInterval)
 	if elapsed < controlInterval {
@@ -168,14 +188,14 @@
 		return
 	}
 	seen := serviceLoad.withFleet(own, fleet, now)
-	if fleet.Offered > 0 {
+	growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
+	if fleet.Offered > 0 && growth == 0 { // the fleet's figures are older than own growth
 		serviceLoad.budget += followShare * (fleet.admittedShare()*offered - serviceLoad.budget)
 	}
-	if seen.shedShare > maxShedShare && seen.delayRatio > emptyQueueRatio {
-		excess := (seen.shedShare - maxShedShare) * answered
+	if failed := seen.shedShare + seen.lateShare; failed > maxShedShare && seen.delayRatio > emptyQueueRatio {
+		excess := (failed - maxShedShare) * answered
 		serviceLoad.budget += correctionShare * (admitted - excess - serviceLoad.budget)
 	} else {
-		growth := between(seen.delayRatio, halfQueueRatio, emptyQueueRatio)
 		serviceLoad.budget += growth * answered * elapsed.Seconds() / growthTime.Seconds()
 		if serviceLoad.budget > releaseShare*offered+1 {
 			serviceLoad.budget = unlimited
@@ -196,17 +216,20 @@
 		Answered: float32(serviceLoad.answered.perSecond(now)),
 		Shed:     float32(serviceLoad.shed.perSecond(now)),
 		Delay:    float32(serviceLoad.delay.perSecond(now)),
+		Late:     float32(serviceLoad.late.perSecond(now)),
 		Admitted: float32(serviceLoad.admitted.perSecond(now)),
 	}
 	for _, load := range serviceLoad.classes {
 		own.Offered += float32(load.openings.perSecond(now))
 	}
+	own.Delay = min(own.Delay, float32(serviceLoad.outstandingRatio(own))*(own.Answered-own.Shed))
 	return own
 }
 
 // pressure is how full the servers of a service are.
 type pressure struct {
 	shedShare  float64 // of the responses
+	lateShare  float64 // of the responses, that took longer than their objective
 	delayRatio float64 // recent response time over the usual one
 }
 
@@ -222,10 +245,24 @@
 	}
 	return pressure{
 		shedShare:  mean(own.shedShare(), fleet.shedShare()),
+		lateShare:  mean(own.lateShare(), fleet.lateShare()),
 		delayRatio: mean(own.delayRatio(), fleet.delayRatio()),
 	}
 }
 
+// outstandingRatio returns how long the outstanding requests are likely to take, as a multiple of the
+// usual response time: what is outstanding takes as long as the servers need to answer that many.
+// It falls at once when callers ask for less, while response times tell of what was asked for
+// before. Few requests say little, so as many are added as may be missing by chance.
+func (serviceLoad *serviceLoad) outstandingRatio(own ServiceLoad) float64 {
+	atUsualTime := float64(own.Answered) * serviceLoad.usual
+	if atUsualTime == 0 {
+		return 1
+	}
+	outstanding := float64(serviceLoad.outstanding)
+	return (outstanding + chanceDeviations*math.Sqrt(outstanding+1)) / atUsualTime
+}
+
 // admittedWithFleet returns the openings admitted per second; an instance with few recent ones
 // counts at least those that it would admit in proportion to the fleet.
 func (serviceLoad *serviceLoad) admittedWithFleet(own, fleet ServiceLoad, now time.Time) float64 {
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"time"
@@ -30,12 +31,16 @@
 // server's mutex.
 func (soak *soak) checkOpening(server *server, received packet) {
 	leavingAt := server.leavingAt
+	soak.openingMutex.Lock()
+	opening := soak.openings[[2]netip.AddrPort{received.source, received.destination}]
+	isUndisturbed := opening != nil && soak.isUndisturbed(opening)
+	soak.openingMutex.Unlock()
 	soak.mutex.Lock()
-	afterDrain := soak.isStable() && !leavingAt.IsZero() && time.Since(leavingAt) > drainNoticeLimit+timeTolerance
+	afterDrain := isUndisturbed && !leavingAt.IsZero() && time.Since(leavingAt) > drainNoticeLimit+timeTolerance
 	evacuatedAt, evacuated := soak.evacuatedAt[server.failureDomain()]
-	afterEvacuation := soak.isStable() && evacuated && time.Since(evacuatedAt) > evacuationLimit+timeTolerance
+	afterEvacuation := isUndisturbed && evacuated && time.Since(evacuatedAt) > evacuationLimit+timeTolerance
 	removedAt := soak.extraRouteRemovedAt
-	afterRemoval := soak.isStable() && received.destination == extraRoute && !removedAt.IsZero() && time.Since(removedAt) > configurationApplyLimit+timeTolerance
+	afterRemoval := isUndisturbed && received.destination == extraRoute && !removedAt.IsZero() && time.Since(removedAt) > configurationApplyLimit+timeTolerance
 	soak.mutex.Unlock()
 	switch {
 	case serviceByRoute[received.destination] != server.service:
@@ -80,7 +85,35 @@
 	case route == extraRoute:
 	case result == refused:
 		soak.report.Refused++
+	case result == shed:
+		soak.report.Shed++
 	default:
 		soak.report.Failed++
+		time.AfterFunc(stallLimit, func() { soak.checkFailure(route) })
+	}
+}
+
+// checkFailure checks, when a stall would have been noticed, that a request had reason to fail.
+func (soak *soak) checkFailure(route netip.AddrPort) {
+	soak.mutex.Lock()
+	onlyPlanned := soak.activeUnplanned == 0 && time.Since(soak.lastUnplannedEnd) > stabilizationTime+openingTimeout+requestTimeout
+	soak.mutex.Unlock()
+	if onlyPlanned && soak.settings.CheckTimeLimits {
+		soak.recordViolation("a request to %s failed although only planned work was done", route)
+	}
+}
+
+// watchStalls counts the times when this process, which holds callers and servers, did not run as a
+// fault of everything.
+func (soak *soak) watchStalls(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(stallLimit / 10)
+		if stalled := time.Since(last); stalled > stallLimit {
+			soak.recordFaultStart(fmt.Sprintf("the soak stalled for %s", stalled), everything)
+			soak.recordFaultEnd(everything)
+			for _, server := range soak.sortedServers() {
+				server.silence(0)
+			}
+		}
 	}
 }
--- a/steerer/queue_test.go
+++ b/steerer/queue_test.go
@@ -20,6 +20,7 @@
 	results   []admitter.Result
 	openings  []admitter.Opening
 	responses []admitter.Response
+	requests  int // outstanding
 }
 
 func (fakeAdmission *fakeAdmission) Decide(opening admitter.Opening, _ time.Time) admitter.Decision {
@@ -54,6 +55,9 @@
 	fakeAdmission.responses = append(fakeAdmission.responses, response)
 }
 
+func (fakeAdmission *fakeAdmission) RequestBegan(string, time.Time) { fakeAdmission.requests++ }
+func (fakeAdmission *fakeAdmission) RequestEnded(string, time.Time) { fakeAdmission.requests-- }
+
 func newAdmissionHarness(decision admitter.Decision) (*harness, *fakeAdmission) {
 	harness, admission := newHarness("a", "b"), &fakeAdmission{decision: decision}
 	harness.viewer.ApplyConfiguration(&viewer.Configuration{Version: 2, Routes: []viewer.Route{{
@@ -144,7 +148,7 @@
 			assert.Equal(t, len(admission.responses), 0, "more of the response may come")
 			harness.Next(soon, soon)
 			harness.Decide(laterPacket(1, token, 100+c.bytes, 0, Flags{FIN: true}), soon)
-			assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 200 * time.Millisecond, IsShort: c.isShort}})
+			assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 200 * time.Millisecond, Objective: 600 * time.Millisecond, IsShort: c.isShort}})
 		})
 	}
 }
@@ -163,7 +167,7 @@
 	harness.Decide(laterPacket(1, token, 20_000, 0, Flags{}), now)
 	now = now.Add(completionTime)
 	harness.Next(now, now)
-	assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 260 * time.Millisecond}})
+	assert.DeepEqual(t, admission.responses, []admitter.Response{{Class: admitter.Class{Priority: 1}, Duration: 260 * time.Millisecond, Objective: 600 * time.Millisecond}})
 }
 
 // The service that the admission decided about gets the opening.
@@ -281,3 +285,16 @@
 	assert.Equal(t, verdict.Reason, ReasonNoRoute)
 	assert.Equal(t, len(harness.held), 0)
 }
+
+func TestOutstandingRequestsAreCounted(t *testing.T) {
+	harness, admission := newAdmissionHarness(admitter.Admit)
+	token := harness.Decide(opening(1), start).Server.Token
+	harness.Decide(laterPacket(1, token, 100, 0, Flags{}), start)
+	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), start)
+	assert.Equal(t, admission.requests, 1)
+	now := start.Add(100 * time.Millisecond)
+	harness.Decide(laterPacket(1, token, 100+shortResponse, 0, Flags{}), now)
+	harness.Decide(laterPacket(1, token, 150+shortResponse, 0, Flags{}), now)
+	harness.Decide(laterPacket(1, token, 150+shortResponse, 0, Flags{FIN: true}), now)
+	assert.Equal(t, admission.requests, 0)
+}
