Hold the servers of a returned failure domain until the store was read since

Ruled out: holding by the revision of the list, since the first list after the end may be older than the servers' next heartbeat. Change: the hold also lasts until the view was confirmed by a read of the store 1.2 s after the end or later, for 15 s at most, after which servers are warm. If nothing else serves the callers, they serve at once, as before. Test: TestServersOfAReturnedDomainWaitForAReadOfTheStore; without the age of the view two of its six cases hold for 2 s only, as before. go test ./pacer passes.

--- a/director/director.go
+++ b/director/director.go
@@ -204,6 +204,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	placer := placer.NewPlacer(settings.FailureDomain, estimator, isFailing, random)
 	placer.SetPacer(pacer)
+	pacer.SetViewAge(relayer.Age)
 	examiner := examiner.NewExaminer(func(server *viewer.BackendServer, suspicion examiner.Suspicion) {
 		if admitter.IsLimited(server.Service) {
 			return // servers that have too much to do look failing and slow
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -45,9 +45,10 @@
 	startedAt   time.Time
 	budgets     map[incarnation]*budget
 
-	tooSmall   map[string]float64   // rates that were reported as too small, by service
-	observed   *viewer.View         // whose evacuations were observed last
-	returnedAt map[string]time.Time // when evacuations ended, by failure domain
+	tooSmall   map[string]float64                // rates that were reported as too small, by service
+	observed   *viewer.View                      // whose evacuations were observed last
+	returnedAt map[string]time.Time              // when evacuations ended, by failure domain
+	viewAge    func(now time.Time) time.Duration // nil if the list of servers counts as up to date
 
 	elsewhere map[string]elsewhere // by service
 
--- a/pacer/return.go
+++ b/pacer/return.go
@@ -7,10 +7,22 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
-// returnHold is how long after the end of a failure domain's evacuation its servers get no new
-// flows if their service states a rate: they can have turned cold shortly before, write so at
-// their next heartbeat, and are read there.
-const returnHold = 2 * time.Second
+const (
+	// heartbeatTime is how long after the end of a failure domain's evacuation its servers have
+	// written into the store that they are cold: they can have turned cold shortly before, and
+	// write so at their next heartbeat.
+	heartbeatTime = 1200 * time.Millisecond
+	// returnHold is the shortest time after the end of an evacuation for which the domain's servers
+	// get no new flows if their service states a rate. They wait on until the store was read
+	// heartbeatTime after the end or later, for maxReturnHold at most.
+	returnHold = 2 * time.Second
+	// maxReturnHold is longer than servers are cold.
+	maxReturnHold = 15 * time.Second
+)
+
+// SetViewAge sets the function that returns the time since the store last confirmed the list of
+// servers; it has to be set before the first packet. Without one the list counts as up to date.
+func (pacer *Pacer) SetViewAge(viewAge func(now time.Time) time.Duration) { pacer.viewAge = viewAge }
 
 // ObserveView notes when failure domains are no longer evacuated. It has to be called after each
 // change of the view, also if no flows are opened.
@@ -27,7 +39,7 @@
 		return
 	}
 	for domain, returnedAt := range pacer.returnedAt {
-		if view.Evacuations.Contains(domain) || now.Sub(returnedAt) >= returnHold {
+		if view.Evacuations.Contains(domain) || now.Sub(returnedAt) >= maxReturnHold {
 			delete(pacer.returnedAt, domain)
 		}
 	}
@@ -66,8 +78,20 @@
 	return known.found
 }
 
-// hasJustReturned reports whether a failure domain was evacuated until a moment ago.
+// hasJustReturned reports whether a failure domain was evacuated until a moment ago, or no list of
+// servers has been read since from which it would show that they are cold.
 func (pacer *Pacer) hasJustReturned(domain string, now time.Time) bool {
 	returnedAt, ok := pacer.returnedAt[domain]
-	return ok && now.Sub(returnedAt) < returnHold
+	if !ok {
+		return false
+	}
+	since := now.Sub(returnedAt)
+	switch {
+	case since < returnHold:
+		return true
+	case since >= maxReturnHold || pacer.viewAge == nil:
+		return false
+	default:
+		return pacer.viewAge(now) > since-heartbeatTime
+	}
 }
--- a/pacer/return_test.go
+++ b/pacer/return_test.go
@@ -71,3 +71,32 @@
 		})
 	}
 }
+
+// The store is away while servers that have just returned say that they are cold.
+func TestServersOfAReturnedDomainWaitForAReadOfTheStore(t *testing.T) {
+	cases := []struct {
+		name        string
+		confirmedAt time.Duration // after the return
+		at          time.Duration // after the return
+		want        float64       // share of the returned server
+	}{
+		{"read before they can have said so", heartbeatTime - 1, returnHold, 0},
+		{"the same, long after", heartbeatTime - 1, maxReturnHold - 1, 0},
+		{"not read for longer than servers are cold", heartbeatTime - 1, maxReturnHold, 1},
+		{"read since", heartbeatTime, returnHold, 1},
+		{"read since, but they can have said so later", heartbeatTime, returnHold - 1, 0},
+		{"read long ago, and returned long ago", heartbeatTime, maxReturnHold - 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server, other := serverIn("dakar-1"), serverIn("dakar-2")
+			pacer, current := newReturnPacer(server, other)
+			pacer.SetViewAge(func(now time.Time) time.Duration { return now.Sub(start.Add(c.confirmedAt)) })
+			current.ApplyEvacuations(&viewer.Evacuations{Revision: 2, Domains: []string{"dakar-1"}})
+			pacer.ObserveView(start)
+			current.ApplyEvacuations(&viewer.Evacuations{Revision: 3})
+			pacer.ObserveView(start)
+			assert.Equal(t, pacer.Share(&server, start.Add(c.at)), c.want)
+		})
+	}
+}
