--- a/steerer/reach_test.go
+++ b/steerer/reach_test.go
@@ -61,3 +61,19 @@
 	harness.Decide(laterPacket(4, tokenOf("a"), 100, 0, Flags{}), at(500))
 	assert.Equal(t, harness.Answers(at(500)), Answers{})
 }
+
+func TestSilenceLastsFromTheFirstOpeningToAnAnswer(t *testing.T) {
+	harness := newHarness("a", "b")
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	for port := range uint16(minSilentOpenings) {
+		assert.Equal(t, harness.Answers(at(90)).SilentFor, time.Duration(0))
+		harness.Decide(opening(1+port), at(10*int(port)))
+		harness.Decide(opening(1+port), at(10*int(port)+1))                     // a retransmission is no other flow
+		harness.Decide(laterPacket(99, tokenOf("a"), 100, 50, Flags{}), at(40)) // of another instance's flow
+	}
+	assert.Equal(t, harness.Answers(at(100)).SilentFor, 100*time.Millisecond)
+	assert.Assert(t, harness.Answers(at(100)).SinceLast > time.Hour)
+	harness.Decide(laterPacket(1, tokenOf("a"), 100, 0, Flags{}), at(110))
+	harness.Decide(laterPacket(1, tokenOf("a"), 900, 50, Flags{}), at(150))
+	assert.Equal(t, harness.Answers(at(160)), Answers{SinceLast: 50 * time.Millisecond})
+}
