Report openings whose callers were reset as lost, also when callers have the word

Change: an opening without an answer, while a later one was answered here, is a suspicion for the examiners of the failure domain after 50 ms, as before that part; the caller's word does not report it again. Ejections by one instance alone and holds still need the caller's word. Test: TestOpeningWhoseCallerGivesUpIsReportedAsLostOnce, red before, green now; go test ./steerer passes.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -23,6 +23,7 @@
 	attempted       []*viewer.BackendServer // servers that the opening was sent to; nil once established
 	sentAt          []time.Time             // when the opening was sent to each of them
 	judged          int                     // how many of them have been counted as unanswered
+	reported        int                     // how many of them have been reported as lost, unless an answer came later
 	openingPacket   []byte                  // for retries; nil once established
 	openingSequence uint32                  // tells a retransmitted opening from that of a new flow
 	openedAt        time.Time               // when the first opening arrived
--- a/steerer/opening.go
+++ b/steerer/opening.go
@@ -9,7 +9,9 @@
 
 // An opening without an answer shows nothing by itself: after a change of the routers' set the
 // answer reaches another instance. It counts against its server once the caller shows here that
-// it had no answer: it retransmits the opening, or goes on with a server that got a later copy.
+// it had no answer: it retransmits the opening, or goes on with a server that got a later copy. A
+// caller that its server resets does neither; its opening is a suspicion for the examiner if a later
+// one was answered here, as the examiners of a failure domain judge together.
 
 const (
 	// ceaseTime is how long an unanswered opening counts when answers cease altogether.
@@ -35,8 +37,9 @@
 
 // unansweredOpening is an opening that a server has left unanswered.
 type unansweredOpening struct {
-	server *viewer.BackendServer
-	sentAt time.Time
+	server     *viewer.BackendServer
+	sentAt     time.Time
+	isReported bool // as lost, before the caller's word
 }
 
 // confirmsOpenings reports whether openings count as unanswered only by their callers' word, and
@@ -87,7 +90,7 @@
 func (flow *flow) takeUnanswered(attempts int, now time.Time) []unansweredOpening {
 	var unanswered []unansweredOpening
 	for ; flow.judged < attempts && now.Sub(flow.sentAt[flow.judged]) >= answerTimeout; flow.judged++ {
-		unanswered = append(unanswered, unansweredOpening{server: flow.attempted[flow.judged], sentAt: flow.sentAt[flow.judged]})
+		unanswered = append(unanswered, unansweredOpening{server: flow.attempted[flow.judged], sentAt: flow.sentAt[flow.judged], isReported: flow.judged < flow.reported})
 	}
 	return unanswered
 }
@@ -105,7 +108,9 @@
 // countUnanswered counts an opening against a server: as a sign for the other instances, and
 // towards an ejection here unless answers have ceased or the routers have changed their set.
 func (steerer *Steerer) countUnanswered(flow *flow, opening unansweredOpening, haveCeased bool, now time.Time) {
-	steerer.reportLost(opening.server, now)
+	if !opening.isReported {
+		steerer.reportLost(opening.server, now)
+	}
 	key := newFollowKey(flow.key)
 	isEjected := false
 	if !haveCeased && now.Sub(steerer.openings.movedAt) > movedFlowsTime {
--- a/steerer/opening_test.go
+++ b/steerer/opening_test.go
@@ -177,3 +177,17 @@
 }
 
 func (reexaminations *reexaminations) ReexamineServers() { reexaminations.count++ }
+
+// The server has ended, and its address resets the callers at once, so they retransmit nothing.
+func TestOpeningWhoseCallerGivesUpIsReportedAsLostOnce(t *testing.T) {
+	harness := newHarness("a")
+	harness.SetDetector(&signs{silences: &detector.Silences{}})
+	harness.Decide(opening(1), start)
+	harness.applyServers(2, "b")
+	harness.Decide(opening(2), after(10))
+	harness.Decide(laterPacket(2, tokenOf("b"), 100, 0, Flags{}), after(20))
+	harness.Next(after(60), after(60))
+	assert.DeepEqual(t, harness.lost, []string{"a"})
+	harness.Decide(laterPacket(1, tokenOf("b"), 100, 0, Flags{}), after(200)) // the caller goes on with the copy
+	assert.DeepEqual(t, harness.lost, []string{"a"})
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -377,7 +377,12 @@
 	// The missing answer counts against the server only if an opening that was sent
 	// later has been answered. Otherwise the network fabric may have changed its set of
 	// instances, so that the callers' packets now reach another instance.
-	if !steerer.confirmsOpenings() && steerer.newestAnsweredSentAt.After(flow.openingSentAt) {
+	switch {
+	case !steerer.newestAnsweredSentAt.After(flow.openingSentAt):
+	case steerer.confirmsOpenings():
+		steerer.reportLost(flow.server, now)
+		flow.reported = len(flow.attempted)
+	default:
 		steerer.recordUnanswered(flow.server, now)
 	}
 	if len(flow.attempted) >= maxAttempts {
