--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -40,7 +40,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(daemon.run.temporary, daemon.name+".log"))
+	log, err := os.OpenFile(filepath.Join(daemon.run.temporary, daemon.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 		"listen.datagram_addr": endpoint(daemon.run.packetPort), "listen.ready_addr": endpoint(daemon.run.readyPort), "listen.control": endpoint(daemon.run.controlPort),
 		"internal_ports": []uint16{daemon.run.peerPort, daemon.run.peerPort + 1}, "seeds": daemon.run.seeds(),
 		"limits.cpu_share": 0.3, "platform.address": daemon.run.store.address,
-		"bounds.grace_s": 6, "bounds.drain_ms": drainTime.Milliseconds(), "bounds.config_apply_ms": 3000,
+		"bounds.grace_s": 6, "bounds.drain_ms": daemon.run.drainTime.Milliseconds(), "bounds.config_apply_ms": daemon.run.drainTime.Milliseconds(),
 	}
 	if daemon.run.coldRate > 0 {
 		values["bounds.evacuate_ms"], values["bounds.cold_over"], values["bounds.cold_slack"] = 5000, coldOver, coldSlack
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -24,10 +24,7 @@
 	warmUpFactor        = 1.6             // cold_x of the site file
 	coldOver            = 1.5             // cold_over of the sheet
 	coldSlack           = 5               // cold_slack of the sheet
-	drainTime           = 3 * time.Second // drain_ms of the site file
 	additionalDrainTime = time.Second
-	concurrentRequests  = 3  // slots of the site file
-	queuedRequests      = 12 // queue of the site file
 	connectionsOfAHost  = 2000
 	entryKind           = "servers"
 	entryStateReady     = "ready"
@@ -120,7 +117,7 @@
 	}
 	host.mutex.Unlock()
 	host.run.store.put(entryKind, host.id, map[string]any{
-		"service": host.service, "address": host.address.String(), "zone": host.zone, "version": softwareVersion, "slots": concurrentRequests,
+		"service": host.service, "address": host.address.String(), "zone": host.zone, "version": softwareVersion, "slots": host.run.slots,
 		"state": state, "cold_remaining_ms": remaining, "sequence": 1, "born": host.born.UnixMilli(),
 	})
 }
@@ -150,7 +147,7 @@
 	}
 }
 
-// leave drains the host and ends it drainTime and a little longer after the store has accepted that.
+// leave drains the host and ends it run.drainTime and a little longer after the store has accepted that.
 func (host *host) leave() {
 	host.mutex.Lock()
 	host.draining = true
@@ -160,7 +157,7 @@
 	host.leftAt = time.Now()
 	host.mutex.Unlock()
 	host.run.note("host %s is draining", host.id)
-	time.AfterFunc(drainTime+additionalDrainTime, func() {
+	time.AfterFunc(host.run.drainTime+additionalDrainTime, func() {
 		host.end()
 		host.run.store.remove(entryKind, host.id)
 		host.run.note("host %s has left", host.id)
@@ -229,7 +226,7 @@
 		host.flows[key] = flow
 		host.run.hostTook(host, key)
 		host.checkCold()
-		if !host.leftAt.IsZero() && time.Since(host.leftAt) > drainTime {
+		if !host.leftAt.IsZero() && time.Since(host.leftAt) > host.run.drainTime {
 			host.run.broken("DRAIN", "host %s took a SYN %s after the store accepted that it is draining", host.id, time.Since(host.leftAt))
 		}
 	}
@@ -282,9 +279,9 @@
 	}
 	execute := func() { host.execute(flow, id, time.Duration(milliseconds)*time.Millisecond) }
 	switch {
-	case host.running < concurrentRequests:
+	case host.running < host.run.slots:
 		execute()
-	case len(host.queue) < queuedRequests:
+	case len(host.queue) < host.run.queueLength:
 		host.queue = append(host.queue, execute)
 	default:
 		host.respond(flow, "503 Not-Executed "+id)
@@ -298,7 +295,7 @@
 	if time.Now().Before(host.cold) {
 		work = time.Duration(warmUpFactor * float64(work))
 		if host.run.coldRate > 0 { // all slots together bear that many requests a second
-			work = max(work, time.Duration(concurrentRequests/host.run.coldRate*float64(time.Second)))
+			work = max(work, time.Duration(float64(host.run.slots)/host.run.coldRate*float64(time.Second)))
 		}
 	}
 	host.run.began(host, id, work)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]func(run *run, trouble bool) error{
 	"queue":     queueAfterScaleIn,
 	"take-back": takeBack,
+	"restart":   restart,
 }
 
 func main() {
--- a/review/harness/queue.go
+++ b/review/harness/queue.go
@@ -31,6 +31,7 @@
 		"counter":   netip.MustParseAddrPort("198.18.0.1:8443"),
 		"sheetroom": netip.MustParseAddrPort("198.18.0.2:8443"),
 	}
+	run.slots, run.queueLength, run.drainTime = 3, 12, 3*time.Second
 	run.configure(7, routes)
 	var counter []*host
 	for i := range hostCount {
@@ -74,7 +75,7 @@
 			for _, leaving := range counter[1:] {
 				leaving.leave()
 			}
-			time.Sleep(drainTime) // until then openings may go to them
+			time.Sleep(run.drainTime) // until then openings may go to them
 		}
 		for i := range ordersAtOnce {
 			requests.Go(func() { clients[2].request(routes["counter"], fmt.Sprintf("order%d-%d", round, i), orderWork) })
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -20,7 +20,10 @@
 	readyPort   uint16
 	controlPort uint16
 	peerPort    uint16
-	coldRate    float64 // cold_per_s of all services; 0 if none is stated
+	coldRate    float64       // cold_per_s of all services; 0 if none is stated
+	slots       int           // of each host
+	queueLength int           // of each host
+	drainTime   time.Duration // drain_ms, and config_apply_ms, which is the same on each sheet
 	startedAt   time.Time
 
 	mutex    sync.Mutex
--- a/review/harness/take_back.go
+++ b/review/harness/take_back.go
@@ -27,7 +27,7 @@
 		"desk-sync":   netip.MustParseAddrPort("198.18.0.1:8443"),
 		"report-desk": netip.MustParseAddrPort("198.18.0.2:8443"),
 	}
-	run.coldRate = coldRate
+	run.coldRate, run.slots, run.queueLength, run.drainTime = coldRate, 2, 8, 5*time.Second
 	run.configure(7, routes)
 	var reporters []*host
 	for i := range 8 {
