--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -12,11 +12,11 @@
 
 // Times of PROTOCOL.md, "Flows", and of the sheet.
 const (
-	openingTimeout = 1400 * time.Millisecond
-	deadline       = 3 * time.Second
-	requestBytes   = 900
-	firstPort      = 1024
-	tries          = 3
+	openingTimeout  = 1400 * time.Millisecond
+	defaultDeadline = 3 * time.Second
+	requestBytes    = 900
+	firstPort       = 1024
+	tries           = 3
 )
 
 // openingCopies are the times after which a SYN is sent again.
@@ -107,6 +107,7 @@
 		flow.send(packet{flags: flagSYN, seq: initial, ack: copies})
 		copies++
 	}
+	flow.client.run.opening(flow.key)
 	sendOpening()
 	startedAt := time.Now()
 	for {
@@ -162,7 +163,7 @@
 	}
 	sendData()
 	isAcknowledged, interval := false, firstRetransmission
-	end, retransmitAt := time.Now().Add(deadline), time.Now().Add(interval)
+	end, retransmitAt := time.Now().Add(run.deadline), time.Now().Add(interval)
 	for {
 		wait := time.Until(end)
 		if !isAcknowledged {
--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -22,11 +22,12 @@
 func restart(run *run, trouble bool) error {
 	zones := []string{"hill-tank", "north-pump", "river-hall"}
 	routes := map[string]netip.AddrPort{"map-shelf": netip.MustParseAddrPort("198.18.0.1:8443")}
+	run.rule = "FAILBACK"
 	run.coldRate, run.slots, run.queueLength, run.drainTime = coldRate, 2, 8, 5*time.Second
 	run.configure(7, routes)
 	var local []*host
 	for i := range 6 {
-		started, err := run.startHost("map-shelf", zones[i%len(zones)], address(4, i), 1, false)
+		started, err := run.startHost("map-shelf", zones[i%len(zones)], address(4, i), 1)
 		if err != nil {
 			return err
 		}
--- a/review/harness/take_back.go
+++ b/review/harness/take_back.go
@@ -27,6 +27,7 @@
 		"desk-sync":   netip.MustParseAddrPort("198.18.0.1:8443"),
 		"report-desk": netip.MustParseAddrPort("198.18.0.2:8443"),
 	}
+	run.rule = "FAILBACK"
 	run.coldRate, run.slots, run.queueLength, run.drainTime = coldRate, 2, 8, 5*time.Second
 	run.configure(7, routes)
 	var reporters []*host
@@ -35,7 +36,7 @@
 		if i < 2 {
 			service, zone = "report-desk", zones[2]
 		}
-		started, err := run.startHost(service, zone, address(4, i), 1, false)
+		started, err := run.startHost(service, zone, address(4, i), 1)
 		if err != nil {
 			return err
 		}
