--- a/director/recorder.go
+++ b/director/recorder.go
@@ -37,6 +37,7 @@
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
 	limitedServices map[string]bool      // whether openings are limited, as last logged
 	failureLoggedAt map[string]time.Time // by socket or kind of message: when its last error was logged
+	lastStoreRead   viewer.Revision      // at which this instance last read the store
 	ready           bool                 // as last reported to the fabric
 	reportedDropped uint64               // dropped log lines, as last logged
 }
--- a/director/responder.go
+++ b/director/responder.go
@@ -52,6 +52,8 @@
 	Ready         bool    `json:"ready"`
 	Configuration uint64  `json:"configuration_version"`    // 0 before there is a configuration
 	Revision      uint64  `json:"backend_servers_revision"` // of the store; 0 before there is a list
+	StoreEra      uint64  `json:"store_era"`                // when this instance last read the store; 0 if it states none
+	StoreRevision uint64  `json:"store_revision"`           // the same; 0 if this instance has not read it
 	Servers       int     `json:"backend_servers"`
 	Routes        int     `json:"routes"`
 	AgeSeconds    float64 `json:"age_seconds"`  // since the store last confirmed the list of backend servers
@@ -158,6 +160,8 @@
 	if view.Configuration != nil {
 		state.Configuration, state.Routes = view.Configuration.Version, len(view.Configuration.Routes)
 	}
+	lastRead := responder.recorder.LastStoreRead()
+	state.StoreEra, state.StoreRevision = lastRead.Era, lastRead.Number
 	if view.Servers != nil {
 		state.Revision, state.Servers = view.Servers.Revision, len(view.Servers.List)
 	}
--- a/director/view.go
+++ b/director/view.go
@@ -69,6 +69,29 @@
 	return before
 }
 
+// StoreRead counts and logs that the store has returned from an older copy, if its era or its
+// revision shows so.
+func (recorder *Recorder) StoreRead(revision viewer.Revision) {
+	recorder.mutex.Lock()
+	before := recorder.lastStoreRead
+	recorder.lastStoreRead = revision
+	recorder.mutex.Unlock()
+	hasReturned := revision.Era != before.Era || revision.Number < before.Number
+	if before.IsZero() || !hasReturned {
+		return
+	}
+	recorder.counters.Add("store_returns", 1)
+	recorder.Event(logger.EventStoreReturned, "era", revision.Era, "revision", revision.Number,
+		"era_before", before.Era, "revision_before", before.Number)
+}
+
+// LastStoreRead returns the revision at which this instance last read the store.
+func (recorder *Recorder) LastStoreRead() viewer.Revision {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	return recorder.lastStoreRead
+}
+
 // MemberJoined logs that an instance has become reachable.
 func (recorder *Recorder) MemberJoined(member relayer.Member) {
 	recorder.Event(decider.EventMemberJoined, "instance", member.Name, "failure_domain", member.FailureDomain)
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -52,6 +52,7 @@
 	EventServerHeld           decider.EventKind = 522
 	EventServerReadmitted     decider.EventKind = 523
 	EventWarmUpRateTooSmall   decider.EventKind = 521
+	EventStoreReturned        decider.EventKind = 524
 	EventFlowDecided          decider.EventKind = 601
 	EventFlowEnded            decider.EventKind = 602
 	EventOpeningsLimited      decider.EventKind = 603
@@ -100,6 +101,7 @@
 	EventEvacuationEnded:      "evacuation of a failure domain ended",
 	EventEvacuationIgnored:    "evacuation has no effect",
 	EventAnnouncementMissed:   "no announcement received, leaders asked for their view",
+	EventStoreReturned:        "store has returned from an older copy",
 	EventFlowDecided:          "decision about a flow",
 	EventFlowEnded:            "flow ended",
 	EventOpeningsLimited:      "new flows are limited for lack of room",
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -43,7 +43,7 @@
 	for i, domain := range evacuations.List() {
 		bytes += len(domain)
 		if i == maxEvacuatedDomains || bytes > maxEvacuatedBytes {
-			return &viewer.Evacuations{Revision: evacuations.Revision, Domains: evacuations.Domains[:i]}
+			return &viewer.Evacuations{Revision: evacuations.Revision, Domains: evacuations.Domains[:i], Era: evacuations.Era}
 		}
 	}
 	return evacuations
@@ -64,6 +64,7 @@
 	if err != nil {
 		return 0, false, err
 	}
+	relayer.observer.StoreRead(evacuations.At())
 	limited := limitEvacuations(evacuations)
 	if ignored := len(evacuations.Domains) - len(limited.Domains); ignored > 0 {
 		relayer.observer.EvacuationsIgnored(evacuations.Domains[len(limited.Domains):])
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -97,6 +97,8 @@
 	EvacuationsIgnored(domains []string)
 	// ServerExpired reports a server that did not come back after an outage of the store.
 	ServerExpired(server *viewer.BackendServer)
+	// StoreRead reports that this instance has read the store at a revision.
+	StoreRead(revision viewer.Revision)
 	SourceCallFailed(call string, err error)
 	SourceCallSucceeded(call string)
 	// MemberJoined reports the first heartbeat of an instance that was not in the list.
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -279,6 +279,7 @@
 func (node *node) EvacuationsIgnored(domains []string) {
 	node.ignored = append(node.ignored, domains...)
 }
+func (node *node) StoreRead(viewer.Revision)      {}
 func (node *node) SourceCallFailed(string, error) {}
 func (node *node) SourceCallSucceeded(string)     {}
 func (node *node) MemberJoined(Member)            {}
--- a/viewer/evacuations.go
+++ b/viewer/evacuations.go
@@ -7,6 +7,15 @@
 type Evacuations struct {
 	Revision uint64   `cbor:"1,keyasint"`           // of the store when it had this set
 	Domains  []string `cbor:"2,keyasint,omitempty"` // sorted
+	Era      uint64   `cbor:"3,keyasint,omitempty"` // of the store at that revision
+}
+
+// At returns when the store had this set, the zero Revision if none is known.
+func (evacuations *Evacuations) At() Revision {
+	if evacuations == nil {
+		return Revision{}
+	}
+	return Revision{Era: evacuations.Era, Number: evacuations.Revision}
 }
 
 // Contains reports whether a failure domain is evacuated.
