Order states of the store by its era and its revision

Cause: every state of the store was ordered, named and compared by its revision alone, as if revisions never went back. A read that got 34 after 36 took it for nothing new, and counted as a success, so that no instance looked further.

Ruled out: changes read from the wrong place, and newer configurations that were rejected, since no such call was made.

Change: viewer.Revision is era and number.

--- a/director/network.go
+++ b/director/network.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 const (
 	viewPath               = "/view"         // requested at the control address of an instance
 	configurationParameter = "configuration" // query parameter: version of the configuration that the requester has
 	revisionParameter      = "revision"      // query parameter: revision of the backend servers that the requester has
+	eraParameter           = "era"           // query parameter: era of that revision; not sent by older programs, and ignored by them
 	fetchTimeout           = time.Second
 	maxViewSize            = 8 << 20 // bytes
 )
@@ -75,8 +78,12 @@
 // Fetch requests the view of the instance with the given control address and returns
 // the encoded snapshot, which has only what is newer than configurationVersion and
 // serversRevision.
-func (network *Network) Fetch(ctx context.Context, control netip.AddrPort, configurationVersion, serversRevision uint64) ([]byte, error) {
-	query := url.Values{configurationParameter: {strconv.FormatUint(configurationVersion, 10)}, revisionParameter: {strconv.FormatUint(serversRevision, 10)}}
+func (network *Network) Fetch(ctx context.Context, control netip.AddrPort, configurationVersion uint64, serversRevision viewer.Revision) ([]byte, error) {
+	query := url.Values{
+		configurationParameter: {strconv.FormatUint(configurationVersion, 10)},
+		revisionParameter:      {strconv.FormatUint(serversRevision.Number, 10)},
+		eraParameter:           {strconv.FormatUint(serversRevision.Era, 10)},
+	}
 	address := "http://" + control.String() + viewPath + "?" + query.Encode()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
--- a/director/responder.go
+++ b/director/responder.go
@@ -125,9 +125,9 @@
 
 func (responder *Responder) serveView(writer http.ResponseWriter, request *http.Request) {
 	version, versionErr := strconv.ParseUint(request.FormValue(configurationParameter), 10, 64)
-	serversRevision, revisionErr := strconv.ParseUint(request.FormValue(revisionParameter), 10, 64)
+	serversRevision, revisionErr := parseRevision(request)
 	if versionErr != nil || revisionErr != nil {
-		http.Error(writer, "configuration and revision must be numbers", http.StatusBadRequest)
+		http.Error(writer, "configuration, revision and era must be numbers", http.StatusBadRequest)
 		return
 	}
 	select {
@@ -141,6 +141,21 @@
 	writer.Write(responder.relayer.Snapshot(version, serversRevision))
 }
 
+// parseRevision returns the revision of the servers that a request names. One without an era, of
+// an older program, names a revision that no delta starts from once the store states eras.
+func parseRevision(request *http.Request) (viewer.Revision, error) {
+	number, err := strconv.ParseUint(request.FormValue(revisionParameter), 10, 64)
+	if err != nil {
+		return viewer.Revision{}, err
+	}
+	era := request.FormValue(eraParameter)
+	if era == "" {
+		return viewer.Revision{Number: number}, nil
+	}
+	parsed, err := strconv.ParseUint(era, 10, 64)
+	return viewer.Revision{Era: parsed, Number: number}, err
+}
+
 func (responder *Responder) serveVars(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.Write([]byte(responder.vars.String()))
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -10,9 +10,11 @@
 // register writes this instance into the list of members, where the reader finds it.
 func (relayer *Relayer) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := relayer.source.Register(ctx, relayer.self)
+		known := relayer.newestEra()
+		era, err := relayer.source.Register(ctx, relayer.self)
 		relayer.reportSourceCall(ctx, "register", err)
 		if err == nil {
+			relayer.recordRegistration(max(era, known))
 			return
 		}
 		ticker.Sleep(ctx, 2*retryInterval)
@@ -88,6 +90,9 @@
 	}
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
+	if relayer.mayHaveLostMembers(now) {
+		return
+	}
 	for name, peer := range relayer.members {
 		if !names[name] && now.Sub(peer.receivedAt) > membersReadInterval {
 			delete(relayer.members, name)
--- a/relayer/evacuation.go
+++ b/relayer/evacuation.go
@@ -59,22 +59,23 @@
 
 // readEvacuations reads the evacuations from the store and applies them. It returns the
 // revision of the store, and whether other failure domains are evacuated than before.
-func (relayer *Relayer) readEvacuations(ctx context.Context) (uint64, bool, error) {
+func (relayer *Relayer) readEvacuations(ctx context.Context) (viewer.Revision, bool, error) {
 	evacuations, err := relayer.source.Evacuations(ctx)
 	if err != nil {
-		return 0, false, err
+		return viewer.Revision{}, false, err
 	}
 	relayer.observer.StoreRead(evacuations.At())
 	limited := limitEvacuations(evacuations)
 	if ignored := len(evacuations.Domains) - len(limited.Domains); ignored > 0 {
 		relayer.observer.EvacuationsIgnored(evacuations.Domains[len(limited.Domains):])
 	}
-	return limited.Revision, relayer.applyEvacuations(limited, "store"), nil
+	return limited.At(), relayer.applyEvacuations(limited, "store"), nil
 }
 
 // applyEvacuations applies evacuations from the store or an instance unless newer ones have
 // been applied, and reports whether other failure domains are evacuated than before.
 func (relayer *Relayer) applyEvacuations(evacuations *viewer.Evacuations, from string) bool {
+	relayer.recordEra(evacuations.At(), time.Now())
 	before, applied := relayer.viewer.ApplyEvacuations(evacuations)
 	if !applied || evacuations.SameDomains(before) {
 		return false
--- a/relayer/evacuation_test.go
+++ b/relayer/evacuation_test.go
@@ -244,14 +244,14 @@
 	relayer := newMuteRelayer(encode(snapshotEnvelope{Content: encode(Snapshot{Evacuations: evacuations})}))
 	relayer.fetch(t.Context(), backendMember("lb-1"))
 	assert.DeepEqual(t, relayer.viewer.Current().Evacuations, evacuations)
-	for _, revision := range []uint64{0, 1} { // for an instance without a view, and for one that has the servers
-		snapshot, _, err := decodeSnapshot(relayer.Snapshot(revision, revision))
+	for _, number := range []uint64{0, 1} { // for an instance without a view, and for one that has the servers
+		snapshot, _, err := decodeSnapshot(relayer.Snapshot(number, viewer.Revision{Number: number}))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, snapshot.Evacuations, evacuations)
 	}
 	newer := &viewer.Evacuations{Revision: 10}
 	relayer.applyEvacuations(newer, "store")
-	snapshot, _, err := decodeSnapshot(relayer.Snapshot(1, 1))
+	snapshot, _, err := decodeSnapshot(relayer.Snapshot(1, viewer.Revision{Number: 1}))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, snapshot.Evacuations, newer)
 	invalid := encode(snapshotEnvelope{Content: encode(Snapshot{Evacuations: &viewer.Evacuations{Revision: 11, Domains: []string{""}}})})
@@ -266,7 +266,7 @@
 		relayer.schedule.isLeader, relayer.hasReadMembers = true, true
 		relayer.viewer.ApplyEvacuations(&viewer.Evacuations{Revision: 9, Domains: []string{"dakar-1"}})
 		simulation.update(func() {
-			simulation.saved = SavedSnapshot{ConfigurationVersion: 1, ServersRevision: 1, ObjectRevision: 12}
+			simulation.saved = SavedSnapshot{ConfigurationVersion: 1, ServersRevision: viewer.Revision{Era: 1, Number: 1}, ObjectRevision: viewer.Revision{Era: 1, Number: 12}}
 		})
 		for range 2 {
 			relayer.saveSnapshot(t.Context())
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -56,7 +56,7 @@
 	if delta := viewer.ComposeDeltas(relayer.history.after(relayer.announcedRevision), maxHeartbeatChanges); delta != nil {
 		heartbeat = extendIfFits(heartbeat, func(heartbeat *Heartbeat) { heartbeat.ServersDelta = delta })
 	}
-	relayer.announcedRevision, relayer.announcedVersion = heartbeat.ServersRevision, heartbeat.ConfigurationVersion
+	relayer.announcedRevision, relayer.announcedVersion = heartbeat.serversAt(), heartbeat.ConfigurationVersion
 	return heartbeat
 }
 
@@ -107,7 +107,7 @@
 		heartbeat.ConfigurationVersion = view.Configuration.Version
 	}
 	if view.Servers != nil {
-		heartbeat.ServersRevision = view.Servers.Revision
+		heartbeat.ServersRevision, heartbeat.Era = view.Servers.Revision, view.Servers.Era
 		heartbeat.ServerCount = len(view.Servers.List)
 		heartbeat.ServersDigest = relayer.cachedDigest(view.Servers)
 	}
@@ -117,8 +117,8 @@
 // cachedDigest returns the digest of servers and computes it once per revision. The mutex
 // must be held.
 func (relayer *Relayer) cachedDigest(servers *viewer.Servers) uint64 {
-	if relayer.digestRevision != servers.Revision {
-		relayer.digest, relayer.digestRevision = servers.Digest(), servers.Revision
+	if relayer.digestRevision != servers.At() {
+		relayer.digest, relayer.digestRevision = servers.Digest(), servers.At()
 	}
 	return relayer.digest
 }
@@ -197,10 +197,10 @@
 	relayer.mutex.Lock()
 	own := relayer.newHeartbeat(now, false)
 	relayer.mutex.Unlock()
-	switch {
-	case heartbeat.ConfigurationVersion > own.ConfigurationVersion || heartbeat.ServersRevision > own.ServersRevision:
+	switch heartbeat.compareView(&own) {
+	case 1:
 		relayer.catchUp(ctx, heartbeat, own, view, now)
-	case heartbeat.ConfigurationVersion < own.ConfigurationVersion || heartbeat.ServersRevision < own.ServersRevision:
+	case -1:
 		relayer.answer(heartbeat.Sender, minAnswerInterval, now)
 	default:
 		relayer.confirmFreshness(heartbeat, now)
@@ -244,14 +244,14 @@
 	switch {
 	case view.Servers == nil:
 		return nil
-	case heartbeat.ServersRevision <= own.ServersRevision:
+	case !heartbeat.serversAt().IsNewerThan(own.serversAt()):
 		return view.Servers
 	case heartbeat.ServersDigest == own.ServersDigest:
-		return &viewer.Servers{Revision: heartbeat.ServersRevision, List: view.Servers.List, Unreadable: view.Servers.Unreadable}
+		return view.Servers.ConfirmedAt(heartbeat.serversAt())
 	case heartbeat.ServersDelta != nil:
 		servers = view.Servers.Apply(heartbeat.ServersDelta)
 	}
-	if servers == nil || servers.Revision != heartbeat.ServersRevision || servers.Digest() != heartbeat.ServersDigest {
+	if servers == nil || servers.At() != heartbeat.serversAt() || servers.Digest() != heartbeat.ServersDigest {
 		return nil
 	}
 	return servers
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -43,7 +43,7 @@
 
 func (mute mute) Send(netip.AddrPort, []byte) {}
 
-func (mute mute) Fetch(context.Context, netip.AddrPort, uint64, uint64) ([]byte, error) {
+func (mute mute) Fetch(context.Context, netip.AddrPort, uint64, viewer.Revision) ([]byte, error) {
 	return mute.fetched, nil
 }
 
@@ -78,7 +78,7 @@
 		}
 		relayer.fetch(context.Background(), sender)
 		relayer.announceToDomainAndLeaders()
-		relayer.Snapshot(0, 0)
+		relayer.Snapshot(0, viewer.Revision{})
 	})
 }
 
--- a/relayer/history.go
+++ b/relayer/history.go
@@ -31,7 +31,7 @@
 	if before == nil {
 		return
 	}
-	if last := len(deltaHistory.deltas) - 1; last >= 0 && deltaHistory.deltas[last].Revision != before.Revision {
+	if last := len(deltaHistory.deltas) - 1; last >= 0 && deltaHistory.deltas[last].At() != before.At() {
 		deltaHistory.clear() // two lists were applied concurrently, so this delta does not follow the last one
 	}
 	delta := viewer.DiffServers(before, after)
@@ -52,9 +52,9 @@
 
 // after returns the deltas from a revision to the newest one, none when there is no delta
 // from that revision in the history. The result does not change with the history.
-func (deltaHistory *deltaHistory) after(revision uint64) []*viewer.ServerDelta {
+func (deltaHistory *deltaHistory) after(revision viewer.Revision) []*viewer.ServerDelta {
 	for i, first := range deltaHistory.deltas {
-		if first.Base == revision {
+		if first.BaseAt() == revision {
 			return deltaHistory.deltas[i:]
 		}
 	}
--- a/relayer/history_test.go
+++ b/relayer/history_test.go
@@ -42,7 +42,7 @@
 	result := testing.Benchmark(func(b *testing.B) {
 		for range b.N {
 			relayer.mutex.Lock()
-			relayer.announcedRevision = 1
+			relayer.announcedRevision = viewer.Revision{Number: 1}
 			content := encode(relayer.newAnnouncement(time.Now()))
 			relayer.mutex.Unlock()
 			assert.Assert(b, len(content) <= maxHeartbeatSize)
@@ -80,7 +80,7 @@
 			}
 		})
 		advance(applyTimeLimit)
-		full := len(nodes[0].Snapshot(0, 0))
+		full := len(nodes[0].Snapshot(0, viewer.Revision{}))
 		simulation.resetTraffic()
 		simulation.update(func() { simulation.servers = simulation.servers[leaving:] })
 		advance(applyTimeLimit)
@@ -117,7 +117,7 @@
 		}
 		assert.Assert(t, total <= maxHistorySize, "%d servers in the history", total)
 	}
-	assert.Assert(t, len(history.after(38)) > 0)
+	assert.Assert(t, len(history.after(viewer.Revision{Number: 38})) > 0)
 	history.add(before, &viewer.Servers{Revision: 50, List: list[:2000]})
 	assert.Equal(t, len(history.deltas), 0, "the full list is shorter")
 }
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -17,7 +18,8 @@
 	Sender               Member              `cbor:"sender"`
 	InstanceCount        int                 `cbor:"instances"`      // in the fleet; 0 when the sender may not know all
 	ConfigurationVersion uint64              `cbor:"configuration"`  // 0 when the sender has none
-	ServersRevision      uint64              `cbor:"revision"`       // revision of the store for the backend servers; 0 when the sender has none
+	ServersRevision      uint64              `cbor:"revision"`       // revision of the store for the backend servers, in Era; 0 when the sender has none
+	Era                  uint64              `cbor:"era,omitempty"`  // of the store at ServersRevision; 0 also from an instance with an older program
 	ServersDigest        uint64              `cbor:"digest"`         // of the list of backend servers
 	ServerCount          int                 `cbor:"listed"`         // length of the list of backend servers
 	Age                  time.Duration       `cbor:"age"`            // time since the store was last known to be at ServersRevision
@@ -60,6 +62,19 @@
 	Asks bool `cbor:"asks,omitempty"`
 }
 
+// serversAt returns the revision of the sender's list of servers.
+func (heartbeat *Heartbeat) serversAt() viewer.Revision {
+	return viewer.Revision{Era: heartbeat.Era, Number: heartbeat.ServersRevision}
+}
+
+// compareView returns -1 if the sender's configuration and servers are older than those of other,
+// +1 if either is newer, and 0 if they are the same.
+func (heartbeat *Heartbeat) compareView(other *Heartbeat) int {
+	versions := cmp.Compare(heartbeat.ConfigurationVersion, other.ConfigurationVersion)
+	revisions := heartbeat.serversAt().Compare(other.serversAt())
+	return cmp.Or(max(versions, revisions, 0), min(versions, revisions))
+}
+
 // maxEjectionDuration is the longest ejection that is accepted from another instance.
 const maxEjectionDuration = time.Minute
 
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -61,7 +63,7 @@
 // since the rest may take long.
 func (relayer *Relayer) readChanges(ctx context.Context) error {
 	var base *viewer.Servers
-	since := uint64(0)
+	since := viewer.Revision{}
 	revision, evacuated, err := relayer.readEvacuations(ctx)
 	if err != nil {
 		return err
@@ -70,10 +72,13 @@
 		if evacuated {
 			relayer.announceToDomainAndLeaders()
 		}
-		if relayer.knownRevision() >= revision {
+		if revision.Era < view.Servers.Era {
+			return errors.Errorf("store is in era %d, and was in era %d before", revision.Era, view.Servers.Era)
+		}
+		if !revision.IsNewerThan(relayer.knownRevision()) {
 			return nil
 		}
-		base, since = view.Servers, view.Servers.Revision
+		base, since = view.Servers, view.Servers.At()
 	}
 	// The revision of the servers serves as the revision of the whole view, so the
 	// configuration is read after them: it may be newer than that revision, but never
@@ -94,18 +99,26 @@
 }
 
 // knownRevision returns the revision of the store up to which there is nothing to read.
-func (relayer *Relayer) knownRevision() uint64 {
+func (relayer *Relayer) knownRevision() viewer.Revision {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	return max(relayer.skippedRevision, relayer.viewer.Current().Servers.Revision)
+	revision := relayer.viewer.Current().Servers.At()
+	if relayer.skippedRevision.IsNewerThan(revision) {
+		return relayer.skippedRevision
+	}
+	return revision
 }
 
 // applyServers applies a list of servers from the store or an instance unless a newer one has
 // been applied.
 func (relayer *Relayer) applyServers(servers *viewer.Servers, from string) {
 	now := time.Now()
-	relayer.startGracePeriod(now)
 	before := relayer.viewer.Current().Servers
+	relayer.recordEra(servers.At(), now)
+	relayer.startGracePeriod(now)
+	if before != nil && servers.Era > before.Era { // the copy lacks servers that started after it was made
+		relayer.viewer.RetainMissingUntil(now.Add(returnGracePeriod))
+	}
 	if relayer.viewer.ApplyServers(servers, now) {
 		relayer.mutex.Lock()
 		relayer.history.add(before, servers)
--- a/relayer/relay_tree.go
+++ b/relayer/relay_tree.go
@@ -184,7 +184,7 @@
 // isCurrent reports whether the view is as new as the sender's.
 func (relayer *Relayer) isCurrent(heartbeat Heartbeat) bool {
 	view := relayer.viewer.Current()
-	return view.Complete() && view.Configuration.Version >= heartbeat.ConfigurationVersion && view.Servers.Revision >= heartbeat.ServersRevision
+	return view.Complete() && view.Configuration.Version >= heartbeat.ConfigurationVersion && !heartbeat.serversAt().IsNewerThan(view.Servers.At())
 }
 
 // wait keeps an announcement until the running fetch has ended, and returns false if there is
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -59,18 +59,19 @@
 	// base, the relayer's own list, which is nil when the relayer has none.
 	Servers(ctx context.Context, base *viewer.Servers) (*viewer.Servers, error)
 	// Configuration returns nil when there is none, or none newer than revision since.
-	Configuration(ctx context.Context, since uint64) (*viewer.Configuration, error)
+	Configuration(ctx context.Context, since viewer.Revision) (*viewer.Configuration, error)
 	// Members returns all registered instances.
 	Members(ctx context.Context) ([]Member, error)
 	// SavedSnapshot returns the snapshot that is saved for starting instances; its
-	// ObjectRevision is 0 if there is none.
+	// ObjectRevision is zero if there is none.
 	SavedSnapshot(ctx context.Context) (SavedSnapshot, error)
 	// SaveSnapshot replaces the saved snapshot that has snapshot's ObjectRevision, or creates
-	// the first one if that is 0. It returns the one that is saved then, which is another
+	// the first one if that is zero. It returns the one that is saved then, which is another
 	// instance's if that was saved in between; its Content may be empty.
 	SaveSnapshot(ctx context.Context, snapshot SavedSnapshot) (SavedSnapshot, error)
-	// Register writes member into the list of members.
-	Register(ctx context.Context, member Member) error
+	// Register writes member into the list of members, and returns the era of the store that has
+	// it there.
+	Register(ctx context.Context, member Member) (uint64, error)
 	// Remove deletes the member with this name from the list of members.
 	Remove(ctx context.Context, name string) error
 }
@@ -80,8 +81,8 @@
 	// Send sends a datagram, which may be lost.
 	Send(to netip.AddrPort, content []byte)
 	// Fetch calls Snapshot of the instance at a control address; version and revision
-	// are those of the requester's configuration and servers, 0 when it has none.
-	Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error)
+	// are those of the requester's configuration and servers, zero when it has none.
+	Fetch(ctx context.Context, control netip.AddrPort, version uint64, revision viewer.Revision) ([]byte, error)
 }
 
 // Observer is notified of changes of the view and the members and of calls of the
@@ -143,17 +144,18 @@
 	membersReadAt     time.Time       // when the members were last read from the store; at first the start time
 	hasReadMembers    bool            // whether the members have been read from the store
 	digest            uint64          // of the servers at digestRevision
-	digestRevision    uint64
+	digestRevision    viewer.Revision
 	history           deltaHistory
 	failureCounter    suspicionCounter
 	slownessCounter   suspicionCounter
 	suspicions        suspicionCollector
 	reportSupport     reportSupport   // what this instance's heartbeats say
 	cachedSnapshot    *cachedSnapshot // last snapshot that was served; nil before the first
-	announcedRevision uint64          // servers revision in the last announcement
+	announcedRevision viewer.Revision // servers revision in the last announcement
 	saved             savedState
-	triedSnapshot     bool   // whether the saved snapshot was loaded, or found missing, at the start
-	skippedRevision   uint64 // revision of the store up to which only this instance has written since the view's
+	era               eraState
+	triedSnapshot     bool            // whether the saved snapshot was loaded, or found missing, at the start
+	skippedRevision   viewer.Revision // revision of the store up to which only this instance has written since the view's
 
 	justResumed  func(now time.Time) bool // whether the process was paused until a moment ago
 	unreported   unreportedEjections
@@ -234,6 +236,7 @@
 		relayer.passOnWaiting(now)
 	}
 	relayer.sendSigns(now)
+	relayer.registerAgain(ctx, now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
 	}
--- a/relayer/saved_snapshot.go
+++ b/relayer/saved_snapshot.go
@@ -45,17 +45,17 @@
 // SavedSnapshot is the snapshot that the store holds for starting instances.
 type SavedSnapshot struct {
 	ConfigurationVersion uint64
-	ServersRevision      uint64
+	ServersRevision      viewer.Revision
 	EvacuatedDomains     []string
-	Content              []byte // as Relayer.Snapshot returns it
-	ObjectRevision       uint64 // revision of the object that holds it; 0 if there is none yet
+	Content              []byte          // as Relayer.Snapshot returns it
+	ObjectRevision       viewer.Revision // of the object that holds it; zero if there is none yet
 }
 
 // savedState is what a relayer knows of the saved snapshot.
 type savedState struct {
-	objectRevision uint64 // of the last object that was read or written; 0 if there was none
-	version        uint64 // of the configuration in it
-	digest         uint64 // of the servers, the members and the evacuated failure domains in it
+	objectRevision viewer.Revision // of the last object that was read or written; zero if there was none
+	version        uint64          // of the configuration in it
+	digest         uint64          // of the servers, the members and the evacuated failure domains in it
 	savedAt        time.Time
 	size           int    // of the content of the last one that was read or written
 	evacuated      uint64 // hash of the evacuated failure domains in the last one that was written
@@ -125,7 +125,7 @@
 // does not count as fresh, since the time of the snapshot is unknown.
 func (relayer *Relayer) loadSnapshot(ctx context.Context) (bool, error) {
 	saved, err := relayer.source.SavedSnapshot(ctx)
-	if err != nil || saved.ObjectRevision == 0 {
+	if err != nil || saved.ObjectRevision.IsZero() {
 		return false, err
 	}
 	relayer.mutex.Lock()
@@ -154,16 +154,25 @@
 		return Snapshot{}, err
 	case snapshot.Configuration == nil || snapshot.Servers == nil:
 		return Snapshot{}, errors.New("saved snapshot has no configuration or no servers")
-	case snapshot.Servers.Revision >= savedSnapshot.ObjectRevision:
-		return Snapshot{}, errors.Errorf("saved snapshot of revision %d was written at revision %d", snapshot.Servers.Revision, savedSnapshot.ObjectRevision)
-	case snapshot.Evacuations != nil && snapshot.Evacuations.Revision >= savedSnapshot.ObjectRevision:
-		return Snapshot{}, errors.Errorf("saved snapshot with evacuations of revision %d was written at revision %d", snapshot.Evacuations.Revision, savedSnapshot.ObjectRevision)
+	case !savedSnapshot.follows(snapshot.Servers.At()):
+		return Snapshot{}, errors.Errorf("saved snapshot of revision %v was written at revision %v", snapshot.Servers.At(), savedSnapshot.ObjectRevision)
+	case snapshot.Evacuations != nil && !savedSnapshot.follows(snapshot.Evacuations.At()):
+		return Snapshot{}, errors.Errorf("saved snapshot with evacuations of revision %v was written at revision %v", snapshot.Evacuations.At(), savedSnapshot.ObjectRevision)
 	}
 	return snapshot, nil
 }
 
+// follows reports whether the snapshot can have been saved after a revision was read. One that
+// states no era was saved by an older program and is taken to be of the same era.
+func (savedSnapshot *SavedSnapshot) follows(revision viewer.Revision) bool {
+	if revision.Era == 0 {
+		return savedSnapshot.ObjectRevision.Number > revision.Number
+	}
+	return savedSnapshot.ObjectRevision.IsNewerThan(revision)
+}
+
 // recordSaved notes what the saved snapshot holds.
-func (relayer *Relayer) recordSaved(objectRevision, version, digest uint64) {
+func (relayer *Relayer) recordSaved(objectRevision viewer.Revision, version, digest uint64) {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
 	relayer.saved.objectRevision, relayer.saved.version, relayer.saved.digest = objectRevision, version, digest
@@ -174,6 +183,9 @@
 func (relayer *Relayer) saveSnapshot(ctx context.Context) {
 	now, view := time.Now(), relayer.viewer.Current()
 	relayer.mutex.Lock()
+	if relayer.saved.objectRevision.Era < view.Servers.At().Era { // the object may be lost, or an older one
+		relayer.saved.objectRevision = viewer.Revision{}
+	}
 	before := relayer.saved
 	evacuated := evacuationsHash(view.Evacuations)
 	due := relayer.hasReadMembers && (relayer.schedule.isLeader || before.missing) && now.Sub(before.savedAt) >= before.interval(evacuated)
@@ -183,7 +195,7 @@
 	}
 	snapshot := Snapshot{Configuration: view.Configuration, Servers: view.Servers, Members: relayer.savedMembers(), Evacuations: view.Evacuations, InstanceCounts: relayer.countByDomain()}
 	digest := savedDigest(relayer.cachedDigest(view.Servers), snapshot)
-	if before.objectRevision != 0 && before.version == view.Configuration.Version && before.digest == digest {
+	if !before.objectRevision.IsZero() && before.version == view.Configuration.Version && before.digest == digest {
 		relayer.mutex.Unlock()
 		return
 	}
@@ -196,7 +208,7 @@
 	}
 	saved, err := relayer.source.SaveSnapshot(ctx, SavedSnapshot{
 		ConfigurationVersion: view.Configuration.Version,
-		ServersRevision:      view.Servers.Revision,
+		ServersRevision:      view.Servers.At(),
 		EvacuatedDomains:     view.Evacuations.List(),
 		Content:              encode(snapshotEnvelope{IsCompressed: encoded.isCompressed, Content: encoded.content}),
 		ObjectRevision:       before.objectRevision,
@@ -206,7 +218,7 @@
 		return
 	}
 	relayer.skipRevision(saved.ObjectRevision)
-	isOlder := saved.ConfigurationVersion < view.Configuration.Version || saved.ServersRevision < view.Servers.Revision
+	isOlder := saved.ConfigurationVersion < view.Configuration.Version || view.Servers.At().IsNewerThan(saved.ServersRevision)
 	if isOlder || !slices.Equal(saved.EvacuatedDomains, view.Evacuations.List()) {
 		relayer.recordSaved(saved.ObjectRevision, 0, 0) // another instance's view, to be replaced next time
 		return
@@ -254,11 +266,11 @@
 
 // skipRevision notes that a revision of the store is a write of this instance. If it directly
 // follows the newest one that was read, there is nothing else to read up to it.
-func (relayer *Relayer) skipRevision(revision uint64) {
-	view := relayer.viewer.Current()
+func (relayer *Relayer) skipRevision(revision viewer.Revision) {
+	known := relayer.knownRevision()
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	if revision == max(relayer.skippedRevision, view.Servers.Revision)+1 {
+	if revision.Era == known.Era && revision.Number == known.Number+1 {
 		relayer.skippedRevision = revision
 	}
 }
--- a/relayer/simulation_network_test.go
+++ b/relayer/simulation_network_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/ticker"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // reachableNode returns the node at an address, or nil when there is none or a partition
@@ -51,7 +52,7 @@
 	}()
 }
 
-func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version, revision uint64) ([]byte, error) {
+func (node *node) Fetch(ctx context.Context, control netip.AddrPort, version uint64, revision viewer.Revision) ([]byte, error) {
 	ticker.Sleep(ctx, 2*networkDelay)
 	other := node.reachableNode(control)
 	if other == nil || node.isRefused() {
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -35,6 +35,7 @@
 // fleetSimulation simulates the store and the network of a fleet in virtual time.
 type fleetSimulation struct {
 	mutex            sync.Mutex
+	era              uint64
 	revision         uint64
 	configuration    *viewer.Configuration
 	servers          []viewer.BackendServer
@@ -97,7 +98,7 @@
 
 func newFleetSimulation() *fleetSimulation {
 	return &fleetSimulation{
-		revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, datagramDelay: networkDelay, coldEntries: map[string]coldEntry{},
+		era: 1, revision: 1, configuration: &viewer.Configuration{Version: 1}, members: map[string]Member{}, callDelay: storeDelay, datagramDelay: networkDelay, coldEntries: map[string]coldEntry{},
 		cutOff: map[string]bool{}, oldPrograms: map[string]bool{}, rejectedByStore: map[string]bool{}, partitioned: map[string]bool{}, refusesFetch: map[string]bool{}, nodes: map[netip.AddrPort]*node{},
 	}
 }
@@ -167,6 +168,11 @@
 	simulation.revision++
 }
 
+// now returns the present revision of the store. The mutex must be held.
+func (simulation *fleetSimulation) now() viewer.Revision {
+	return viewer.Revision{Era: simulation.era, Number: simulation.revision}
+}
+
 // resetStoreCalls returns the number of calls of the store since the last reset.
 func (simulation *fleetSimulation) resetStoreCalls() int {
 	simulation.mutex.Lock()
@@ -197,7 +203,7 @@
 
 func (node *node) Evacuations(ctx context.Context) (evacuations *viewer.Evacuations, err error) {
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
-		evacuations = &viewer.Evacuations{Revision: simulation.revision, Domains: slices.Clone(simulation.evacuated)}
+		evacuations = &viewer.Evacuations{Revision: simulation.revision, Era: simulation.era, Domains: slices.Clone(simulation.evacuated)}
 		if simulation.nextEvacuated != nil {
 			simulation.evacuated, simulation.nextEvacuated = simulation.nextEvacuated, nil
 			simulation.revision++
@@ -212,7 +218,7 @@
 	node.simulation.mutex.Unlock()
 	ticker.Sleep(ctx, readTime)
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
-		servers = &viewer.Servers{Revision: simulation.revision, List: slices.Clone(simulation.servers)}
+		servers = &viewer.Servers{Revision: simulation.revision, Era: simulation.era, List: slices.Clone(simulation.servers)}
 		for i := range servers.List {
 			if entry, isCold := simulation.coldEntries[servers.List[i].Name]; isCold {
 				servers.List[i].ColdSince, servers.List[i].ColdUntil = entry.revision, viewer.DeadlineAfter(time.Now(), entry.remaining)
@@ -222,7 +228,7 @@
 	return servers, err
 }
 
-func (node *node) Configuration(ctx context.Context, _ uint64) (configuration *viewer.Configuration, err error) {
+func (node *node) Configuration(ctx context.Context, _ viewer.Revision) (configuration *viewer.Configuration, err error) {
 	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		configuration = simulation.configuration
 		if simulation.nextVersion > configuration.Version {
@@ -249,18 +255,20 @@
 		if simulation.saved.ObjectRevision == snapshot.ObjectRevision {
 			simulation.revision++
 			simulation.saved = snapshot
-			simulation.saved.ObjectRevision = simulation.revision
+			simulation.saved.ObjectRevision = simulation.now()
 		}
 		saved = simulation.saved
 	})
 	return saved, err
 }
 
-func (node *node) Register(ctx context.Context, member Member) error {
-	return node.callStore(ctx, func(simulation *fleetSimulation) {
+func (node *node) Register(ctx context.Context, member Member) (era uint64, err error) {
+	err = node.callStore(ctx, func(simulation *fleetSimulation) {
 		simulation.members[member.Name] = member
 		simulation.revision++
+		era = simulation.era
 	})
+	return era, err
 }
 
 func (node *node) Remove(ctx context.Context, name string) error {
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -38,10 +38,10 @@
 // snapshotRequest holds all that the content of a snapshot depends on; it is the key of the
 // cached snapshot.
 type snapshotRequest struct {
-	version, revision       uint64 // of the requester's configuration and servers
-	ownVersion, ownRevision uint64 // of this instance's configuration and servers
-	evacuationsRevision     uint64 // of this instance's evacuations
-	memberCount             int    // in the snapshot; 0 unless the requester has just started
+	version, ownVersion   uint64          // of the requester's and this instance's configuration
+	revision, ownRevision viewer.Revision // of the requester's and this instance's servers
+	evacuationsRevision   viewer.Revision // of this instance's evacuations
+	memberCount           int             // in the snapshot; 0 unless the requester has just started
 }
 
 // encodeSnapshot encodes a snapshot, and compresses it if it is large.
@@ -98,16 +98,13 @@
 
 // fetch requests a snapshot from another instance and applies what is newer in it.
 func (relayer *Relayer) fetch(ctx context.Context, from Member) {
-	var version, revision uint64
+	version := uint64(0)
 	view := relayer.viewer.Current()
 	if view.Configuration != nil {
 		version = view.Configuration.Version
 	}
-	if view.Servers != nil {
-		revision = view.Servers.Revision
-	}
 	startedAt := time.Now()
-	content, err := relayer.network.Fetch(ctx, from.ControlAddress, version, revision)
+	content, err := relayer.network.Fetch(ctx, from.ControlAddress, version, view.Servers.At())
 	var snapshot Snapshot
 	var envelope snapshotEnvelope
 	if err == nil {
@@ -142,24 +139,18 @@
 }
 
 // Snapshot returns an encoded snapshot for another instance that has this version of the
-// configuration and this revision of the servers, 0 for none.
-func (relayer *Relayer) Snapshot(version, revision uint64) []byte {
+// configuration and this revision of the servers, zero for none.
+func (relayer *Relayer) Snapshot(version uint64, revision viewer.Revision) []byte {
 	now := time.Now()
 	relayer.mutex.Lock()
 	view, cached := relayer.viewer.Current(), relayer.cachedSnapshot
-	request := snapshotRequest{version: version, revision: revision}
+	request := snapshotRequest{version: version, revision: revision, ownRevision: view.Servers.At(), evacuationsRevision: view.Evacuations.At()}
 	if view.Configuration != nil {
 		request.ownVersion = view.Configuration.Version
 	}
-	if view.Servers != nil {
-		request.ownRevision = view.Servers.Revision
-	}
-	if view.Evacuations != nil {
-		request.evacuationsRevision = view.Evacuations.Revision
-	}
 	snapshot := Snapshot{Evacuations: view.Evacuations}
 	deltas := relayer.history.after(revision)
-	if revision == 0 {
+	if revision.IsZero() {
 		snapshot.Members = relayer.activeMembers() // the requester has just started
 	}
 	request.memberCount = len(snapshot.Members)
@@ -185,7 +176,7 @@
 // list of servers or the full configuration. The requester has this version of the
 // configuration.
 func (snapshot Snapshot) complete(view *viewer.View, version uint64) Snapshot {
-	if view.Servers != nil && (snapshot.ServersDelta == nil || snapshot.ServersDelta.Revision != view.Servers.Revision) {
+	if view.Servers != nil && (snapshot.ServersDelta == nil || snapshot.ServersDelta.At() != view.Servers.At()) {
 		snapshot.ServersDelta, snapshot.Servers = nil, view.Servers
 	}
 	requesterIsCurrent := view.Configuration == nil || view.Configuration.Version <= version
--- a/relayer/start_test.go
+++ b/relayer/start_test.go
@@ -251,7 +251,7 @@
 		for _, evacuated := range [][]string{{"dakar-2"}, {"dakar-1", "dakar-2"}, nil} {
 			simulation.update(func() { simulation.evacuated = evacuated })
 			advance(ReadInterval / 2)
-			simulation.update(func() { simulation.saved.ObjectRevision = simulation.revision }) // written by another instance
+			simulation.update(func() { simulation.saved.ObjectRevision = simulation.now() }) // written by another instance
 			advance(3 * saveInterval)
 			decoded, err := simulation.saved.decode()
 			assert.NilError(t, err)
--- a/viewer/delta.go
+++ b/viewer/delta.go
@@ -7,12 +7,30 @@
 
 // ServerDelta is the difference between two revisions of the list of backend servers.
 type ServerDelta struct {
-	Base     uint64          `cbor:"1,keyasint"`           // revision that the delta applies to
-	Revision uint64          `cbor:"2,keyasint"`           // revision that it results in
+	Base     uint64          `cbor:"1,keyasint"`           // revision that the delta applies to, in BaseEra
+	Revision uint64          `cbor:"2,keyasint"`           // revision that it results in, in Era
 	Changed  []BackendServer `cbor:"3,keyasint,omitempty"` // added or changed
 	Removed  []string        `cbor:"4,keyasint,omitempty"` // names
 
 	Unreadable []string `cbor:"5,keyasint,omitempty"` // the removed servers whose entry exists but cannot be decoded
+
+	BaseEra uint64 `cbor:"6,keyasint,omitempty"`
+	Era     uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// NewServerDelta returns a delta without changes between two revisions.
+func NewServerDelta(base, revision Revision) *ServerDelta {
+	return &ServerDelta{Base: base.Number, BaseEra: base.Era, Revision: revision.Number, Era: revision.Era}
+}
+
+// BaseAt returns the revision that the delta applies to.
+func (serverDelta *ServerDelta) BaseAt() Revision {
+	return Revision{Era: serverDelta.BaseEra, Number: serverDelta.Base}
+}
+
+// At returns the revision that the delta results in.
+func (serverDelta *ServerDelta) At() Revision {
+	return Revision{Era: serverDelta.Era, Number: serverDelta.Revision}
 }
 
 // Len returns the number of servers that a delta changes or removes.
@@ -22,7 +40,7 @@
 
 // DiffServers returns the delta from one list to another.
 func DiffServers(before, after *Servers) *ServerDelta {
-	delta := &ServerDelta{Base: before.Revision, Revision: after.Revision}
+	delta := NewServerDelta(before.At(), after.At())
 	remaining := serversByName(before)
 	for i := range after.List {
 		server := &after.List[i]
@@ -46,11 +64,11 @@
 
 // Apply returns the list that results from a delta, or nil when the delta starts from another revision.
 func (servers *Servers) Apply(delta *ServerDelta) *Servers {
-	if servers.Revision != delta.Base {
+	if servers.At() != delta.BaseAt() {
 		return nil
 	}
 	if delta.Len() == 0 {
-		return &Servers{Revision: delta.Revision, List: servers.List, Unreadable: servers.Unreadable}
+		return servers.ConfirmedAt(delta.At())
 	}
 	replaced := map[string]bool{}
 	for i := range delta.Changed {
@@ -63,7 +81,7 @@
 	list = append(list, delta.Changed...)
 	slices.SortFunc(list, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
 	unreadable := slices.DeleteFunc(slices.Clone(servers.Unreadable), func(name string) bool { return replaced[name] })
-	return &Servers{Revision: delta.Revision, List: list, Unreadable: append(unreadable, delta.Unreadable...)}
+	return &Servers{Revision: delta.Revision, Era: delta.Era, List: list, Unreadable: append(unreadable, delta.Unreadable...)}
 }
 
 // ComposeDeltas returns the delta that has the effect of consecutive deltas, or nil if there
@@ -72,7 +90,7 @@
 	if len(deltas) == 0 {
 		return nil
 	}
-	composed := &ServerDelta{Base: deltas[0].Base, Revision: deltas[len(deltas)-1].Revision}
+	composed := NewServerDelta(deltas[0].BaseAt(), deltas[len(deltas)-1].At())
 	decided := map[string]bool{} // names of servers of which a later delta holds the state
 	for _, delta := range slices.Backward(deltas) {
 		for i := range delta.Changed {
--- a/viewer/evacuations.go
+++ b/viewer/evacuations.go
@@ -43,5 +43,5 @@
 
 // IsNewerThan reports whether the set was read at a newer revision of the store than other.
 func (evacuations *Evacuations) IsNewerThan(other *Evacuations) bool {
-	return evacuations != nil && (other == nil || evacuations.Revision > other.Revision)
+	return evacuations != nil && (other == nil || evacuations.At().IsNewerThan(other.At()))
 }
--- a/viewer/revision.go
+++ b/viewer/revision.go
@@ -18,5 +18,11 @@
 // IsNewerThan reports whether revision is newer than other.
 func (revision Revision) IsNewerThan(other Revision) bool { return revision.Compare(other) > 0 }
 
+// eraShift leaves the lower bits of an identity to the number.
+const eraShift = 48
+
+// Identity returns a number that differs between revisions also across eras; it has no order.
+func (revision Revision) Identity() uint64 { return revision.Number ^ revision.Era<<eraShift }
+
 // IsZero reports whether revision stands for none.
 func (revision Revision) IsZero() bool { return revision == Revision{} }
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -44,7 +44,8 @@
 
 // Servers is the list of backend servers at one revision of the platform's store.
 type Servers struct {
-	Revision uint64          // grows with every change in the store
+	Revision uint64          // grows with every change in the store, within one era
+	Era      uint64          `cbor:",omitempty"` // of the store at Revision; see Revision.Era
 	List     []BackendServer // sorted by Name
 
 	// Unreadable names the servers that are not listed because their entry cannot be
@@ -52,6 +53,28 @@
 	Unreadable []string `cbor:",omitempty"`
 }
 
+// At returns the revision of the list, the zero Revision if there is no list.
+func (servers *Servers) At() Revision {
+	if servers == nil {
+		return Revision{}
+	}
+	return Revision{Era: servers.Era, Number: servers.Revision}
+}
+
+// withList returns servers with another list.
+func (servers *Servers) withList(list []BackendServer) *Servers {
+	copied := *servers
+	copied.List = list
+	return &copied
+}
+
+// ConfirmedAt returns the same list at another revision of the store.
+func (servers *Servers) ConfirmedAt(revision Revision) *Servers {
+	copied := *servers
+	copied.Era, copied.Revision = revision.Era, revision.Number
+	return &copied
+}
+
 // BackendServer is one incarnation of a backend server: a restarted server can
 // keep its name, but has another StartedAt.
 type BackendServer struct {
@@ -65,7 +88,7 @@
 	State         parser.State   `cbor:"8,keyasint"`
 	StartedAt     int64          `cbor:"9,keyasint"`            // Unix milliseconds; distinguishes incarnations with the same name
 	ColdUntil     Deadline       `cbor:"11,keyasint,omitzero"`  // not before the end of the warm-up, during which the server is slower than usual; zero if it has none
-	ColdSince     uint64         `cbor:"12,keyasint,omitempty"` // revision of the store at which the server turned cold again; 0 if it is warm, or cold since its start
+	ColdSince     uint64         `cbor:"12,keyasint,omitempty"` // identifies the revision of the store at which the server turned cold again (see Revision.Identity); 0 if it is warm, or cold since its start
 	Sharers       Sharers        `cbor:"13,keyasint,omitzero"`  // instances that may open flows during the warm-up if the service states a rate
 }
 
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -60,7 +60,7 @@
 	viewer.mutex.Lock()
 	defer viewer.mutex.Unlock()
 	view := viewer.Current()
-	if view.Servers != nil && view.Servers.Revision >= servers.Revision {
+	if view.Servers != nil && !servers.At().IsNewerThan(view.Servers.At()) {
 		return false
 	}
 	if view.Servers != nil {
--- a/viewer/warm_up.go
+++ b/viewer/warm_up.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		if result == servers {
-			result = &Servers{Revision: servers.Revision, List: slices.Clone(servers.List)}
+			result = servers.withList(slices.Clone(servers.List))
 		}
 		result.List[i] = server
 	}
