Keep servers leaving that an older copy of the store calls active

What callers could see: until a server writes its entry again, an older copy calls it active although it has announced that it leaves, or has left, so new flows go to it. Cause: the state of an incarnation was taken from the newest list alone. Change: when a list of a newer era replaces one, servers that were known as leaving, in the list or among those removed in the last minute, get no new flows while the list calls that incarnation active. Only new flows are concerned; lists and digests stay as the store has them.

--- a/viewer/view.go
+++ b/viewer/view.go
@@ -162,10 +162,16 @@
 // listed again; the slice must not be modified.
 func (view *View) Removed() []RemovedServer { return view.removed }
 
+// unlisted is what a Viewer knows of servers beside the newest list.
+type unlisted struct {
+	retained []*BackendServer     // treated as if they were listed
+	removed  []RemovedServer      // only found by their tokens
+	leaving  map[incarnation]bool // treated as leaving whatever the list says
+}
+
 // newView returns a View of a configuration, a list of servers and evacuations, each of
-// which may be nil. Retained servers are treated as if they were listed; removed ones are
-// only found by their tokens.
-func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, retained []*BackendServer, removed []RemovedServer) *View {
+// which may be nil.
+func newView(configuration *Configuration, servers *Servers, evacuations *Evacuations, unlisted unlisted) *View {
 	view := &View{
 		Configuration: configuration,
 		Servers:       servers,
@@ -185,9 +191,9 @@
 		}
 	}
 	if servers != nil {
-		view.indexServers(servers, retained)
+		view.indexServers(servers, unlisted)
 	}
-	for _, server := range removed {
+	for _, server := range unlisted.removed {
 		if view.byToken[server.Server.Token] == nil {
 			view.byToken[server.Server.Token] = server.Server
 			view.removed = append(view.removed, server)
@@ -199,12 +205,12 @@
 // indexServers indexes servers by token and, if they accept new flows, by service. If two have the
 // same token, the one that started first keeps it; the other gets no new flows,
 // since their later packets would be indistinguishable.
-func (view *View) indexServers(servers *Servers, retained []*BackendServer) {
-	byStartTime := make([]*BackendServer, len(servers.List), len(servers.List)+len(retained))
+func (view *View) indexServers(servers *Servers, unlisted unlisted) {
+	byStartTime := make([]*BackendServer, len(servers.List), len(servers.List)+len(unlisted.retained))
 	for i := range servers.List {
 		byStartTime[i] = &servers.List[i]
 	}
-	byStartTime = append(byStartTime, retained...)
+	byStartTime = append(byStartTime, unlisted.retained...)
 	slices.SortStableFunc(byStartTime, func(a, b *BackendServer) int {
 		return cmp.Compare(a.StartedAt, b.StartedAt)
 	})
@@ -214,7 +220,7 @@
 		}
 		view.byToken[server.Token] = server
 		switch {
-		case server.State != parser.Active:
+		case server.State != parser.Active || unlisted.leaving[server.incarnation()]:
 		case view.Evacuations.Contains(server.FailureDomain):
 			view.evacuated[server.Service] = true
 		default:
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -18,17 +18,18 @@
 type Viewer struct {
 	mutex       sync.Mutex
 	current     atomic.Pointer[View]
-	removed     []RemovedServer  // found by their tokens for maxFlowAge
-	retained    []*BackendServer // in use although the newest list lacks them
-	retainUntil time.Time        // until when retained servers get new flows
-	doubtUntil  time.Time        // until when the absence of a server may not mean its end
-	onChange    func()           // called after each change of the view
+	removed     []RemovedServer      // found by their tokens for maxFlowAge
+	retained    []*BackendServer     // in use although the newest list lacks them
+	retainUntil time.Time            // until when retained servers get new flows
+	doubtUntil  time.Time            // until when the absence of a server may not mean its end
+	leaving     map[incarnation]bool // servers that leave although the newest list calls them active
+	onChange    func()               // called after each change of the view
 }
 
 // NewViewer returns a Viewer with an empty view.
 func NewViewer() *Viewer {
 	viewer := &Viewer{onChange: func() {}}
-	viewer.current.Store(newView(nil, nil, nil, nil, nil))
+	viewer.current.Store(newView(nil, nil, nil, unlisted{}))
 	return viewer
 }
 
@@ -64,6 +65,7 @@
 		return false
 	}
 	if view.Servers != nil {
+		viewer.recallLeaving(view.Servers, servers)
 		viewer.rememberRemoved(view.Servers, servers, now)
 		viewer.retained = viewer.retainedServers(view.Servers, servers, now)
 	}
@@ -123,7 +125,7 @@
 
 // publish replaces the current view. The mutex must be held.
 func (viewer *Viewer) publish(configuration *Configuration, servers *Servers, evacuations *Evacuations) {
-	viewer.current.Store(newView(configuration, servers, evacuations, viewer.retained, viewer.removed))
+	viewer.current.Store(newView(configuration, servers, evacuations, unlisted{retained: viewer.retained, removed: viewer.removed, leaving: viewer.leaving}))
 	viewer.onChange()
 }
 
