--- a/director/view.go
+++ b/director/view.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pimentowind/pimentowind/decider"
@@ -116,8 +117,17 @@
 	recorder.Event(logger.EventChangesUnavailable, "kind", kind, "error", err.Error())
 }
 
+// maxLoggedError is the number of bytes of an error about a document that are logged, since it may
+// quote the document.
+const maxLoggedError = 300
+
 // DocumentUnreadable counts and logs that a document in the store cannot be decoded.
 func (recorder *Recorder) DocumentUnreadable(name string, revision uint64, err error) {
 	recorder.counters.Add("unreadable_documents", 1)
-	recorder.Event(logger.EventDocumentInvalid, "name", name, "revision", revision, "error", err.Error())
+	recorder.Event(logger.EventDocumentInvalid, "name", truncate(name), "revision", revision, "error", truncate(err.Error()))
+}
+
+// truncate returns the first maxLoggedError bytes of a text.
+func truncate(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxLoggedError)], "")
 }
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -202,6 +203,14 @@
 	return view
 }
 
+// startOrLast returns when the server started, after all others if it does not state that.
+func (backendServer *BackendServer) startOrLast() int64 {
+	if backendServer.StartedAt == 0 {
+		return math.MaxInt64
+	}
+	return backendServer.StartedAt
+}
+
 // indexServers indexes servers by token and, if they accept new flows, by service. If two have the
 // same token, the one that started first keeps it; the other gets no new flows,
 // since their later packets would be indistinguishable.
@@ -212,7 +221,7 @@
 	}
 	byStartTime = append(byStartTime, unlisted.retained...)
 	slices.SortStableFunc(byStartTime, func(a, b *BackendServer) int {
-		return cmp.Compare(a.StartedAt, b.StartedAt)
+		return cmp.Compare(a.startOrLast(), b.startOrLast())
 	})
 	for _, server := range byStartTime {
 		if view.byToken[server.Token] != nil {
