--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -53,7 +54,7 @@
 	node.viewer.ApplyConfiguration(configurationWithRoutes(1, 2))
 	node.viewer.ApplyServers(&viewer.Servers{Revision: 1, List: []viewer.BackendServer{backendServer("a", parser.Active)}}, time.Now())
 	detectors := Detectors{Failures: examiner.NewFailureDetector(), Slowness: examiner.NewSlownessDetector()}
-	return NewRelayer(Member{Name: "lb-0", FailureDomain: "dakar-0"}, nil, node.viewer, node, mute{fetched: fetched}, detectors, node)
+	return NewRelayer(backendMember("lb-0"), nil, node.viewer, node, mute{fetched: fetched}, detectors, node)
 }
 
 func FuzzReceive(f *testing.F) {
@@ -164,3 +165,46 @@
 	_, _, err := decodeSnapshot(content)
 	assert.ErrorContains(t, err, "too long")
 }
+
+func TestInvalidSnapshotsAreNotApplied(t *testing.T) {
+	route := viewer.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}}}
+	withoutService, withoutAddress, withOddWeight := route, route, route
+	withoutService.Shares = nil
+	withoutAddress.Address = netip.AddrPort{}
+	withOddWeight.Shares = []viewer.Share{{Service: "desk-sync", Weight: math.NaN()}}
+	withoutToken, withoutPort := backendServer("b", parser.Active), backendServer("b", parser.Active)
+	withoutToken.Token = 0
+	withoutPort.Address = netip.AddrPortFrom(withoutPort.Address.Addr(), 0)
+	routes := func(route viewer.Route) Snapshot {
+		return Snapshot{Configuration: &viewer.Configuration{Version: 9, Routes: []viewer.Route{route}}, Servers: &viewer.Servers{Revision: 9}}
+	}
+	servers := func(server viewer.BackendServer) Snapshot {
+		return Snapshot{Configuration: configurationWithRoutes(9, 1), Servers: &viewer.Servers{Revision: 9, List: []viewer.BackendServer{server}}}
+	}
+	cases := map[string]Snapshot{
+		"route without a service":     routes(withoutService),
+		"route without an address":    routes(withoutAddress),
+		"weight that is no number":    routes(withOddWeight),
+		"server without a token":      servers(withoutToken),
+		"server without a port":       servers(withoutPort),
+		"member without an address":   {Members: []Member{{Name: "lb-9"}}},
+		"delta with an invalid route": {RouteDelta: &viewer.RouteDelta{Base: 1, Version: 2, Changed: []viewer.Route{withoutService}}},
+		"delta with an odd server":    {ServersDelta: &viewer.ServerDelta{Base: 1, Revision: 2, Changed: []viewer.BackendServer{withoutToken}}},
+	}
+	for name, snapshot := range cases {
+		t.Run(name, func(t *testing.T) {
+			relayer := newMuteRelayer(encode(snapshotEnvelope{Content: encode(snapshot)}))
+			before := relayer.viewer.Current()
+			relayer.fetch(t.Context(), backendMember("lb-1"))
+			assert.Assert(t, relayer.viewer.Current() == before)
+			assert.Equal(t, relayer.Instances(), 1)
+			saved := SavedSnapshot{ObjectRevision: viewer.Revision{Number: 99}, Content: encode(snapshotEnvelope{Content: encode(snapshot)})}
+			_, err := saved.decode()
+			assert.Assert(t, err != nil)
+			heartbeat := Heartbeat{Sender: backendMember("lb-1"), RouteDelta: snapshot.RouteDelta, ServersDelta: snapshot.ServersDelta}
+			if snapshot.RouteDelta != nil || snapshot.ServersDelta != nil {
+				assert.Assert(t, relayer.Receive(t.Context(), encode(heartbeat)) != nil)
+			}
+		})
+	}
+}
--- a/relayer/member.go
+++ b/relayer/member.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/netip"
 	"slices"
+
+	"github.com/go-faster/errors"
 )
 
 // Member describes one instance of the fleet to the others.
@@ -15,6 +17,17 @@
 	ProcessorShare float64        `json:"share"`   // of a processor core; instances with a larger share rank first
 }
 
+// check returns an error if no message can be sent to the member.
+func (member *Member) check() error {
+	switch {
+	case member.Name == "":
+		return errors.New("instance has no name")
+	case !member.PeerAddress.IsValid() || !member.ControlAddress.IsValid():
+		return errors.Errorf("instance %q has no address", member.Name)
+	}
+	return nil
+}
+
 // leadersPerDomain is the number of leaders of each failure domain. Announcements
 // from other failure domains go to the leaders, which forward them to their own domain.
 const leadersPerDomain = 2
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -81,11 +81,13 @@
 // check returns an error if a field of the heartbeat has an impossible value.
 func (heartbeat *Heartbeat) check() error {
 	sender := &heartbeat.Sender
+	if err := sender.check(); err != nil {
+		return errors.Wrap(err, "sender of a heartbeat")
+	}
+	if err := cmp.Or(heartbeat.RouteDelta.Check(), heartbeat.ServersDelta.Check()); err != nil {
+		return errors.Wrapf(err, "heartbeat of %q", sender.Name)
+	}
 	switch {
-	case sender.Name == "":
-		return errors.New("heartbeat has no sender")
-	case !sender.PeerAddress.IsValid() || !sender.ControlAddress.IsValid():
-		return errors.Errorf("sender %q of a heartbeat has no address", sender.Name)
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
 	case len(heartbeat.PassOn) > maxPassOnCount:
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -78,7 +79,21 @@
 	if err := decode(envelope.Content, &snapshot); err != nil {
 		return snapshot, envelope, err
 	}
-	return snapshot, envelope, checkEvacuations(snapshot.Evacuations)
+	return snapshot, envelope, snapshot.check()
+}
+
+// check returns an error if a part of the snapshot has an impossible value.
+func (snapshot *Snapshot) check() error {
+	for i := range snapshot.Members {
+		if err := snapshot.Members[i].check(); err != nil {
+			return err
+		}
+	}
+	return cmp.Or(
+		snapshot.Configuration.Check(), snapshot.RouteDelta.Check(),
+		snapshot.Servers.Check(), snapshot.ServersDelta.Check(),
+		checkEvacuations(snapshot.Evacuations),
+	)
 }
 
 // fetchAnnounced fetches the snapshot that an announcement or an answer tells of, from the relay
--- a/viewer/warm_up_test.go
+++ b/viewer/warm_up_test.go
@@ -113,3 +113,11 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(shorter) <= len(longer)-6, "%d and %d bytes", len(shorter), len(longer))
 }
+
+func TestWarmUpsKeepTheUnreadableEntries(t *testing.T) {
+	cold := BackendServer{Name: "a", ColdUntil: DeadlineAfter(time.Now(), time.Second), ColdSince: 7}
+	servers := &Servers{Era: 2, Revision: 7, List: []BackendServer{cold}, Unreadable: []string{"b"}}
+	continued := servers.ContinueWarmUps(nil, func(*BackendServer) Sharers { return Sharers{1} })
+	assert.DeepEqual(t, continued.Unreadable, []string{"b"})
+	assert.Equal(t, continued.At(), servers.At())
+}
