The soak returns the store from an older copy and leaves odd entries in it

The stand-in of the store takes copies and returns from them with a new era; operators' objects are written again at once, those of servers at once or one by one, after 500 writes of others that are lost. Odd objects of another writer stand among servers, evacuations, instances and beside the configuration. Both are new kinds at the end of the list, so seeds of regressions draw as before.

--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -96,6 +96,8 @@
 	{"evacuated servers turn cold", returnCold, planned},
 	{"servers fall silent, routers change", silenceDuringChanges, confined},
 	{"malformed datagrams", sendMalformed, confined},
+	{"store returns from an older copy", returnStore, everything},
+	{"odd entries in the store", writeOddEntries, planned},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -106,7 +106,8 @@
 	returnedAt           map[string]time.Time // by failure domain; end of the last evacuation
 	configurationVersion uint64
 	lastServerNumber     uint64
-	lastShedAt           time.Time // by any server
+	lastShedAt           time.Time      // by any server
+	copies               []standin.Copy // of the store, oldest first
 
 	openingMutex sync.Mutex // locked after a server's mutex and before soak.mutex
 	openings     map[[2]netip.AddrPort]*opening
@@ -126,6 +127,7 @@
 	if err := soak.awaitServing(ctx, time.Minute); err != nil {
 		return nil, err
 	}
+	soak.copies = append(soak.copies, soak.store.Copy())
 	var group sync.WaitGroup
 	loadContext, stopLoad := context.WithCancel(ctx)
 	for i, caller := range soak.callers {
@@ -134,6 +136,7 @@
 	}
 	group.Go(func() { soak.watchVersions(loadContext) })
 	group.Go(func() { soak.watchStalls(loadContext) })
+	group.Go(func() { soak.keepCopies(loadContext) })
 	soak.injectFaults(ctx)
 	err := soak.awaitRecovery(ctx)
 	stopLoad()
@@ -145,7 +148,7 @@
 func newSoak(settings Settings) *soak {
 	return &soak{
 		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(), lastUnplannedEnd: time.Now(),
-		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
+		random: rand.New(rand.NewPCG(settings.Seed, 0)),
 		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, returnedAt: map[string]time.Time{}, openings: map[[2]netip.AddrPort]*opening{}, report: Report{Seed: settings.Seed},
 	}
 }
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -164,12 +164,20 @@
 // TestShortSoakHasNoViolations checks no time limits, so that its result does not
 // depend on the speed of the machine.
 func TestShortSoakHasNoViolations(t *testing.T) {
+	runShortSoak(t, Settings{Seed: 7, FaultKinds: 20})
+}
+
+func TestShortSoakWithAStoreThatReturnsHasNoViolations(t *testing.T) {
+	runShortSoak(t, Settings{Seed: 3, FaultNames: []string{"store returns from an older copy", "odd entries in the store", "configuration", "kill"}})
+}
+
+func runShortSoak(t *testing.T, settings Settings) {
+	t.Helper()
 	directory := t.TempDir()
 	assert.NilError(t, rehearser.Build(t.Context(), "../..", directory))
-	report, err := Run(context.Background(), Settings{
-		Seed: 7, Duration: 8 * time.Second, Instances: 3, FailureDomains: 3, Callers: 2, FaultKinds: 20,
-		Binary: filepath.Join(directory, "pimentowind"), Directory: directory,
-	})
+	settings.Duration, settings.Instances, settings.FailureDomains, settings.Callers = 8*time.Second, 3, 3, 2
+	settings.Binary, settings.Directory = filepath.Join(directory, "pimentowind"), directory
+	report, err := Run(context.Background(), settings)
 	assert.NilError(t, err)
 	assert.Equal(t, len(report.Violations), 0, "%v", report)
 	assert.Assert(t, report.Served > 0)
