Declare no server silent while its callers' first retransmission is all there is

Cause: a request that waits in a queue is retransmitted once, after 200 ms; its server acknowledges that packet, and the caller waits on. Such signs, with openings that the full queue left unanswered, weighed enough for a declaration. A server that has ended acknowledges nothing, so its callers retransmit a second time. The new test fails before.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -258,3 +258,34 @@
 	}
 	assert.Assert(t, declared > 100, "%d declarations show little", declared)
 }
+
+func TestServerWhoseQueueIsLongIsNotDeclaredSilent(t *testing.T) {
+	cases := []struct {
+		name string
+		data []time.Duration // for which data of flows had been unanswered when it was last retransmitted
+		want bool
+	}{
+		{"callers whose first retransmission was acknowledged, while the queue takes no openings", []time.Duration{200 * time.Millisecond, 210 * time.Millisecond}, false},
+		{"a caller that retransmits again", []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			leader := NewDetector(&testInstance{})
+			server := &viewer.BackendServer{Token: 1}
+			leader.RecordLife(server, now.Add(-2*time.Second))
+			var signs Message
+			for i, waited := range c.data {
+				leader.RecordUnanswered(server, uint32(i), waited, now)
+				signs.Unanswered = append(signs.Unanswered, Unanswered{Server: newServer(server), Flow: uint32(10 + i), For: 300 * time.Millisecond, Opening: true})
+			}
+			place := Place{IsLeader: true, DomainInstances: 2, Servers: 9}
+			leader.Receive("lb-2", &signs, true, place, now)
+			for range 8 {
+				leader.Next(place, now)
+				now = now.Add(100 * time.Millisecond)
+			}
+			assert.Equal(t, leader.IsSilent(1, now), c.want)
+		})
+	}
+}
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -166,6 +166,7 @@
 	Evidence
 	weight  int
 	hasData bool // some of the flows have unanswered data
+	hasLong bool // some of it was retransmitted twice
 }
 
 // weigh returns the evidence against a server, after dropping the signs that are too old or that
@@ -187,7 +188,7 @@
 		case waiting.isOpening:
 			weighed.Openings++
 		case waited >= longWait:
-			weight, weighed.hasData = 2, true
+			weight, weighed.hasData, weighed.hasLong = 2, true, true
 		default:
 			weighed.hasData = true
 		}
@@ -215,6 +216,9 @@
 	if weighed.Hinted {
 		return weighed.Flows > 0 && weight+hintWeight >= minWeight
 	}
+	if !weighed.hasLong && !weighed.Removed {
+		return false // a server that lives acknowledges the first retransmission, also while the request waits
+	}
 	if place.DomainInstances == 1 {
 		return weight >= minWeightAlone && weighed.Flows >= minFlowsAlone
 	}
