Signs of silence keep their age until they are reported

A sign of unanswered data was dated by when its report arrived, so it got younger by the up to 0.3 s that it had waited for the report, and life that was seen in between did not refute it. Reports state how long ago the data was last retransmitted, in a field that older programs ignore; without it a sign counts as before. The test fails before: 300 ms later.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -224,11 +224,11 @@
 		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server.Token, now) {
 			continue
 		}
-		waited := waiting.copiedAt.Sub(waiting.since)
+		waited, delay := waiting.copiedAt.Sub(waiting.since), max(now.Sub(waiting.copiedAt), 0)
 		if waiting.isOpening {
-			waited = now.Sub(waiting.since) // the leader compares its time with signs of life
+			waited, delay = waited+delay, 0 // it is unanswered still
 		}
-		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waited, Opening: waiting.isOpening, Ejected: waiting.isEjected})
+		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waited, Delay: delay, Opening: waiting.isOpening, Ejected: waiting.isEjected})
 		if len(report) == maxEntries {
 			detector.unreported = signs[i+1:]
 			break
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -289,3 +289,21 @@
 		})
 	}
 }
+
+func TestSignOfSilenceKeepsItsAgeUntilItIsReported(t *testing.T) {
+	now := time.Now()
+	reporter, leader := NewDetector(&testInstance{}), NewDetector(&testInstance{})
+	server := &viewer.BackendServer{Token: 1}
+	reporter.RecordLife(server, now.Add(-2*time.Second))
+	place := Place{IsLeader: true, DomainInstances: 2, Servers: 9}
+	reporter.reportedAt = now
+	reporter.RecordUnanswered(server, 1, 600*time.Millisecond, now)
+	later := now.Add(reportInterval + 100*time.Millisecond)
+	for _, outgoing := range reporter.Next(Place{DomainInstances: 2, Servers: 9}, later) {
+		leader.Receive("lb-2", &outgoing.Message, true, place, later)
+	}
+	assert.Equal(t, len(leader.candidates), 1)
+	for _, waiting := range leader.candidates[newServer(server)].signs {
+		assert.Assert(t, waiting.since.Equal(now.Add(-600*time.Millisecond)), "%s later", waiting.since.Sub(now.Add(-600*time.Millisecond)))
+	}
+}
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -61,7 +61,8 @@
 		}
 		found, flow := detector.candidate(sign.Server), instanceFlow{instance: instance, flow: sign.Flow}
 		if _, known := found.signs[flow]; known || len(found.signs) < maxEntries {
-			found.signs[flow] = waiting{since: now.Add(-sign.For), copiedAt: now, isOpening: sign.Opening, isEjected: sign.Ejected}
+			copiedAt := now.Add(-sign.Delay)
+			found.signs[flow] = waiting{since: copiedAt.Add(-sign.For), copiedAt: copiedAt, isOpening: sign.Opening, isEjected: sign.Ejected}
 		}
 	}
 }
--- a/detector/message.go
+++ b/detector/message.go
@@ -34,7 +34,9 @@
 type Unanswered struct {
 	Server
 	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses, the same at all instances
-	For  time.Duration `cbor:"4,keyasint"`
+	For  time.Duration `cbor:"4,keyasint"` // until it was last retransmitted
+	// Delay is how long ago that was when the sender reported it; older programs state none.
+	Delay time.Duration `cbor:"7,keyasint,omitempty"`
 	// Opening says that it is the opening, and Ejected that the sender has ejected the server for it.
 	Opening bool `cbor:"5,keyasint,omitempty"`
 	Ejected bool `cbor:"6,keyasint,omitempty"`
@@ -49,8 +51,8 @@
 // Check returns an error if a value in the message is impossible.
 func (message *Message) Check() error {
 	for _, unanswered := range message.Unanswered {
-		if unanswered.For < 0 {
-			return errors.Errorf("data is unanswered for %s", unanswered.For)
+		if unanswered.For < 0 || unanswered.Delay < 0 {
+			return errors.Errorf("data is unanswered for %s, reported %s later", unanswered.For, unanswered.Delay)
 		}
 	}
 	for _, list := range [][]ServerAge{message.Questions, message.Alive, message.Silent} {
