--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -148,7 +148,7 @@
 func newSoak(settings Settings) *soak {
 	return &soak{
 		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(), lastUnplannedEnd: time.Now(),
-		random: rand.New(rand.NewPCG(settings.Seed, 0)),
+		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
 		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, returnedAt: map[string]time.Time{}, openings: map[[2]netip.AddrPort]*opening{}, report: Report{Seed: settings.Seed},
 	}
 }
