Retain no server that leaves, and keep heartbeats whose deltas are invalid

A server that an older copy calls active although it leaves got new flows again when its entry lapsed within the grace period, as it was retained; the case in the test fails before. A heartbeat of an older program with an odd entry in its delta was rejected whole, with its membership, suspicions and evacuations; now only the deltas are.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -124,7 +124,7 @@
 }
 
 // Receive processes a datagram of another instance, a heartbeat or a report of suspicions, and
-// returns an error if it cannot be decoded or is invalid. Heartbeats of this instance are ignored.
+// returns an error if it, or a delta in it, cannot be decoded or is invalid. Heartbeats of this instance are ignored.
 func (relayer *Relayer) Receive(ctx context.Context, content []byte) error {
 	if isSuspicionReport(content) {
 		return relayer.receiveReport(content, time.Now())
@@ -139,6 +139,7 @@
 	if heartbeat.Sender.Name == relayer.self.Name {
 		return nil
 	}
+	deltasErr := heartbeat.dropInvalidDeltas()
 	now := time.Now()
 	relayer.recordSender(heartbeat, now)
 	relayer.receiveEvacuations(heartbeat, now)
@@ -150,7 +151,7 @@
 	relayer.reconcile(ctx, heartbeat, now)
 	relayer.answerIfNeeded(heartbeat, now)
 	relayer.relay(heartbeat, now)
-	return nil
+	return deltasErr
 }
 
 // recordSender adds the sender to the members or updates it there.
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -62,6 +62,17 @@
 	Asks bool `cbor:"asks,omitempty"`
 }
 
+// dropInvalidDeltas removes the deltas if one of them has an impossible value, as an older program
+// passes on what an entry of another writer says, and returns an error then.
+func (heartbeat *Heartbeat) dropInvalidDeltas() error {
+	err := cmp.Or(heartbeat.RouteDelta.Check(), heartbeat.ServersDelta.Check())
+	if err == nil {
+		return nil
+	}
+	heartbeat.RouteDelta, heartbeat.ServersDelta = nil, nil
+	return errors.Wrapf(err, "deltas of %q", heartbeat.Sender.Name)
+}
+
 // serversAt returns the revision of the sender's list of servers.
 func (heartbeat *Heartbeat) serversAt() viewer.Revision {
 	return viewer.Revision{Era: heartbeat.Era, Number: heartbeat.ServersRevision}
@@ -84,9 +95,6 @@
 	if err := sender.check(); err != nil {
 		return errors.Wrap(err, "sender of a heartbeat")
 	}
-	if err := cmp.Or(heartbeat.RouteDelta.Check(), heartbeat.ServersDelta.Check()); err != nil {
-		return errors.Wrapf(err, "heartbeat of %q", sender.Name)
-	}
 	switch {
 	case heartbeat.Age < 0:
 		return errors.Errorf("heartbeat of %q has age %s", sender.Name, heartbeat.Age)
--- a/viewer/returned_test.go
+++ b/viewer/returned_test.go
@@ -1,6 +1,7 @@
 package viewer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -11,7 +12,8 @@
 
 func TestServersThatLeftStayLeavingWhenTheStoreReturnsFromAnOlderCopy(t *testing.T) {
 	entry := func(name string, state parser.State, startedAt int64) BackendServer {
-		return BackendServer{Name: name, Token: uint32(name[0]), Service: "desk-sync", State: state, StartedAt: startedAt}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, name[0]}), 80)
+		return BackendServer{Name: name, Address: address, Token: uint32(name[0]), Service: "desk-sync", State: state, StartedAt: startedAt}
 	}
 	active, leaving := parser.Active, parser.Leaving
 	type step struct {
@@ -31,6 +33,7 @@
 			{1, 5, []BackendServer{entry("a", leaving, 1), entry("b", active, 1)}, 1},
 			{1, 9, []BackendServer{entry("b", active, 1)}, 1},
 			{2, 6, []BackendServer{entry("a", active, 1), entry("b", active, 1)}, 1},
+			{2, 7, []BackendServer{entry("b", active, 1)}, 1},
 		},
 		"store returns twice": {
 			{1, 5, []BackendServer{entry("a", leaving, 1)}, 0},
@@ -43,13 +46,14 @@
 		},
 		"server whose entry had lapsed": {
 			{1, 5, []BackendServer{entry("a", active, 1), entry("b", active, 1)}, 2},
-			{1, 6, []BackendServer{entry("b", active, 1)}, 1},
+			{1, 6, []BackendServer{entry("b", active, 1)}, 2},
 			{2, 4, []BackendServer{entry("a", active, 1), entry("b", active, 1)}, 2},
 		},
 	}
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
 			viewer := NewViewer()
+			viewer.RetainMissingUntil(time.Now().Add(time.Minute))
 			for i, step := range steps {
 				assert.Assert(t, viewer.ApplyServers(&Servers{Era: step.era, Revision: step.revision, List: step.list}, time.Now()))
 				assert.Equal(t, len(viewer.Current().ActiveServers("desk-sync")), step.active, "step %d", i)
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -65,9 +65,9 @@
 		return false
 	}
 	if view.Servers != nil {
+		viewer.retained = viewer.retainedServers(view.Servers, servers, now)
 		viewer.recallLeaving(view.Servers, servers)
 		viewer.rememberRemoved(view.Servers, servers, now)
-		viewer.retained = viewer.retainedServers(view.Servers, servers, now)
 	}
 	viewer.publish(view.Configuration, servers, view.Evacuations)
 	return true
@@ -142,7 +142,8 @@
 	}
 	var retained []*BackendServer
 	retain := func(server *BackendServer) {
-		if server.State == parser.Active && !names[server.Name] && !addresses[server.Address] {
+		isActive := server.State == parser.Active && !viewer.leaving[server.incarnation()]
+		if isActive && !names[server.Name] && !addresses[server.Address] {
 			retained = append(retained, server)
 			names[server.Name] = true
 		}
