--- a/relayer/era_test.go
+++ b/relayer/era_test.go
@@ -143,9 +143,14 @@
 		earlier := simulation.copyStore()
 		earlier.members, earlier.saved = map[string]Member{}, SavedSnapshot{}
 		simulation.change(20)
-		simulation.resetStoreCalls()
+		advance(keepaliveInterval - membersReadInterval/4) // so that members have not been heard of for long
 		simulation.returnFrom(earlier)
-		advance(registrationSpread + applyTimeLimit)
+		for range int(registrationSpread/time.Second) + 3 {
+			advance(time.Second)
+			for _, node := range nodes {
+				assert.Equal(t, node.Instances(), len(nodes), "%s", node.member.Name)
+			}
+		}
 		assert.Equal(t, len(simulation.members), len(nodes))
 		assert.Equal(t, simulation.saved.ServersRevision.Era, simulation.era)
 		advance(2 * membersReadInterval)
