--- a/internal/soaker/store_fault.go
+++ b/internal/soaker/store_fault.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pimentowind/pimentowind/platform"
@@ -74,14 +73,12 @@
 
 // writeOddEntries leaves odd objects of another writer in the store for a time.
 func writeOddEntries(soak *soak, parameters faultParameters) {
-	const entry = `{"service":"desk-sync","address":"127.0.0.1:%s","zone":"domain-0","version":"1","slots":%s,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1}`
-	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
-	specs := []string{deep, fmt.Sprintf(entry, "99999", "3"), fmt.Sprintf(entry, "80", "1e999"), fmt.Sprintf(entry, "0", "3"), `nan`, `null`}
+	specs := standin.OddSpecs()
 	spec := specs[parameters.choice%len(specs)]
 	kinds := []string{platform.ServersKind, platform.ConfigurationKind, platform.EvacuationsKind, platform.InstancesKind}
 	name := fmt.Sprintf("odd-f%07x", parameters.choice)
 	for _, kind := range kinds {
-		soak.store.PutRaw(kind, name, fmt.Sprintf(`{"meta":{"name":%q,"revision":1},"spec":%s}`, name, spec))
+		soak.store.PutOdd(kind, name, spec)
 	}
 	time.Sleep(parameters.duration)
 	for _, kind := range kinds {
