Pick the only candidate with weight, however small that is

What callers saw: nothing; no caller of Pick passes such weights today (those of balance are of 32 bits, 1.4e-45 at least).

Cause: the score of a candidate is divided by its weight; for the smallest weights of 64 bits it overflows, and no infinite score is lower than the infinite one that Pick started from.

Ruled out: a weight that is no number, which was passed over before as well; the test has it too.

Change: the first candidate with weight is selected whatever its score, later ones if theirs is lower.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -19,13 +19,13 @@
 
 // Pick returns the index of the candidate selected for key, or None.
 func Pick(key uint64, candidates []Candidate) int {
-	selected, lowestScore := None, math.Inf(1)
+	selected, lowestScore := None, 0.0
 	for i := range candidates {
-		if candidates[i].Weight <= 0 {
+		if !(candidates[i].Weight > 0) { // also if it is no number
 			continue
 		}
 		score := Score(key, candidates[i].ID) / candidates[i].Weight
-		if score < lowestScore {
+		if selected == None || score < lowestScore { // the score of a very small weight is infinite
 			selected, lowestScore = i, score
 		}
 	}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -43,6 +43,17 @@
 	})
 }
 
+// Guards against a draw that rounds: the score of a very small weight overflows, and the only
+// candidate with weight was not selected.
+func TestPickSelectsTheOnlyCandidateWithWeight(t *testing.T) {
+	for _, weight := range []float64{math.SmallestNonzeroFloat64, 1e-310, 1e-300, 1, math.MaxFloat64, math.Inf(1)} {
+		for key := range uint64(1000) {
+			picked := Pick(key, []Candidate{{ID: 1}, {ID: 2, Weight: weight}, {ID: 3, Weight: math.NaN()}})
+			assert.Equal(t, picked, 1, "weight %g", weight)
+		}
+	}
+}
+
 func TestPickIsProportionalToWeight(t *testing.T) {
 	all := []Candidate{{ID: 11, Weight: 1}, {ID: 22, Weight: 2}, {ID: 33, Weight: 5}}
 	const keys = 80_000
