Send no flow to a service of weight 0

Cause: drawService left out the services without active servers first and drew among what remained; what remained was returned whatever its weight, as the last share was the answer when no draw met one (also when rounding left the draw beyond the last weight, and when all weights were 0). selectServer kept a service that was given if the route merely named it (Route.Has), so that an opening that had waited went to a service whose weight had become 0 meanwhile. balance never did: picker.Pick selects no candidate without weight.

Change: selectService, in a file of its own, is the one place that selects a service: the one that an opening was admitted for while the route sends flows there and it has servers, otherwise picker.Pick with the hash of the flow, among the services with weight and active servers. None is refused at once with the reason no_server, evacuated or, new, no_weight. It works since Pick has no last resort. As the flow's hash decides in place of a random number, copies and retries go to the same service at any instance, and NewSteerer needs no random source.

TestNewFlowsAreSplitByWeight looked into drawService, which is gone; it now sends 1000 openings through Decide with the same bounds. Its row "none has servers" asked which empty service is drawn; now it asks that all 1000 are reset with no_server.

--- a/director/director.go
+++ b/director/director.go
@@ -211,7 +211,7 @@
 		}
 		relayer.ReportSuspicion(server.Token, suspicion)
 	})
-	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder, random)
+	created := steerer.NewSteerer(current.Current, ticker.JustResumed, placer, examiner, recorder)
 	created.UseAdmission(admitter)
 	created.SetDetector(detector)
 	apply := func(settings *configurer.PlatformSettings) {
--- a/director/socket_test.go
+++ b/director/socket_test.go
@@ -53,7 +53,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	placer := placer.NewPlacer("dakar-1", estimator.NewEstimator("dakar-1", oneInstance, current.Current, neverFailing), neverFailing, random)
 	examiner := examiner.NewExaminer(func(*viewer.BackendServer, examiner.Suspicion) {})
-	created := steerer.NewSteerer(current.Current, func(time.Time) bool { return false }, placer, examiner, recorder, random)
+	created := steerer.NewSteerer(current.Current, func(time.Time) bool { return false }, placer, examiner, recorder)
 	address := rehearser.FreeAddress()
 	socket, cleanup, err := NewSocket(address, created, recorder)
 	assert.NilError(t, err)
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -83,8 +83,9 @@
 	ReasonExistingFlow     Reason = "kept"               // a later packet was forwarded by its token
 	ReasonEvacuatedFlow    Reason = "kept_evacuated"     // the same, to a server in an evacuated failure domain
 	ReasonNoRoute          Reason = "no_route"           // the service address belongs to no route
-	ReasonNoServer         Reason = "no_server"          // the service has no active server
-	ReasonEvacuated        Reason = "evacuated"          // all active servers of the service are in evacuated failure domains
+	ReasonNoServer         Reason = "no_server"          // no service of the route has an active server
+	ReasonNoWeight         Reason = "no_weight"          // only services to which the route gives no weight have active servers
+	ReasonEvacuated        Reason = "evacuated"          // the servers of a service with weight are in evacuated failure domains, and no other such service has active ones
 	ReasonWarmingUp        Reason = "warming_up"         // the service has only cold servers that may get no flow now
 	ReasonJustResumed      Reason = "just_resumed"       // dropped instead of reset, because the process was paused
 	ReasonUnknownToken     Reason = "unknown_token"      // no server has the token of a later packet
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -66,9 +66,9 @@
 		steerer.placeOpening(packet, "", view, verdict, now)
 		return
 	}
-	service := steerer.drawService(route, view)
-	if len(view.ActiveServers(service)) == 0 {
-		steerer.placeOpening(packet, service, view, verdict, now)
+	service := selectService(packet.Flow, "", route, view)
+	if service == "" {
+		steerer.placeOpening(packet, "", view, verdict, now)
 		return
 	}
 	opening := admitter.Opening{Flow: flowID(packet.Flow), Service: service, Class: classOf(route), Objective: route.Objective}
--- /dev/null
+++ b/steerer/share.go
@@ -0,0 +1,46 @@
+package steerer
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentowind/pimentowind/picker"
+	"github.com/pimentowind/pimentowind/viewer"
+)
+
+// selectService returns the service of a route that gets a new flow, or "" if the route sends none
+// to a service with active servers: admitted if it is such a service, and otherwise the one that
+// picker.Pick selects for the flow among them. Instances with the same view select the same one.
+func selectService(key FlowKey, admitted string, route *viewer.Route, view *viewer.View) string {
+	if route.SendsTo(admitted) && len(view.ActiveServers(admitted)) > 0 {
+		return admitted
+	}
+	candidates := make([]picker.Candidate, len(route.Shares))
+	for i, share := range route.Shares {
+		if len(view.ActiveServers(share.Service)) > 0 {
+			// The position tells several shares of one service from each other.
+			candidates[i] = picker.Candidate{ID: picker.Hash(xxhash.Sum64String(share.Service), uint64(i)), Weight: share.Weight}
+		}
+	}
+	followKey := newFollowKey(key)
+	selected := picker.Pick(uint64(followKey.hash()), candidates)
+	if selected == picker.None {
+		return ""
+	}
+	return route.Shares[selected].Service
+}
+
+// noServiceReason returns why selectService selects no service of a route.
+func noServiceReason(route *viewer.Route, view *viewer.View) Reason {
+	isEvacuated := func(share viewer.Share) bool { return share.Weight > 0 && view.IsEvacuated(share.Service) }
+	isStandby := func(share viewer.Share) bool { return len(view.ActiveServers(share.Service)) > 0 }
+	switch {
+	case slices.ContainsFunc(route.Shares, isEvacuated):
+		return ReasonEvacuated
+	case slices.ContainsFunc(route.Shares, isStandby):
+		return ReasonNoWeight
+	default:
+		return ReasonNoServer
+	}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -1,9 +1,7 @@
 package steerer
 
 import (
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -108,7 +106,6 @@
 	placer               serverSelector
 	examiner             responseRecorder
 	observer             Observer
-	random               *rand.Rand
 	flows                map[FlowKey]*flow // the tracked flows, at most maxFlows
 	unanswered           []*flow           // flows whose opening may be retried, in the order sent; may contain answered ones
 	newestAnsweredSentAt time.Time         // when the newest of the answered openings was sent
@@ -132,9 +129,9 @@
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
 // justResumed reports whether the process has just resumed after a pause.
-func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer, random *rand.Rand) *Steerer {
+func NewSteerer(currentView func() *viewer.View, justResumed func(now time.Time) bool, placer serverSelector, examiner responseRecorder, observer Observer) *Steerer {
 	return &Steerer{
-		currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer, random: random,
+		currentView: currentView, justResumed: justResumed, placer: placer, examiner: examiner, observer: observer,
 		flows: map[FlowKey]*flow{}, closedAt: map[FlowKey]time.Time{}, refusedAt: map[FlowKey]time.Time{}, held: map[FlowKey]*heldPacket{}, follower: newFollower(),
 	}
 }
@@ -163,8 +160,9 @@
 // and otherwise to a server that it was not sent to before, if there is one; then the
 // retransmission counts as an unanswered opening of the previous server. An opening with
 // another sequence number, or more than retransmissionWindow after the first, begins a
-// new flow. The opening goes to the service, or to one that is drawn if that is empty.
-func (steerer *Steerer) placeOpening(packet *Packet, service string, view *viewer.View, verdict *Verdict, now time.Time) {
+// new flow. The opening goes to the service that it was admitted for while that is possible;
+// admitted is empty if there is none.
+func (steerer *Steerer) placeOpening(packet *Packet, admitted string, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow := steerer.flows[packet.Flow]
 	if flow != nil && (flow.openingSequence != packet.Sequence || now.Sub(flow.openedAt) > retransmissionWindow) {
 		steerer.endFlow(flow, EndPortReused, now)
@@ -174,7 +172,7 @@
 		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
-	server := steerer.selectServer(packet.Flow, service, flow, view, verdict, now)
+	server := steerer.selectServer(packet.Flow, admitted, flow, view, verdict, now)
 	if server == nil {
 		return
 	}
@@ -206,9 +204,9 @@
 }
 
 // selectServer returns the server for an opening, or nil after setting the refusal
-// in verdict; flow is nil if the flow is not tracked yet. It draws a service if the route does
-// not have the given one.
-func (steerer *Steerer) selectServer(key FlowKey, service string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
+// in verdict; flow is nil if the flow is not tracked yet, and admitted is empty if the opening was
+// not admitted for a service.
+func (steerer *Steerer) selectServer(key FlowKey, admitted string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
 	route := view.Route(key.ServiceAddress)
 	if route == nil {
 		steerer.refuse(verdict, ReasonNoRoute, now)
@@ -218,18 +216,16 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	if !route.Has(service) {
-		service = steerer.drawService(route, view)
+	service := selectService(key, admitted, route, view)
+	if service == "" {
+		steerer.refuse(verdict, noServiceReason(route, view), now)
+		return nil
 	}
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
 	server := steerer.placer.Select(candidates, attempted, now)
 	switch {
 	case server != nil:
-	case view.IsEvacuated(service):
-		steerer.refuse(verdict, ReasonEvacuated, now)
-	case len(candidates) == 0:
-		steerer.refuse(verdict, ReasonNoServer, now)
 	case len(attempted) > 0: // a server may have accepted the flow
 		verdict.Action, verdict.Reason = Drop, ReasonWarmingUp
 	default:
@@ -248,32 +244,6 @@
 	}
 }
 
-// drawService draws one of the route's services at random, in proportion to their weights. A
-// service without active servers is drawn only if no other has any.
-func (steerer *Steerer) drawService(route *viewer.Route, view *viewer.View) string {
-	if len(route.Shares) == 1 {
-		return route.Shares[0].Service
-	}
-	shares := slices.DeleteFunc(slices.Clone(route.Shares), func(share viewer.Share) bool {
-		return len(view.ActiveServers(share.Service)) == 0
-	})
-	if len(shares) == 0 {
-		shares = route.Shares
-	}
-	total := 0.0
-	for _, share := range shares {
-		total += share.Weight
-	}
-	draw := steerer.random.Float64() * total
-	for _, share := range shares {
-		if draw < share.Weight {
-			return share.Service
-		}
-		draw -= share.Weight
-	}
-	return shares[len(shares)-1].Service
-}
-
 // forwardByToken forwards a later packet to the server that its token names.
 func (steerer *Steerer) forwardByToken(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
 	server := view.ServerByToken(packet.Token)
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -78,7 +78,7 @@
 	oneInstance := func() estimator.Instances { return estimator.Instances{Fleet: 1, Domain: 1} }
 	estimator := estimator.NewEstimator("dakar-1", oneInstance, harness.viewer.Current, neverFailing)
 	placer := placer.NewPlacer("dakar-1", estimator, neverFailing, random)
-	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer, harness, harness, random)
+	harness.Steerer = NewSteerer(harness.viewer.Current, func(time.Time) bool { return harness.justResumed }, placer, harness, harness)
 	harness.viewer.ApplyConfiguration(&viewer.Configuration{Version: 1, Routes: []viewer.Route{{
 		Name: "r", Address: address, Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}},
 	}}})
@@ -166,7 +166,7 @@
 
 // evacuate evacuates the failure domains; applyServers leaves all servers in the one without a name.
 func TestNoResetWithoutView(t *testing.T) {
-	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, nil, &harness{}, nil)
+	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, nil, &harness{})
 	verdict := empty.Decide(opening(1), start)
 	assert.Equal(t, verdict.Action, Drop)
 	assert.Equal(t, verdict.Reason, ReasonNoView)
@@ -349,36 +349,50 @@
 }
 
 func TestNewFlowsAreSplitByWeight(t *testing.T) {
-	shares := []viewer.Share{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}
 	cases := []struct {
-		name     string
-		services []string // with an active server each
-		least    int      // flows of 1000 that y gets
-		most     int
+		name    string
+		active  map[string]parser.State // services with active servers
+		least   int                     // flows of 1000 that y gets
+		most    int
+		refused int
 	}{
-		{"both have servers", []string{"x", "y"}, 60, 140},
-		{"none has servers", nil, 60, 140},
-		{"the large one has no servers", []string{"y"}, 1000, 1000},
-		{"the small one has no servers", []string{"x"}, 0, 0},
+		{"both have servers", bothActive, 60, 140, 0},
+		{"none has servers", nil, 0, 0, 1000},
+		{"the large one has no servers", map[string]parser.State{"y": parser.Active}, 1000, 1000, 0},
+		{"the small one has no servers", map[string]parser.State{"x": parser.Active}, 0, 0, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			harness := newHarness("a")
-			list := &viewer.Servers{Revision: 2}
-			for i, service := range c.services {
-				list.List = append(list.List, viewer.BackendServer{Name: service, Token: uint32(i + 1), Service: service, Slots: 1, State: parser.Active})
-			}
-			harness.viewer.ApplyServers(list, start)
-			drawn := map[string]int{}
-			for range 1000 {
-				drawn[harness.drawService(&viewer.Route{Shares: shares}, harness.viewer.Current())]++
+			harness := newHarness()
+			harness.applyShares(2, viewer.Share{Service: "x", Weight: 90}, viewer.Share{Service: "y", Weight: 10})
+			harness.applyServices(2, c.active)
+			placed := map[string]int{}
+			for port := range uint16(1000) {
+				if verdict := harness.Decide(opening(port), start); verdict.Action == Send {
+					placed[verdict.Server.Service]++
+				} else {
+					assert.Equal(t, verdict.Action, Reset)
+					assert.Equal(t, verdict.Reason, ReasonNoServer)
+				}
 			}
-			assert.Assert(t, drawn["y"] >= c.least && drawn["y"] <= c.most, "%v", drawn)
-			assert.Equal(t, drawn["x"]+drawn["y"], 1000)
+			assert.Assert(t, placed["y"] >= c.least && placed["y"] <= c.most, "%v", placed)
+			assert.Equal(t, placed["x"]+placed["y"], 1000-c.refused)
 		})
 	}
 }
 
+// The load: routers pass the copies of an opening to another instance, with another history.
+func TestAllInstancesSelectTheSameServiceForAFlow(t *testing.T) {
+	first, second := newStandbyHarness(), newStandbyHarness()
+	for _, harness := range []*harness{first, second} {
+		harness.applyShares(3, viewer.Share{Service: "x", Weight: 1}, viewer.Share{Service: "y", Weight: 1})
+	}
+	second.Decide(opening(9999), start)
+	for port := range uint16(200) {
+		assert.Equal(t, first.Decide(opening(port), start).Server.Service, second.Decide(opening(port), start).Server.Service)
+	}
+}
+
 func TestRequestAfterEmptyAcknowledgmentIsMeasuredAlone(t *testing.T) {
 	harness := newHarness("a")
 	token := tokenOf("a")
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -32,12 +32,13 @@
 	Timeout      time.Duration // after which callers give up; 0 if not stated
 }
 
-// Has reports whether new flows of the route go to a service.
-func (route *Route) Has(service string) bool {
-	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+// SendsTo reports whether new flows of the route may go to a service: it has a share with weight.
+func (route *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
-// Share is a service's part of a route's new flows, in proportion to Weight.
+// Share is a service's part of a route's new flows, in proportion to Weight. A service of weight 0
+// gets none, whatever becomes of the others.
 type Share struct {
 	Service string
 	Weight  float64
