Decide anew about a held opening whose service is gone

What callers saw: an opening that had waited for a place at a service, and whose service lost its weight or its servers meanwhile. With the weight gone it was sent to another service of the route without a word of that service's admission, so that one with too little room got more than its limit; with the servers gone it was refused (no_server), although another service of the route had servers.

Cause: placeOpening got the service at which the opening had waited, and left the choice of another to selectServer, behind the back of the admission.

Ruled out: an endless wait, as each hold ends within max_wait and another one needs another change of the view meanwhile.

Change: placeReleased gives the place back and asks the admission about the service that selectService selects now, which admits, holds or refuses; the way from a decision to a held or refused opening stands once (admits).

--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -73,17 +73,29 @@
 	}
 	opening := admitter.Opening{Flow: flowID(packet.Flow), Service: service, Class: classOf(route), Objective: route.Objective}
 	verdict.Class = opening.Class
+	if steerer.admits(packet, opening, verdict, now) {
+		steerer.placeAdmitted(packet, opening, view, verdict, now)
+	}
+}
+
+// admits asks the admission about an opening, and holds or refuses the opening if it says so.
+func (steerer *Steerer) admits(packet *Packet, opening admitter.Opening, verdict *Verdict, now time.Time) bool {
+	if !steerer.controlsAdmission() {
+		return true
+	}
 	switch steerer.admission.Decide(opening, now) {
 	case admitter.Hold:
 		verdict.Reason = ReasonHeld
 		held := &heldPacket{Packet: *packet, opening: opening}
 		held.Raw = append([]byte(nil), packet.Raw...)
 		steerer.held[packet.Flow] = held
+		return false
 	case admitter.Refuse:
-		verdict.Action, verdict.Reason = Reset, ReasonNoRoom
+		steerer.refuse(verdict, ReasonNoRoom, now)
 		steerer.rememberRefused(packet.Flow, now)
+		return false
 	default:
-		steerer.placeAdmitted(packet, opening, view, verdict, now)
+		return true
 	}
 }
 
@@ -95,6 +107,27 @@
 	}
 }
 
+// placeReleased sends an opening whose wait has ended to a server. If its service gets no flows of
+// the route any more, or has no server left, the opening has waited for a place at another than it
+// gets, so the admission decides anew.
+func (steerer *Steerer) placeReleased(held *heldPacket, view *viewer.View, verdict *Verdict, now time.Time) {
+	opening := held.opening
+	if route := view.Route(held.Flow.ServiceAddress); route != nil {
+		opening.Service = selectService(held.Flow, held.opening.Service, route, view)
+	}
+	if opening.Service != "" && opening.Service != held.opening.Service {
+		steerer.admission.Withdraw(held.opening, now)
+		if !steerer.admits(&held.Packet, opening, verdict, now) {
+			return
+		}
+		held.opening = opening
+	}
+	steerer.placeAdmitted(&held.Packet, held.opening, view, verdict, now)
+	if verdict.Reason == ReasonNewFlow {
+		verdict.Reason = ReasonReleased
+	}
+}
+
 // controlsAdmission reports whether openings may be held or refused for lack of room.
 func (steerer *Steerer) controlsAdmission() bool {
 	return steerer.admission != nil && steerer.admission.IsEnabled()
@@ -116,10 +149,7 @@
 	verdict := Verdict{Flow: key, Raw: held.Raw, ResetSequence: held.Acknowledgment, Class: held.opening.Class, Waited: result.Waited}
 	switch {
 	case result.Decision != admitter.Refuse:
-		steerer.placeAdmitted(&held.Packet, held.opening, view, &verdict, now)
-		if verdict.Reason == ReasonNewFlow {
-			verdict.Reason = ReasonReleased
-		}
+		steerer.placeReleased(held, view, &verdict, now)
 	case result.IsLate: // the caller may have opened the flow through another instance meanwhile
 		verdict.Reason = ReasonJustResumed
 	default:
--- a/steerer/share_test.go
+++ b/steerer/share_test.go
@@ -141,3 +141,34 @@
 		})
 	}
 }
+
+// Guards against a released opening that takes a place at a service which it did not wait for, or is
+// refused although another service of its route has servers.
+func TestHeldOpeningIsDecidedAnewWhenItsServiceIsGone(t *testing.T) {
+	both := []viewer.Share{{Service: "x", Weight: 1}, {Service: "y", Weight: 1}}
+	decisions := map[admitter.Decision]Reason{admitter.Admit: ReasonReleased, admitter.Hold: ReasonHeld, admitter.Refuse: ReasonNoRoom}
+	for decision, reason := range decisions {
+		for _, isDisabled := range []bool{false, true} {
+			harness, admission := newHarness(), &fakeAdmission{decision: admitter.Hold}
+			harness.UseAdmission(admission)
+			harness.applyShares(2, both...)
+			harness.applyServices(2, map[string]parser.State{"x": parser.Active})
+			assert.Equal(t, harness.Decide(opening(1), start).Reason, ReasonHeld)
+			harness.applyServices(3, map[string]parser.State{"y": parser.Active})
+			admission.decision, admission.disabled = decision, isDisabled
+			admission.results = []admitter.Result{{Flow: flowID(flowOf(1)), Decision: admitter.Admit}}
+			verdict, ok := harness.Next(start, start)
+			assert.Assert(t, ok)
+			if isDisabled {
+				reason = ReasonReleased
+			}
+			assert.Equal(t, verdict.Reason, reason)
+			assert.Equal(t, len(harness.held) == 1, reason == ReasonHeld)
+			assert.Equal(t, len(admission.withdrawn), 1, "the place at the service that is gone")
+			assert.Equal(t, admission.withdrawn[0].Service, "x")
+			if !isDisabled {
+				assert.Equal(t, admission.openings[1].Service, "y")
+			}
+		}
+	}
+}
