Drop late copies of openings whose server may get no new flows

A copy of an opening that arrives within two seconds of the first and after the flow was established went to the flow's server whatever had become of it: it leaves, its failure domain is evacuated, its service has lost its weight, or it has restarted under its name, when the copy opens a second flow there that nobody counts.

Cause: repeatOpening asked the pacer of cold servers alone.

Ruled out: a caller that needs the copy, as it has sent a packet with the server's token, which only a server's answer gives it.

Change: mayGetFlows asks what selectService asks: a service of the route with weight, and an active server. Such copies are dropped with the reason late_copy; a reset would end a flow that is open.

--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -95,6 +95,7 @@
 	ReasonHeld             Reason = "held"               // the opening waits for a place at a server
 	ReasonHeldCopy         Reason = "held_copy"          // a copy of an opening that waits
 	ReasonRefusedCopy      Reason = "refused_copy"       // a copy of an opening that was refused
+	ReasonLateCopy         Reason = "late_copy"          // a copy of an established flow's opening, whose server may get no new flows
 	ReasonReleased         Reason = "released"           // an opening that was held was sent to a server
 	ReasonNoRoom           Reason = "refused_no_room"    // the servers cannot work off the opening's request in time
 	ReasonNoView           Reason = "no_view"            // configuration or servers not yet known
--- a/steerer/share.go
+++ b/steerer/share.go
@@ -31,6 +31,11 @@
 	return route.Shares[selected].Service
 }
 
+// mayGetFlows reports whether a server may get new flows of a route, which is nil if there is none.
+func mayGetFlows(server *viewer.BackendServer, route *viewer.Route, view *viewer.View) bool {
+	return route != nil && route.SendsTo(server.Service) && viewer.Contains(view.ActiveServers(server.Service), server)
+}
+
 // noServiceReason returns why selectService selects no service of a route.
 func noServiceReason(route *viewer.Route, view *viewer.View) Reason {
 	isEvacuated := func(share viewer.Share) bool { return share.Weight > 0 && view.IsEvacuated(share.Service) }
--- a/steerer/share_test.go
+++ b/steerer/share_test.go
@@ -172,3 +172,33 @@
 		}
 	}
 }
+
+// Guards against a late copy of an opening that opens a second flow at a server which may get none any
+// more: one that restarted, leaves, is evacuated, or of a service without weight.
+func TestLateCopyIsNotSentWhereNoFlowMayBeOpened(t *testing.T) {
+	ways := append(waysToLoseTheWeight, struct {
+		name   string
+		lose   func(harness *harness)
+		reason Reason
+	}{"the server has restarted", func(harness *harness) {
+		harness.applyServices(3, bothActive)
+		list := harness.viewer.Current().Servers
+		restarted := &viewer.Servers{Revision: 4, List: append([]viewer.BackendServer(nil), list.List...)}
+		for i := range restarted.List {
+			restarted.List[i].StartedAt = 1
+		}
+		harness.viewer.ApplyServers(restarted, start)
+	}, ""})
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			harness := newStandbyHarness()
+			first := harness.Decide(opening(1), start)
+			harness.Decide(laterPacket(1, first.Server.Token, 100, 0, Flags{}), start)
+			assert.Equal(t, harness.Decide(opening(1), start).Action, Send, "while the server may get flows")
+			way.lose(harness)
+			verdict := harness.Decide(opening(1), start.Add(200*time.Millisecond))
+			assert.Equal(t, verdict.Action, Drop)
+			assert.Equal(t, verdict.Reason, ReasonLateCopy)
+		})
+	}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -192,9 +192,13 @@
 }
 
 // repeatOpening sends a late copy of an established flow's opening to its server, if that may
-// get an opening now; otherwise it is dropped, as the flow does not need it.
+// get a new flow of the route now; otherwise it is dropped, as the flow does not need it.
 func (steerer *Steerer) repeatOpening(flow *flow, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow.server = newestEntry(flow.server, view.ServerByToken(flow.server.Token))
+	if !mayGetFlows(flow.server, view.Route(flow.key.ServiceAddress), view) {
+		verdict.Reason = ReasonLateCopy
+		return
+	}
 	if !steerer.placer.MayOpen(flow.server, now) {
 		verdict.Reason = ReasonWarmingUp
 		return
