--- a/decider/open.go
+++ b/decider/open.go
@@ -34,7 +34,8 @@
 		return decider.forwardRepeatedOpening(service, packet, key, old)
 	}
 	if refusal, refused := decider.checkAdmission(service, packet, key); refused {
-		return decider.refuseOpening(refusal)
+		decider.counters.add(refusalCounter(refusal.Reason), 1)
+		return Verdict{Kind: Refuse, Refusal: refusal}
 	}
 	return decider.openAt(service, packet, key, old, known)
 }
@@ -80,29 +81,14 @@
 	return false
 }
 
-// hasLeft reports whether the sheet lists a backend server as leaving or no longer, and the active
-// epoch follows it.
-func (decider *Decider) hasLeft(service *service, id uint32) bool {
-	if decider.sheetVersion == 0 || service.active == nil {
-		return false // not known yet
-	}
-	return !service.listed || service.active.weight(id) == 0 && !service.isEjected(id)
-}
-
 // forwardRepeatedOpening sends a repeated opening to the backend server of the first
-// copy. A TCP flow that this server has not accepted is opened anew if the server is ejected or has
-// left; if it has left and no other may get the flow, the flow is refused.
+// copy. A TCP flow that this server has not accepted is opened anew if the server is ejected.
 func (decider *Decider) forwardRepeatedOpening(service *service, packet *framer.Packet, key uint64, old flow) Verdict {
-	hasLeft := decider.hasLeft(service, old.serverID)
-	isUnaccepted := packet.Tuple.Protocol == framer.ProtocolTCP && old.state == opening
-	if isUnaccepted && (hasLeft || service.isEjected(old.serverID)) {
-		refusal, isRefused := decider.checkAdmission(service, packet, key)
-		switch {
-		case !isRefused:
-			decider.counters.add(CountOpeningsMoved, 1)
+	isTCP := packet.Tuple.Protocol == framer.ProtocolTCP
+	if isTCP && old.state == opening && service.isEjected(old.serverID) {
+		decider.counters.add(CountOpeningsMoved, 1)
+		if _, refused := decider.checkAdmission(service, packet, key); !refused {
 			return decider.openAt(service, packet, key, old, true)
-		case hasLeft:
-			return decider.refuseOpening(refusal) // the entry stays: other instances may have its pin
 		}
 	}
 	decider.counters.add(CountOpeningsRepeated, 1)
@@ -210,12 +196,6 @@
 	return service.allPinned || prepared || decider.reservePinBudget(service, len(decider.reachable)-1)
 }
 
-// refuseOpening counts a refused opening by its reason.
-func (decider *Decider) refuseOpening(refusal framer.Refusal) Verdict {
-	decider.counters.add(refusalCounter(refusal.Reason), 1)
-	return Verdict{Kind: Refuse, Refusal: refusal}
-}
-
 // refusalCounter returns the counter of a reason to refuse an opening.
 func refusalCounter(reason framer.RefusalReason) Count {
 	switch reason {
