The soak has services that stand by, and takes the entries of one away

Change: every route names both services, the second with a weight of 0; a new kind of fault (appended, so that the seeds of regressions draw as before) removes the entries of all servers of one service for a time. The check that a flow reaches its route's service was there.

Ruled out: a first form of the test with a third kind of fault, whose seed did not draw the new one within its 8 s: it passed on the old program too.

--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -98,6 +98,7 @@
 	{"malformed datagrams", sendMalformed, confined},
 	{"store returns from an older copy", returnStore, everything},
 	{"odd entries in the store", writeOddEntries, planned},
+	{"entries of one service are gone", removeService, everything},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
--- a/internal/soaker/server_fault.go
+++ b/internal/soaker/server_fault.go
@@ -31,6 +31,22 @@
 	}
 }
 
+// removeService removes the entries of all servers of one service from the store for a time.
+func removeService(soak *soak, parameters faultParameters) {
+	service := []string{"desk-sync", "report-desk"}[parameters.choice%2]
+	var removed []*server
+	for _, server := range soak.sortedServers() {
+		if server.service == service {
+			removed = append(removed, server)
+			server.removeEntry()
+		}
+	}
+	time.Sleep(parameters.duration)
+	for _, server := range removed {
+		server.renewEntry()
+	}
+}
+
 // replaceServer selects a server that accepts new flows and starts another one for the
 // same service. It returns the selected server for the caller to stop, or nil if no
 // server accepts new flows.
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -251,8 +251,16 @@
 	soak.store.Put(platform.ConfigurationKind, platform.ConfigurationName, platform.EncodeConfiguration(configuration))
 }
 
+// newRoute returns a route to a service; the other service stands by and must get no flow.
 func newRoute(name string, address netip.AddrPort) viewer.Route {
-	route := viewer.Route{Name: name, Address: address, Shares: []viewer.Share{{Service: serviceByRoute[address], Weight: 1}}}
+	route := viewer.Route{Name: name, Address: address}
+	for _, service := range []string{"desk-sync", "report-desk"} {
+		share := viewer.Share{Service: service}
+		if service == serviceByRoute[address] {
+			share.Weight = 1
+		}
+		route.Shares = append(route.Shares, share)
+	}
 	if address == bulkRoute {
 		route.Priority = 1
 	}
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -171,6 +171,11 @@
 	runShortSoak(t, Settings{Seed: 3, FaultNames: []string{"store returns from an older copy", "odd entries in the store", "configuration", "kill"}})
 }
 
+// Guards against review/7: flows that go to the service that stands by while the other has no entries.
+func TestShortSoakWithoutTheEntriesOfAServiceHasNoViolations(t *testing.T) {
+	runShortSoak(t, Settings{Seed: 5, FaultNames: []string{"entries of one service are gone", "kill"}})
+}
+
 func runShortSoak(t *testing.T, settings Settings) {
 	t.Helper()
 	directory := t.TempDir()
