A server that is listed again counts as removed no longer

Cause: leaders note for ten seconds that a server was removed from the list, which makes weaker signs of silence enough. The note was never taken back when the server was listed again.

TestServerThatWasRemovedIsSilentWithFewSigns/not_once_it_is_listed_again failed before (4 != 0).

Change: CheckRemoved gets the servers that the list lacks now, at each tick of a leader, and takes back the note of all others.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -167,6 +167,15 @@
 			fleet.servers[0].down = true
 			fewWait(fleet)
 		}, 0},
+		// Guards against review/6: a server that was back from a cut counted as removed, so that a
+		// queue was enough to reset its flows.
+		{"not once it is listed again", func(fleet *fleet) {
+			fleet.advance(300 * time.Millisecond)
+			fleet.removed = nil
+			fleet.advance(300 * time.Millisecond)
+			fleet.servers[0].down = true
+			fewWait(fleet)
+		}, 0},
 		{"not yet", func(fleet *fleet) {
 			fleet.removed[0].GoneAt = fleet.now.Add(time.Minute)
 			fleet.servers[0].down = true
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -77,11 +77,15 @@
 	return found
 }
 
-// CheckRemoved notes the servers that were removed from the list. Without an unanswered request
-// that says nothing, as they get no new flows whose openings they could answer.
+// CheckRemoved notes the servers that are removed from the list now; one that is listed again has
+// shown that it lives. Without an unanswered request a removal says nothing, as such servers get no
+// new flows whose openings they could answer.
 func (detector *Detector) CheckRemoved(removed []viewer.RemovedServer, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
+	for _, candidate := range detector.candidates {
+		candidate.goneAt = time.Time{}
+	}
 	for _, removed := range removed {
 		age := now.Sub(removed.GoneAt)
 		if !removed.GoneAt.IsZero() && age >= 0 && age < removedTime {
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -10,7 +10,7 @@
 // signExchanger decides which servers are silent from signs that it exchanges with the other
 // instances; detector.Detector implements it.
 type signExchanger interface {
-	// CheckRemoved notes the servers that were removed from the list, on a leader.
+	// CheckRemoved notes the servers that are removed from the list now, on a leader.
 	CheckRemoved(removed []viewer.RemovedServer, now time.Time)
 	// Sweep forgets what is too old, and reports whether Next may return messages.
 	Sweep(now time.Time) bool
@@ -48,8 +48,8 @@
 		relayer.signs.Forget()
 		return
 	}
-	if removed := relayer.viewer.Current().Removed(); len(removed) > 0 && relayer.isLeader() {
-		relayer.signs.CheckRemoved(removed, now)
+	if relayer.isLeader() {
+		relayer.signs.CheckRemoved(relayer.viewer.Current().Removed(), now)
 	}
 	if !relayer.signs.Sweep(now) {
 		return
