A server keeps its token when an elder with the same one is listed

Cause: each view gave the token to the server with the lower start time, which says nothing of who had it, and open flows, before.

Evidence: TestServerKeepsItsTokenWhenAnElderIsListed failed before (a != b when the elder is listed). Ruled out: the elder's entry itself (in a first view, where nobody had the token, it may have it).

Change: a new view knows who had each token in the view before; that server keeps it as long as it is listed or retained, also after a restart under its name. The start time decides only where neither had it. Two passes over the list in place of a sort by both, which would look up each token some thirty times in a list of 17,000.

Open: an instance that sees both for the first time goes by their start, where others may not.

--- a/viewer/view.go
+++ b/viewer/view.go
@@ -166,9 +166,16 @@
 
 // unlisted is what a Viewer knows of servers beside the newest list.
 type unlisted struct {
-	retained []*BackendServer     // treated as if they were listed
-	removed  []RemovedServer      // only found by their tokens
-	leaving  map[incarnation]bool // treated as leaving whatever the list says
+	byToken  map[uint32]*BackendServer // those that had the tokens so far
+	retained []*BackendServer          // treated as if they were listed
+	removed  []RemovedServer           // only found by their tokens
+	leaving  map[incarnation]bool      // treated as leaving whatever the list says
+}
+
+// hadToken reports whether a server had its token so far.
+func (unlisted *unlisted) hadToken(server *BackendServer) bool {
+	holder := unlisted.byToken[server.Token]
+	return holder != nil && holder.Name == server.Name
 }
 
 // newView returns a View of a configuration, a list of servers and evacuations, each of
@@ -213,8 +220,9 @@
 }
 
 // indexServers indexes servers by token and, if they accept new flows, by service. If two have the
-// same token, the one that started first keeps it; the other gets no new flows,
-// since their later packets would be indistinguishable.
+// same token, the one that had it so far keeps it, as it may have open flows, and otherwise the one
+// that started first; the other gets no new flows, since their later packets would be
+// indistinguishable.
 func (view *View) indexServers(servers *Servers, unlisted unlisted) {
 	byStartTime := make([]*BackendServer, len(servers.List), len(servers.List)+len(unlisted.retained))
 	for i := range servers.List {
@@ -225,10 +233,14 @@
 		return cmp.Compare(a.startOrLast(), b.startOrLast())
 	})
 	for _, server := range byStartTime {
-		if view.byToken[server.Token] != nil {
+		if view.byToken[server.Token] == nil || unlisted.hadToken(server) {
+			view.byToken[server.Token] = server
+		}
+	}
+	for _, server := range byStartTime {
+		if view.byToken[server.Token] != server {
 			continue
 		}
-		view.byToken[server.Token] = server
 		switch {
 		case server.State != parser.Active || unlisted.leaving[server.incarnation()]:
 		case view.Evacuations.Contains(server.FailureDomain):
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -125,7 +125,9 @@
 
 // publish replaces the current view. The mutex must be held.
 func (viewer *Viewer) publish(configuration *Configuration, servers *Servers, evacuations *Evacuations) {
-	viewer.current.Store(newView(configuration, servers, evacuations, unlisted{retained: viewer.retained, removed: viewer.removed, leaving: viewer.leaving}))
+	viewer.current.Store(newView(configuration, servers, evacuations, unlisted{
+		byToken: viewer.Current().byToken, retained: viewer.retained, removed: viewer.removed, leaving: viewer.leaving,
+	}))
 	viewer.onChange()
 }
 
--- a/viewer/viewer_test.go
+++ b/viewer/viewer_test.go
@@ -121,3 +121,33 @@
 		{Name: "c", Service: "desk-sync", State: "gone"},
 	})
 }
+
+// Guards against review/8: the elder of two servers with one token was listed second, and got the
+// packets of the other's open flows.
+func TestServerKeepsItsTokenWhenAnElderIsListed(t *testing.T) {
+	elder, younger := server("a", 1, 1), server("b", 1, 5)
+	steps := []struct {
+		name string
+		list []BackendServer
+		want string // the server that has the token and gets new flows
+	}{
+		{"the younger alone", []BackendServer{younger}, "b"},
+		{"the elder is listed", []BackendServer{elder, younger}, "b"},
+		{"the younger has restarted", []BackendServer{elder, server("b", 1, 9)}, "b"},
+		{"the younger has ended", []BackendServer{elder}, "a"},
+		{"the younger is listed again", []BackendServer{elder, younger}, "a"},
+	}
+	viewer := NewViewer()
+	for i, step := range steps {
+		viewer.ApplyServers(list(uint64(i+1), step.list...), start)
+		viewer.ApplyConfiguration(&Configuration{Version: uint64(i + 1)})
+		view := viewer.Current()
+		assert.Equal(t, view.ServerByToken(1).Name, step.want, step.name)
+		active := view.ActiveServers(view.ServerByToken(1).Service)
+		assert.Equal(t, len(active), 1, step.name)
+		assert.Equal(t, active[0].Name, step.want, step.name)
+	}
+	first := NewViewer()
+	first.ApplyServers(list(1, elder, younger), start)
+	assert.Equal(t, first.Current().ServerByToken(1).Name, "a", "in a first view the elder")
+}
