Split the steerer by what its parts do

Cause: steerer.go and queue.go held interfaces, retries, admission and completion of responses side by side; "admitted" named a service.

No change of behaviour: go test ./steerer ./picker ./director passes.

--- a/steerer/doc.go
+++ b/steerer/doc.go
@@ -1,6 +1,7 @@
 // Package steerer decides what an instance does with each packet that a caller
 // sends. The first packet of a flow (its opening) goes to a backend server that
-// the placer selects. Every later packet carries the token of that server, so any
+// the placer selects among those of one service; the service is the picker's choice among
+// those of the route. Every later packet carries the token of that server, so any
 // instance can forward it without a flow table.
 //
 // A Steerer takes decoded packets and the current view of routes and servers, and
--- a/steerer/evacuation_test.go
+++ b/steerer/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
+// evacuate evacuates the failure domains; applyServers leaves all servers in the one without a name.
 func (harness *harness) evacuate(revision uint64, domains ...string) {
 	harness.viewer.ApplyEvacuations(&viewer.Evacuations{Revision: revision, Domains: domains})
 }
--- a/steerer/queue.go
+++ b/steerer/queue.go
@@ -8,13 +8,6 @@
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
-// completionTime is how long after the last acknowledgment a response counts as complete.
-const completionTime = 60 * time.Millisecond
-
-// shortCompletionTime is the same for a response that is much shorter than usual: a lost packet is
-// sent again after 200 ms.
-const shortCompletionTime = 250 * time.Millisecond
-
 // admission decides which openings are sent when room is short; admitter.Admitter implements it.
 type admission interface {
 	// IsEnabled reports whether openings may be held or refused; otherwise nothing is recorded.
@@ -36,12 +29,6 @@
 	opening admitter.Opening
 }
 
-// completeResponse is a response that may be complete.
-type completeResponse struct {
-	flow *flow
-	at   time.Time // when its last acknowledgment arrived
-}
-
 // UseAdmission sets what decides which openings are sent when room is short.
 func (steerer *Steerer) UseAdmission(admission admission) { steerer.admission = admission }
 
@@ -111,18 +98,18 @@
 // the route any more, or has no server left, the opening has waited for a place at another than it
 // gets, so the admission decides anew.
 func (steerer *Steerer) placeReleased(held *heldPacket, view *viewer.View, verdict *Verdict, now time.Time) {
-	opening := held.opening
+	opening, service := held.opening, ""
 	if route := view.Route(held.Flow.ServiceAddress); route != nil {
-		opening.Service = selectService(held.Flow, held.opening.Service, route, view)
+		service = selectService(held.Flow, opening.Service, route, view)
 	}
-	if opening.Service != "" && opening.Service != held.opening.Service {
-		steerer.admission.Withdraw(held.opening, now)
+	if service != "" && service != opening.Service {
+		steerer.admission.Withdraw(opening, now)
+		opening.Service = service
 		if !steerer.admits(&held.Packet, opening, verdict, now) {
 			return
 		}
-		held.opening = opening
 	}
-	steerer.placeAdmitted(&held.Packet, held.opening, view, verdict, now)
+	steerer.placeAdmitted(&held.Packet, opening, view, verdict, now)
 	if verdict.Reason == ReasonNewFlow {
 		verdict.Reason = ReasonReleased
 	}
@@ -194,61 +181,6 @@
 	return wakeAt
 }
 
-// awaitCompletion notes that the flow's response may be complete, if its last acknowledgment
-// arrives now.
-func (steerer *Steerer) awaitCompletion(flow *flow, now time.Time) {
-	if flow.acknowledgedAt.Equal(now) && !flow.isOutcomeKnown && steerer.controlsAdmission() {
-		steerer.complete = append(steerer.complete, completeResponse{flow: flow, at: now})
-	}
-}
-
-// reportComplete tells the admission of the responses of which nothing has been acknowledged
-// for completionTime, or for shortCompletionTime if they are short.
-func (steerer *Steerer) reportComplete(now time.Time) {
-	for len(steerer.complete) > 0 && now.Sub(steerer.complete[0].at) >= completionTime {
-		complete := steerer.complete[0]
-		steerer.complete = steerer.complete[1:]
-		switch {
-		case !complete.isLast():
-		case steerer.isShort(complete.flow):
-			steerer.completeShort = append(steerer.completeShort, complete)
-		default:
-			steerer.recordOutcome(complete.flow, now)
-		}
-	}
-	for len(steerer.completeShort) > 0 && now.Sub(steerer.completeShort[0].at) >= shortCompletionTime {
-		complete := steerer.completeShort[0]
-		steerer.completeShort = steerer.completeShort[1:]
-		if complete.isLast() {
-			steerer.recordOutcome(complete.flow, now)
-		}
-	}
-}
-
-// isLast reports whether nothing more of the response was acknowledged.
-func (completeResponse completeResponse) isLast() bool {
-	return completeResponse.flow.acknowledgedAt.Equal(completeResponse.at)
-}
-
-// recordOutcome tells the admission once of the flow's last response.
-func (steerer *Steerer) recordOutcome(flow *flow, now time.Time) {
-	responseTime := flow.responseTime()
-	if flow.isOutcomeKnown || responseTime == 0 || !steerer.controlsAdmission() {
-		return
-	}
-	flow.isOutcomeKnown = true
-	route := steerer.currentView().Route(flow.key.ServiceAddress)
-	if route == nil {
-		return
-	}
-	steerer.admission.RecordResponse(flow.server.Service, admitter.Response{
-		Class:     classOf(route),
-		Duration:  responseTime,
-		Objective: route.Objective,
-		IsShort:   steerer.isShort(flow),
-	}, now)
-}
-
 func classOf(route *viewer.Route) admitter.Class {
 	return admitter.Class{Priority: route.Priority, IsRepeatable: route.IsRepeatable}
 }
@@ -256,14 +188,3 @@
 func flowID(key FlowKey) admitter.FlowID {
 	return admitter.FlowID{Caller: key.CallerAddress, Service: key.ServiceAddress}
 }
-
-// wasShed reports whether the flow's last response looks like that of a server whose queue was
-// full. The time that it took says nothing of the server's speed.
-func (steerer *Steerer) wasShed(flow *flow) bool {
-	return steerer.controlsAdmission() && steerer.isShort(flow)
-}
-
-// isShort reports whether the flow's last response is much shorter than usual on its route.
-func (steerer *Steerer) isShort(flow *flow) bool {
-	return steerer.examiner.IsShort(flow.key.ServiceAddress, flow.lastAcknowledgment-flow.requestAcknowledgment)
-}
--- a/steerer/share.go
+++ b/steerer/share.go
@@ -10,11 +10,11 @@
 )
 
 // selectService returns the service of a route that gets a new flow, or "" if the route sends none
-// to a service with active servers: admitted if it is such a service, and otherwise the one that
+// to a service with active servers: admittedService if it is such a service, and otherwise the one that
 // picker.Pick selects for the flow among them. Instances with the same view select the same one.
-func selectService(key FlowKey, admitted string, route *viewer.Route, view *viewer.View) string {
-	if route.SendsTo(admitted) && len(view.ActiveServers(admitted)) > 0 {
-		return admitted
+func selectService(key FlowKey, admittedService string, route *viewer.Route, view *viewer.View) string {
+	if route.SendsTo(admittedService) && len(view.ActiveServers(admittedService)) > 0 {
+		return admittedService
 	}
 	candidates := make([]picker.Candidate, len(route.Shares))
 	for i, share := range route.Shares {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -19,63 +18,6 @@
 	maxFlows = 20_000
 )
 
-// serverSelector selects servers for new flows from the load reported to it;
-// placer.Placer implements it.
-type serverSelector interface {
-	Select(candidates, attempted []*viewer.BackendServer, now time.Time) *viewer.BackendServer
-	// MayOpen reports whether an opening may be sent to a server now.
-	MayOpen(server *viewer.BackendServer, now time.Time) bool
-	// OpeningSent is called for each opening, and each copy of one, that is sent to a server.
-	OpeningSent(server *viewer.BackendServer, now time.Time)
-	// RequestSent is called for each request on an open flow but the first.
-	RequestSent(server *viewer.BackendServer, now time.Time)
-	// FlowOpened counts a flow as open at a server until FlowClosed.
-	FlowOpened(server *viewer.BackendServer, now time.Time)
-	FlowClosed(server *viewer.BackendServer, now time.Time)
-	// RequestBegan counts an opening or a request as outstanding at a server until
-	// RequestEnded; isFirst says that it is the first of its flow.
-	RequestBegan(server *viewer.BackendServer, isFirst bool, now time.Time)
-	// RequestMoved counts one again that was counted before, at another server or until it was given up.
-	RequestMoved(server *viewer.BackendServer, now time.Time)
-	RequestEnded(server *viewer.BackendServer, now time.Time)
-	OpeningAnswered(server *viewer.BackendServer, now time.Time)
-	OpeningUnanswered(server *viewer.BackendServer, now time.Time) bool
-	// Readmit ends the ejection of a server that has answered other instances, and reports
-	// whether it did.
-	Readmit(server *viewer.BackendServer, now time.Time) bool
-	// ReexamineServers is called when the servers to which openings are held back change.
-	ReexamineServers()
-	RecordResponseTime(server *viewer.BackendServer, duration time.Duration, now time.Time)
-	// ObserveView is called after each change of the view, also if no flows are opened.
-	ObserveView(now time.Time)
-	ExpireServers(before time.Time)
-}
-
-// responseRecorder looks for failing and slow servers by their responses;
-// examiner.Examiner implements it.
-type responseRecorder interface {
-	// RecordLostRequest is called for a request or an opening that its server did not take.
-	RecordLostRequest(server *viewer.BackendServer)
-	RecordResponse(route netip.AddrPort, server *viewer.BackendServer, bytes uint32, duration time.Duration, now time.Time)
-	// IsShort reports whether a response is much shorter than usual on its route.
-	IsShort(route netip.AddrPort, bytes uint32) bool
-}
-
-// Observer receives the events of flows for logs and counters.
-type Observer interface {
-	// Decided is called for every verdict except that on a later packet forwarded by its token.
-	Decided(verdict *Verdict, view *viewer.View)
-	// FlowEnded is called when a flow that was opened through this instance ends.
-	FlowEnded(summary *FlowSummary)
-	// ServerEjected is called when a server is ejected because it does not answer openings.
-	ServerEjected(server *viewer.BackendServer)
-	// ServerReadmitted is called when an ejection ends because another instance has seen the
-	// server alive, a time ago.
-	ServerReadmitted(server *viewer.BackendServer, age time.Duration)
-	// FlowsReset is called when all flows of a silent server that pass this instance are reset.
-	FlowsReset(server *viewer.BackendServer, flows int)
-}
-
 // FlowSummary is what an instance measured of one flow.
 type FlowSummary struct {
 	Flow          FlowKey
@@ -161,8 +103,8 @@
 // retransmission counts as an unanswered opening of the previous server. An opening with
 // another sequence number, or more than retransmissionWindow after the first, begins a
 // new flow. The opening goes to the service that it was admitted for while that is possible;
-// admitted is empty if there is none.
-func (steerer *Steerer) placeOpening(packet *Packet, admitted string, view *viewer.View, verdict *Verdict, now time.Time) {
+// admittedService is empty if there is none.
+func (steerer *Steerer) placeOpening(packet *Packet, admittedService string, view *viewer.View, verdict *Verdict, now time.Time) {
 	flow := steerer.flows[packet.Flow]
 	if flow != nil && (flow.openingSequence != packet.Sequence || now.Sub(flow.openedAt) > retransmissionWindow) {
 		steerer.endFlow(flow, EndPortReused, now)
@@ -172,7 +114,7 @@
 		steerer.repeatOpening(flow, view, verdict, now)
 		return
 	}
-	server := steerer.selectServer(packet.Flow, admitted, flow, view, verdict, now)
+	server := steerer.selectServer(packet.Flow, admittedService, flow, view, verdict, now)
 	if server == nil {
 		return
 	}
@@ -208,9 +150,9 @@
 }
 
 // selectServer returns the server for an opening, or nil after setting the refusal
-// in verdict; flow is nil if the flow is not tracked yet, and admitted is empty if the opening was
-// not admitted for a service.
-func (steerer *Steerer) selectServer(key FlowKey, admitted string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
+// in verdict; flow is nil if the flow is not tracked yet, and admittedService is empty if the
+// opening was not admitted for a service.
+func (steerer *Steerer) selectServer(key FlowKey, admittedService string, flow *flow, view *viewer.View, verdict *Verdict, now time.Time) *viewer.BackendServer {
 	route := view.Route(key.ServiceAddress)
 	if route == nil {
 		steerer.refuse(verdict, ReasonNoRoute, now)
@@ -220,7 +162,7 @@
 	if flow != nil {
 		attempted = flow.attempted
 	}
-	service := selectService(key, admitted, route, view)
+	service := selectService(key, admittedService, route, view)
 	if service == "" {
 		steerer.refuse(verdict, noServiceReason(route, view), now)
 		return nil
@@ -312,65 +254,3 @@
 	wakeAt := earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
 	return earliest(wakeAt, steerer.outstandingWakeTime())
 }
-
-// nextRetry returns the verdict that sends the next overdue opening to another server, or
-// false if no opening is overdue.
-func (steerer *Steerer) nextRetry(now, drained time.Time) (Verdict, bool) {
-	for steerer.dropAnswered(); len(steerer.unanswered) > 0; steerer.dropAnswered() {
-		oldest := steerer.unanswered[0]
-		if drained.Sub(oldest.openingSentAt) < answerTimeout {
-			break
-		}
-		steerer.unanswered = steerer.unanswered[1:]
-		if verdict, ok := steerer.retryOpening(oldest, now); ok {
-			return verdict, true
-		}
-	}
-	return Verdict{}, false
-}
-
-// dropAnswered removes the flows at the head of unanswered whose opening needs no retry.
-func (steerer *Steerer) dropAnswered() {
-	for len(steerer.unanswered) > 0 && (steerer.unanswered[0].established || steerer.unanswered[0].ended) {
-		steerer.unanswered = steerer.unanswered[1:]
-	}
-}
-
-// recordUnanswered counts an unanswered opening against a server and reports the
-// server to the observer if it is ejected for it.
-func (steerer *Steerer) recordUnanswered(server *viewer.BackendServer, now time.Time) {
-	steerer.reportLost(server, now)
-	if steerer.placer.OpeningUnanswered(server, now) {
-		steerer.observer.ServerEjected(server)
-	}
-}
-
-// retryOpening sends an overdue opening to another server, or returns false if it
-// has no attempts or servers left.
-func (steerer *Steerer) retryOpening(flow *flow, now time.Time) (Verdict, bool) {
-	// The missing answer counts against the server only if an opening that was sent
-	// later has been answered. Otherwise the network fabric may have changed its set of
-	// instances, so that the callers' packets now reach another instance.
-	switch {
-	case !steerer.newestAnsweredSentAt.After(flow.openingSentAt):
-	case steerer.confirmsOpenings():
-		steerer.reportLost(flow.server, now)
-		flow.reported = len(flow.attempted)
-	default:
-		steerer.recordUnanswered(flow.server, now)
-	}
-	if len(flow.attempted) >= maxAttempts {
-		return Verdict{}, false
-	}
-	view := steerer.currentView()
-	verdict := Verdict{Flow: flow.key, Raw: flow.openingPacket}
-	server := steerer.selectServer(flow.key, "", flow, view, &verdict, now)
-	if server == nil || viewer.Contains(flow.attempted, server) {
-		return Verdict{}, false
-	}
-	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonRetried
-	steerer.placer.OpeningSent(server, now)
-	steerer.recordAttempt(flow, server, now)
-	steerer.observer.Decided(&verdict, view)
-	return verdict, true
-}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -164,7 +164,6 @@
 	assert.Equal(t, harness.Decide(unknownRoute, start).Action, Drop)
 }
 
-// evacuate evacuates the failure domains; applyServers leaves all servers in the one without a name.
 func TestNoResetWithoutView(t *testing.T) {
 	empty := NewSteerer(viewer.NewViewer().Current, nil, nil, nil, &harness{})
 	verdict := empty.Decide(opening(1), start)
