--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -168,10 +168,11 @@
 
 func TestInvalidSnapshotsAreNotApplied(t *testing.T) {
 	route := viewer.Route{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []viewer.Share{{Service: "desk-sync", Weight: 1}}}
-	withoutService, withoutAddress, withOddWeight := route, route, route
+	withoutService, withoutAddress, withOddWeight, withInfiniteWeight := route, route, route, route
 	withoutService.Shares = nil
 	withoutAddress.Address = netip.AddrPort{}
 	withOddWeight.Shares = []viewer.Share{{Service: "desk-sync", Weight: math.NaN()}}
+	withInfiniteWeight.Shares = []viewer.Share{{Service: "desk-sync", Weight: math.Inf(1)}}
 	withoutToken, withoutPort := backendServer("b", parser.Active), backendServer("b", parser.Active)
 	withoutToken.Token = 0
 	withoutPort.Address = netip.AddrPortFrom(withoutPort.Address.Addr(), 0)
@@ -185,6 +186,7 @@
 		"route without a service":     routes(withoutService),
 		"route without an address":    routes(withoutAddress),
 		"weight that is no number":    routes(withOddWeight),
+		"infinite weight":             routes(withInfiniteWeight),
 		"server without a token":      servers(withoutToken),
 		"server without a port":       servers(withoutPort),
 		"member without an address":   {Members: []Member{{Name: "lb-9"}}},
--- a/viewer/check.go
+++ b/viewer/check.go
@@ -1,6 +1,10 @@
 package viewer
 
-import "github.com/go-faster/errors"
+import (
+	"math"
+
+	"github.com/go-faster/errors"
+)
 
 // Check returns an error if a route cannot be in force as another instance, or the saved
 // snapshot, states it.
@@ -12,7 +16,7 @@
 		return errors.Errorf("route %q has no service", route.Name)
 	}
 	for _, share := range route.Shares {
-		if !(share.Weight >= 0) { // also if it is no number
+		if !(share.Weight >= 0) || math.IsInf(share.Weight, 1) { // the former also if it is no number
 			return errors.Errorf("route %q has a share of weight %g", route.Name, share.Weight)
 		}
 	}
