The soak's faults draw from their random source in one goroutine

Change: the first configuration draws before the faults begin, later ones use the fault's own parameters.

--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -80,7 +80,9 @@
 	}, everything},
 	{"server crashes", crashServer, confined},
 	{"server leaves", drainServer, confined},
-	{"configuration", func(soak *soak, parameters faultParameters) { soak.publishConfiguration(parameters.choice%2 == 0) }, planned},
+	{"configuration", func(soak *soak, parameters faultParameters) {
+		soak.publishConfiguration(parameters.choice%3, parameters.choice%2 == 0)
+	}, planned},
 	{"instance cut from the others", partitionInstance, everything},
 	{"failure domain cut from the others", partitionFailureDomain, everything},
 	{"heartbeats of all", disturbHeartbeats, everything},
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -90,7 +90,7 @@
 	instances  []*instance
 	callers    []*caller
 	startedAt  time.Time
-	random     *rand.Rand // for faults and configuration versions
+	random     *rand.Rand // for faults and the first configuration; used by one goroutine
 
 	mutex                sync.Mutex
 	servers              map[string]*server
@@ -169,7 +169,7 @@
 	server := &http.Server{Handler: soak.store}
 	go server.Serve(listener)
 	context.AfterFunc(ctx, func() { server.Close() })
-	soak.publishConfiguration(true)
+	soak.publishConfiguration(soak.random.IntN(3), true)
 	for i := range 9 {
 		service := "desk-sync"
 		if i%3 == 2 {
@@ -235,11 +235,11 @@
 	soak.router.socket.Close()
 }
 
-// publishConfiguration writes the next version of the configuration to the store.
-func (soak *soak) publishConfiguration(withExtraRoute bool) {
+// publishConfiguration writes a later version of the configuration to the store, which skips some.
+func (soak *soak) publishConfiguration(skipped int, withExtraRoute bool) {
 	soak.mutex.Lock()
 	defer soak.mutex.Unlock()
-	soak.configurationVersion += 1 + uint64(soak.random.IntN(3))
+	soak.configurationVersion += 1 + uint64(skipped)
 	routes := []viewer.Route{newRoute("main", mainRoute), newRoute("report", reportRoute), newRoute("bulk", bulkRoute)}
 	if withExtraRoute {
 		routes = append(routes, newRoute("extra", extraRoute))
