Runs of the soak side by side use different addresses

Cause: the loopback addresses of a run followed from its process ID modulo 200.

Change: a run reserves its part of the loopback addresses by a listener that it holds until it ends, from the old one on.

Evidence: TestRunsSideBySideUseDifferentAddresses; that the IDs of these two runs lay 200 apart is inferred from the address, not seen.

--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -153,12 +153,6 @@
 	}
 }
 
-// address returns a loopback address whose second byte depends on the process ID, so
-// that concurrent runs use different addresses.
-func address(group, number int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(group), byte(number + 1)})
-}
-
 // startSystem starts the store, nine backend servers, the instances, the router and
 // the callers.
 func (soak *soak) startSystem(ctx context.Context) error {
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -74,6 +74,16 @@
 	return strings.Join(system.report.Violations, "\n")
 }
 
+// Guards against two runs side by side that take the same addresses, as their process IDs lie 200 apart.
+func TestRunsSideBySideUseDifferentAddresses(t *testing.T) {
+	first, second := reserveNetwork(), reserveNetwork()
+	t.Cleanup(func() {
+		first.reserved.Close()
+		second.reserved.Close()
+	})
+	assert.Assert(t, first.number != second.number)
+}
+
 func TestFaultlessSystemHasNoViolations(t *testing.T) {
 	system := newTestSystem(t)
 	system.forwarder = forwardFunc(func(content []byte, _ [2]netip.AddrPort) { system.deliver(content, system.deskServer) })
