A packet's token follows from its server's name and its flow alone

Open flows went to a server that did not know them and reset them, and the second and third server got no flows at all.

Cause: who has a token was decided by history, first by start times, since by the view before. Each process knows only the history that it saw: one that starts, or that saw an entry lapse, decides otherwise than the others.

Ruled out: the order of the list (TestInstancesWithOtherHistoriesFindTheSameServer shuffles it); the revisions (the instances of a play agree on them).

Change: the token of a flow is made of 16 bits of the server's name and 16 bits of name and addresses, so nothing is remembered and nothing has to be agreed on. Openings avoid servers whose token for the flow another one has (no_token); packets whose token several servers have are dropped, not guessed at (ambiguous_token). Tokens of older programs are understood; server_tokens issues them, for upgrades. What a process keeps of a server by its token (declarations, holds, resets, names in the log) is kept by token and start time, so two with one token are judged apart.

Tests: TestServerThatStartedFirstKeepsASharedToken and TestServerKeepsItsTokenWhenAnElderIsListed stated the rule that was the fault (one of two has the token, the other gets no flows). In their place TestFlowsStayWithTheirServerWhateverBecomesOfAnotherWithItsToken asks for more: both get flows and each keeps its own, in the same steps and in further ones. The soak gets servers with one token, with flows used until their server has ended, and counts a reset by a server that is not the flow's as a violation, which it passed over before.

--- a/configurer/platform_settings.go
+++ b/configurer/platform_settings.go
@@ -27,6 +27,7 @@
 	WarmUpSlack       float64          `json:"warm_up_slack"`     // openings in a second that may come on top
 	PreferOwnDomain   bool             `json:"prefer_own_domain"` // new flows stay in the instance's failure domain while it has room; otherwise all domains get them alike
 	ResetSilent       bool             `json:"reset_silent"`      // open flows of backend servers that have fallen silent are reset
+	ServerTokens      bool             `json:"server_tokens"`     // new flows get the tokens that programs from before 2026-12-07 understand, one for each server
 	Log               Log              `json:"log"`
 	Admission         Admission        `json:"admission"` // what happens when callers ask for more than the servers can work off
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -52,12 +52,12 @@
 // Observer is notified of decisions for logs and counters.
 type Observer interface {
 	// ServerSilent is called when this instance, a leader, declares a server silent.
-	ServerSilent(token uint32, evidence Evidence)
+	ServerSilent(server Server, evidence Evidence)
 	// ServerAlive is called when a declaration is taken back because of a sign of life;
 	// seenHere is whether it was seen at this instance.
-	ServerAlive(token uint32, seenHere bool)
+	ServerAlive(server Server, seenHere bool)
 	// ServerHeld is called when this instance, a leader, has openings to a server held back.
-	ServerHeld(token uint32, evidence Evidence, duration time.Duration)
+	ServerHeld(server Server, evidence Evidence, duration time.Duration)
 }
 
 // Evidence is why a server was declared silent.
@@ -94,8 +94,8 @@
 // RefutedAfter returns the time after which a sign of life refutes the declaration.
 func (silence *Silence) RefutedAfter() time.Time { return silence.Since.Add(lifeMargin) }
 
-// Silences are the declarations in force, by the server's token.
-type Silences map[uint32]Silence
+// Silences are the declarations in force.
+type Silences map[Server]Silence
 
 // NewDetector returns a Detector that knows of no server; onChange is called after each change
 // of what Silences returns.
@@ -117,9 +117,9 @@
 // Some may have ended by time.
 func (detector *Detector) Silences() *Silences { return detector.silent.Load() }
 
-// IsSilent reports whether the server with a token is declared silent.
-func (detector *Detector) IsSilent(token uint32, now time.Time) bool {
-	silence, ok := (*detector.silent.Load())[token]
+// IsSilent reports whether a server is declared silent.
+func (detector *Detector) IsSilent(server Server, now time.Time) bool {
+	silence, ok := (*detector.silent.Load())[server]
 	return ok && now.Before(silence.Until)
 }
 
@@ -128,13 +128,13 @@
 func (detector *Detector) RecordLife(backendServer *viewer.BackendServer, at time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	server := newServer(backendServer)
+	server := NewServer(backendServer)
 	if len(detector.candidates) > 0 && detector.refutesOpening(server, at) {
 		detector.refuted[server] = at
 	}
 	if detector.noteLife(server, at) {
 		detector.refuted[server] = at
-		detector.observer.ServerAlive(server.Token, true)
+		detector.observer.ServerAlive(server, true)
 	}
 }
 
@@ -146,12 +146,12 @@
 	}
 	detector.lives[server] = at
 	isReleased := detector.release(server, at)
-	silence, ok := (*detector.silent.Load())[server.Token]
-	if !ok || silence.Server != server || !at.After(silence.RefutedAfter()) {
+	silence, ok := (*detector.silent.Load())[server]
+	if !ok || !at.After(silence.RefutedAfter()) {
 		return isReleased
 	}
 	changed := maps.Clone(*detector.silent.Load())
-	delete(changed, server.Token)
+	delete(changed, server)
 	detector.store(changed)
 	return true
 }
@@ -161,7 +161,7 @@
 func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	detector.recordSign(flowSign{server: newServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now})
+	detector.recordSign(flowSign{server: NewServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now})
 }
 
 // recordSign notes a sign of silence. The mutex must be held.
@@ -221,7 +221,7 @@
 	var report []Unanswered
 	for i, sign := range signs {
 		waiting, ok := detector.own[sign]
-		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server.Token, now) {
+		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server, now) {
 			continue
 		}
 		waited, delay := waiting.copiedAt.Sub(waiting.since), max(now.Sub(waiting.copiedAt), 0)
@@ -266,7 +266,7 @@
 		at := now.Add(-alive.Age)
 		isNews := place.IsLeader && at.After(detector.lives[alive.Server]) && detector.refutesOpening(alive.Server, at)
 		if detector.noteLife(alive.Server, at) {
-			detector.observer.ServerAlive(alive.Token, false)
+			detector.observer.ServerAlive(alive.Server, false)
 			isNews = place.IsLeader
 		}
 		if isNews {
@@ -309,10 +309,10 @@
 			alive = append(alive, detector.life(entry.Server, now))
 			continue
 		}
-		if known, ok := changed[entry.Token]; ok && known.Server == entry.Server && now.Before(known.Until) {
+		if known, ok := changed[entry.Server]; ok && now.Before(known.Until) {
 			continue // the other leader has declared the same
 		}
-		changed[entry.Token] = Silence{Server: entry.Server, Since: since, Until: now.Add(silenceTime)}
+		changed[entry.Server] = Silence{Server: entry.Server, Since: since, Until: now.Add(silenceTime)}
 		applied = true
 	}
 	if applied {
@@ -356,10 +356,10 @@
 	maps.DeleteFunc(detector.own, func(_ flowSign, waiting waiting) bool { return now.Sub(waiting.copiedAt) > signMemory })
 	maps.DeleteFunc(detector.candidates, func(_ Server, candidate *candidate) bool { return candidate.isOld(now) })
 	held := maps.Clone(*detector.held.Load())
-	maps.DeleteFunc(held, func(_ uint32, hold Silence) bool { return !now.Before(hold.Until) })
+	maps.DeleteFunc(held, func(_ Server, hold Silence) bool { return !now.Before(hold.Until) })
 	detector.storeHolds(held)
 	changed := maps.Clone(*detector.silent.Load())
-	maps.DeleteFunc(changed, func(_ uint32, silence Silence) bool { return !now.Before(silence.Until) })
+	maps.DeleteFunc(changed, func(_ Server, silence Silence) bool { return !now.Before(silence.Until) })
 	if len(changed) != len(*detector.silent.Load()) {
 		detector.store(changed)
 	}
--- a/detector/message.go
+++ b/detector/message.go
@@ -11,13 +11,15 @@
 // maxEntries limits each list of a message, so that it fits one datagram.
 const maxEntries = 24
 
-// Server identifies one incarnation of a backend server.
+// Server identifies one incarnation of a backend server; two that share a token started at
+// different times.
 type Server struct {
 	Token     uint32 `cbor:"1,keyasint"`
 	StartedAt int64  `cbor:"2,keyasint"` // Unix milliseconds
 }
 
-func newServer(server *viewer.BackendServer) Server {
+// NewServer returns what identifies a backend server.
+func NewServer(server *viewer.BackendServer) Server {
 	return Server{Token: server.Token, StartedAt: server.StartedAt}
 }
 
--- a/detector/opening.go
+++ b/detector/opening.go
@@ -53,7 +53,7 @@
 func (detector *Detector) RecordUnansweredOpening(backendServer *viewer.BackendServer, flow uint32, waitedFor time.Duration, isEjected bool, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	detector.recordSign(flowSign{server: newServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now, isOpening: true, isEjected: isEjected})
+	detector.recordSign(flowSign{server: NewServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now, isOpening: true, isEjected: isEjected})
 	detector.isUrgent = detector.isUrgent || isEjected
 }
 
@@ -62,7 +62,7 @@
 func (detector *Detector) AnsweredSince(backendServer *viewer.BackendServer, sentAt, now time.Time) (time.Duration, bool) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	server := newServer(backendServer)
+	server := NewServer(backendServer)
 	if detector.counts(server, sentAt) {
 		return 0, false
 	}
@@ -74,9 +74,9 @@
 func (detector *Detector) Holds() *Silences { return detector.held.Load() }
 
 // IsHeld reports whether openings to a server are held back; those to its next incarnation are not.
-func (detector *Detector) IsHeld(server *viewer.BackendServer, now time.Time) bool {
-	hold, ok := (*detector.held.Load())[server.Token]
-	return ok && now.Before(hold.Until) && hold.StartedAt == server.StartedAt
+func (detector *Detector) IsHeld(server Server, now time.Time) bool {
+	hold, ok := (*detector.held.Load())[server]
+	return ok && now.Before(hold.Until)
 }
 
 // suspect returns the evidence for a hold: the openings that a server has left unanswered since the
@@ -159,7 +159,7 @@
 		duration := min(max(2*holding.duration, baseHoldTime), maxHoldTime)
 		holding.since, holding.duration, holding.until, holding.askedAt = suspicion.since, duration, now.Add(duration), now
 		message.Holds = append(message.Holds, Hold{ServerAge: entry, For: duration})
-		detector.observer.ServerHeld(server.Token, suspicion.Evidence, duration)
+		detector.observer.ServerHeld(server, suspicion.Evidence, duration)
 	case !isAsked:
 		holding.askedAt, holding.since = now, suspicion.since
 		message.Questions = append(message.Questions, entry)
@@ -178,10 +178,10 @@
 			continue
 		}
 		until := now.Add(min(hold.For, maxHoldTime))
-		if known, ok := changed[hold.Token]; ok && known.Server == hold.Server && !known.Until.Before(until) {
+		if known, ok := changed[hold.Server]; ok && !known.Until.Before(until) {
 			continue // the other leader holds back the same
 		}
-		changed[hold.Token] = Silence{Server: hold.Server, Since: since, Until: until}
+		changed[hold.Server] = Silence{Server: hold.Server, Since: since, Until: until}
 	}
 	detector.storeHolds(changed)
 	return alive
@@ -204,12 +204,12 @@
 // release ends the hold of a server that has shown life at a time, and reports whether there was
 // one. The mutex must be held.
 func (detector *Detector) release(server Server, at time.Time) bool {
-	hold, ok := (*detector.held.Load())[server.Token]
-	if !ok || hold.Server != server || !at.After(hold.RefutedAfter()) {
+	hold, ok := (*detector.held.Load())[server]
+	if !ok || !at.After(hold.RefutedAfter()) {
 		return false
 	}
 	changed := maps.Clone(*detector.held.Load())
-	delete(changed, server.Token)
+	delete(changed, server)
 	detector.storeHolds(changed)
 	return true
 }
--- a/director/director.go
+++ b/director/director.go
@@ -163,20 +163,14 @@
 	return created
 }
 
-// failureCheck reports whether the server with a token is ejected because it fails its requests
-// or has fallen silent, or gets no openings as some were left unanswered.
-type failureCheck func(token uint32, now time.Time) bool
+// failureCheck reports whether a server is ejected because it fails its requests or has fallen
+// silent, or gets no openings as some were left unanswered.
+type failureCheck func(server *viewer.BackendServer, now time.Time) bool
 
-func newFailureCheck(ejections *examiner.Ejections, detector *detector.Detector, current *viewer.Viewer) failureCheck {
-	isHeld := func(token uint32, now time.Time) bool {
-		if len(*detector.Holds()) == 0 {
-			return false
-		}
-		server := current.Current().ServerByToken(token)
-		return server != nil && detector.IsHeld(server, now)
-	}
-	return func(token uint32, now time.Time) bool {
-		return ejections.IsEjected(token, now) || detector.IsSilent(token, now) || isHeld(token, now)
+func newFailureCheck(ejections *examiner.Ejections, signs *detector.Detector) failureCheck {
+	return func(server *viewer.BackendServer, now time.Time) bool {
+		incarnation := detector.NewServer(server)
+		return ejections.IsEjected(server.Token, now) || signs.IsSilent(incarnation, now) || signs.IsHeld(incarnation, now)
 	}
 }
 
@@ -217,6 +211,7 @@
 	apply := func(settings *configurer.PlatformSettings) {
 		placer.IgnoreDomains(!settings.PreferOwnDomain)
 		created.KeepFlows(!settings.ResetSilent)
+		created.IssueServerTokens(settings.ServerTokens)
 	}
 	apply(settings)
 	reloader.Subscribe(apply)
@@ -257,7 +252,7 @@
 		instance.Recorder.SetVerbosity(settings.Log.Verbosity)
 	})
 	instance.Recorder.SetViewAge(instance.Relayer.Age)
-	instance.Recorder.SetServerNames(instance.Viewer.NameByToken)
+	instance.Recorder.SetServerNames(func(server detector.Server) string { return nameOf(server, instance.Viewer.Current()) })
 	instance.Viewer.SetChangeHook(instance.Socket.Wake)
 	instance.Detector.SetChangeHook(instance.Socket.Wake)
 	instance.Relayer.SetPauseDetector(instance.Ticker.JustResumed)
--- a/director/failures.go
+++ b/director/failures.go
@@ -16,18 +16,16 @@
 	ejections *examiner.Ejections
 }
 
-// EjectServer ejects a server, unless too many servers of its service are ejected
-// already.
+// EjectServer ejects the server with a token, or all that share it, unless too many servers of
+// its service are ejected already.
 func (ejectingRecorder *ejectingRecorder) EjectServer(ejection relayer.Ejection) {
 	view := ejectingRecorder.viewer.Current()
-	server := view.ServerByToken(ejection.Token)
-	if server == nil {
-		return
-	}
 	now := time.Now()
 	alreadyEjected := ejectingRecorder.ejections.IsEjected(ejection.Token, now)
-	ejected := ejectingRecorder.ejections.Eject(server, view.ActiveServers(server.Service), now.Add(ejection.Duration), now)
-	if !alreadyEjected { // each leader of the failure domain requests the same ejection
-		ejectingRecorder.LogEjection(server, ejection, ejected)
+	for _, server := range view.ServersByToken(ejection.Token) {
+		ejected := ejectingRecorder.ejections.Eject(server, view.ActiveServers(server.Service), now.Add(ejection.Duration), now)
+		if !alreadyEjected { // each leader of the failure domain requests the same ejection
+			ejectingRecorder.LogEjection(server, ejection, ejected)
+		}
 	}
 }
--- a/director/recorder.go
+++ b/director/recorder.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentowind/pimentowind/configurer"
 	"github.com/pimentowind/pimentowind/decider"
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/logger"
 	"github.com/pimentowind/pimentowind/platform"
 	"github.com/pimentowind/pimentowind/steerer"
@@ -29,9 +30,9 @@
 	responseTimes  *expvar.Map // histogram
 	queue          *logger.Queue
 	placements     placementRecorder
-	instance       uint32                                            // hash of this instance's name
-	viewAge        atomic.Pointer[func(now time.Time) time.Duration] // nil until SetViewAge
-	serverNames    atomic.Pointer[func(token uint32) string]         // nil until SetServerNames
+	instance       uint32                                              // hash of this instance's name
+	viewAge        atomic.Pointer[func(now time.Time) time.Duration]   // nil until SetViewAge
+	serverNames    atomic.Pointer[func(server detector.Server) string] // nil until SetServerNames
 
 	mutex           sync.Mutex
 	failingCalls    map[string]bool      // by call to the store: whether the last one failed
--- a/director/servers.go
+++ b/director/servers.go
@@ -25,24 +25,24 @@
 }
 
 // ServerSilent counts and logs that this instance declared a server silent for its failure domain.
-func (recorder *Recorder) ServerSilent(token uint32, evidence detector.Evidence) {
+func (recorder *Recorder) ServerSilent(server detector.Server, evidence detector.Evidence) {
 	recorder.counters.Add("silences_declared", 1)
-	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(token), "flows", evidence.Flows,
+	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(server), "flows", evidence.Flows,
 		"instances", evidence.Instances, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed, "hinted", evidence.Hinted)
 }
 
 // ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
 // instance saw the sign of life.
-func (recorder *Recorder) ServerAlive(token uint32, seenHere bool) {
+func (recorder *Recorder) ServerAlive(server detector.Server, seenHere bool) {
 	recorder.counters.Add("silences_refuted", 1)
-	recorder.Event(logger.EventServerAlive, "backend_server", recorder.serverName(token), "seen_here", seenHere)
+	recorder.Event(logger.EventServerAlive, "backend_server", recorder.serverName(server), "seen_here", seenHere)
 }
 
 // ServerHeld counts and logs that this instance has openings to a server held back in its failure
 // domain.
-func (recorder *Recorder) ServerHeld(token uint32, evidence detector.Evidence, duration time.Duration) {
+func (recorder *Recorder) ServerHeld(server detector.Server, evidence detector.Evidence, duration time.Duration) {
 	recorder.counters.Add("holds_declared", 1)
-	recorder.Event(logger.EventServerHeld, "backend_server", recorder.serverName(token), "openings", evidence.Openings, "instances", evidence.Instances,
+	recorder.Event(logger.EventServerHeld, "backend_server", recorder.serverName(server), "openings", evidence.Openings, "instances", evidence.Instances,
 		"from", evidence.From, "since_ms", evidence.Since.Milliseconds(), "hinted", evidence.Hinted, "for", duration.String())
 }
 
@@ -53,17 +53,27 @@
 	recorder.Event(logger.EventServerReadmitted, "backend_server", server.Name, "service", server.Service, "answered_ms_ago", age.Milliseconds())
 }
 
-// serverName returns the name of the server with a token, or an empty one if it is unknown.
-func (recorder *Recorder) serverName(token uint32) string {
+// serverName returns the name of a server, or an empty one if it is unknown.
+func (recorder *Recorder) serverName(server detector.Server) string {
 	names := recorder.serverNames.Load()
 	if names == nil {
 		return ""
 	}
-	return (*names)(token)
+	return (*names)(server)
 }
 
-// SetServerNames sets the function that returns the name of the server with a token.
-func (recorder *Recorder) SetServerNames(names func(token uint32) string) {
+// nameOf returns the name of a server in a view, or an empty one if the view has no such incarnation.
+func nameOf(server detector.Server, view *viewer.View) string {
+	for _, known := range view.ServersByToken(server.Token) {
+		if detector.NewServer(known) == server {
+			return known.Name
+		}
+	}
+	return ""
+}
+
+// SetServerNames sets the function that returns the name of a server, empty if it is unknown.
+func (recorder *Recorder) SetServerNames(names func(server detector.Server) string) {
 	recorder.serverNames.Store(&names)
 }
 
--- a/director/socket.go
+++ b/director/socket.go
@@ -148,7 +148,7 @@
 	switch verdict.Action {
 	case steerer.Send:
 		to = verdict.Server.Address
-		socket.outgoing = platform.AppendForwarded(socket.outgoing[:0], verdict.Server.Identity, verdict.Server.Token, verdict.Raw)
+		socket.outgoing = platform.AppendForwarded(socket.outgoing[:0], verdict.Server.Identity, verdict.Token, verdict.Raw)
 	case steerer.Reset:
 		to = netip.AddrPortFrom(verdict.Flow.CallerAddress.Addr(), socket.callerPort)
 		socket.outgoing = platform.AppendReset(socket.outgoing[:0], verdict.Flow, verdict.ResetSequence)
--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -32,7 +32,7 @@
 	}
 	service.capacity = capacity{byDomain: map[string]int{}, view: view, countedAt: now}
 	for _, server := range view.ActiveServers(name) {
-		if estimator.isEjected(server.Token, now) {
+		if estimator.isEjected(server, now) {
 			continue
 		}
 		slots := max(server.Slots, 1)
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -51,15 +51,15 @@
 	failureDomain string
 	instances     func() Instances
 	currentView   func() *viewer.View
-	isEjected     func(token uint32, now time.Time) bool
+	isEjected     func(server *viewer.BackendServer, now time.Time) bool
 
 	mutex    sync.Mutex
 	services map[string]*serviceLoad
 }
 
 // NewEstimator returns an Estimator for an instance in failureDomain. isEjected reports
-// whether the server with a token gets no new flows, so that its slots are no room.
-func NewEstimator(failureDomain string, instances func() Instances, currentView func() *viewer.View, isEjected func(token uint32, now time.Time) bool) *Estimator {
+// whether a server gets no new flows, so that its slots are no room.
+func NewEstimator(failureDomain string, instances func() Instances, currentView func() *viewer.View, isEjected func(server *viewer.BackendServer, now time.Time) bool) *Estimator {
 	return &Estimator{failureDomain: failureDomain, instances: instances, currentView: currentView, isEjected: isEjected, services: map[string]*serviceLoad{}}
 }
 
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -68,6 +68,7 @@
 	sequence         uint32
 	expectedSequence uint32 // of the next data from the server
 	server           string // name of the server that answered last
+	isReset          bool
 }
 
 // outcome is the result of a request, or of opening a flow.
@@ -158,9 +159,8 @@
 		case received := <-flow.packets:
 			switch {
 			case received.flags&flagRST != 0:
-				if flow.server != "" && received.checksum == 0 && soak.serverHasOpenFlow(flow.server, flow.key) {
-					soak.recordViolation("flow %s was reset by the load balancer while server %s has it open", flow.key, flow.server)
-				}
+				flow.isReset = true
+				flow.checkReset(received)
 				return failed
 			case received.checksum != received.computeChecksum():
 				soak.recordViolation("flow %s received a packet that no server sent", flow.key)
@@ -176,6 +176,19 @@
 	}
 }
 
+// checkReset checks that a flow is not reset while its server has it open.
+func (flow *callerFlow) checkReset(reset packet) {
+	soak := flow.caller.soak
+	if flow.server == "" || !soak.serverHasOpenFlow(flow.server, flow.key) {
+		return
+	}
+	sender := "the load balancer"
+	if reset.checksum != 0 {
+		sender = "another server"
+	}
+	soak.recordViolation("flow %s was reset by %s while server %s has it open", flow.key, sender, flow.server)
+}
+
 // acceptAnswer checks an answer and advances the flow's sequence numbers.
 func (flow *callerFlow) acceptAnswer(id string, received packet) outcome {
 	answer := string(received.data)
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -101,6 +101,7 @@
 	{"store returns from an older copy", returnStore, everything},
 	{"odd entries in the store", writeOddEntries, planned},
 	{"entries of one service are gone", removeService, everything},
+	{"servers share a token", shareToken, everything},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -26,6 +26,7 @@
 	name     string
 	identity uint64
 	service  string
+	started  int64 // Unix milliseconds, as its entry says
 	soak     *soak
 	socket   *net.UDPConn
 
@@ -67,7 +68,7 @@
 		return nil, err
 	}
 	server := &server{
-		name: name, identity: identity, service: service, soak: soak, socket: socket,
+		name: name, identity: identity, service: service, started: 1, soak: soak, socket: socket,
 		flows: map[[2]netip.AddrPort]*serverFlow{}, resetFlows: map[[2]netip.AddrPort]bool{},
 	}
 	go server.receive()
@@ -78,7 +79,7 @@
 func (server *server) writeEntry(state parser.State) {
 	entry := viewer.BackendServer{
 		Service: server.service, Address: server.socket.LocalAddr().(*net.UDPAddr).AddrPort(),
-		FailureDomain: server.failureDomain(), Slots: slots, State: state, StartedAt: 1,
+		FailureDomain: server.failureDomain(), Slots: slots, State: state, StartedAt: server.started,
 		ColdUntil: viewer.Deadline{Time: server.coldUntil},
 	}
 	server.soak.store.Put(platform.ServersKind, server.name, platform.EncodeServer(&entry))
@@ -220,14 +221,20 @@
 	server.socket.Close()
 }
 
-// hasOpenFlow reports whether the server is running, has the flow open and has not
-// reset it, and has not been silent for stabilizationTime.
+// hasOpenFlow reports whether the server hasFlow, and has not been silent for stabilizationTime.
 func (server *server) hasOpenFlow(key [2]netip.AddrPort) bool {
+	hasFlow := server.hasFlow(key)
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return hasFlow && time.Since(server.silentTo) >= stabilizationTime
+}
+
+// hasFlow reports whether the server is running, has the flow open and has not reset it.
+func (server *server) hasFlow(key [2]netip.AddrPort) bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	flow := server.flows[key]
-	isDisturbed := time.Since(server.silentTo) < stabilizationTime
-	return flow != nil && flow.open && !server.stopped && !server.resetFlows[key] && !isDisturbed
+	return flow != nil && flow.open && !server.stopped && !server.resetFlows[key]
 }
 
 // answeringServer returns the name of the server that sent an answer.
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -108,6 +108,7 @@
 	lastServerNumber     uint64
 	lastShedAt           time.Time      // by any server
 	copies               []standin.Copy // of the store, oldest first
+	sharedTokensUsed     int            // of sharedTokens
 
 	openingMutex sync.Mutex // locked after a server's mutex and before soak.mutex
 	openings     map[[2]netip.AddrPort]*opening
@@ -263,22 +264,34 @@
 
 // addServer starts a backend server and writes its entry to the store.
 func (soak *soak) addServer(service string) (*server, error) {
+	server, err := soak.startServer(service, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(soak.instances) > 0 { // not those that the run starts with
+		server.warmUp()
+	}
+	server.writeEntry(parser.Active)
+	return server, nil
+}
+
+// startServer starts a backend server that has no entry yet. Its identity is its number if 0 is given.
+func (soak *soak) startServer(service string, identity uint64) (*server, error) {
 	soak.mutex.Lock()
 	soak.lastServerNumber++
 	number := soak.lastServerNumber
 	soak.mutex.Unlock()
+	if identity == 0 {
+		identity = number
+	}
 	endpoint := netip.AddrPortFrom(address(4, int(number%250)), 8080)
-	server, err := newServer(soak, fmt.Sprintf("i-%08x", number), number, service, endpoint)
+	server, err := newServer(soak, fmt.Sprintf("i-%08x", identity), identity, service, endpoint)
 	if err != nil {
 		return nil, errors.Wrap(err, "start backend server")
 	}
-	if len(soak.instances) > 0 { // not those that the run starts with
-		server.warmUp()
-	}
 	soak.mutex.Lock()
+	defer soak.mutex.Unlock()
 	soak.servers[server.name] = server
-	soak.mutex.Unlock()
-	server.writeEntry(parser.Active)
 	return server, nil
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -48,7 +48,7 @@
 type Placer struct {
 	failureDomain   string
 	estimator       loadEstimator
-	isFailing       func(token uint32, now time.Time) bool // by the server's token
+	isFailing       func(server *viewer.BackendServer, now time.Time) bool
 	random          *rand.Rand
 	pacer           warmUpPacer
 	servers         map[serverKey]*serverState
@@ -65,8 +65,8 @@
 }
 
 // NewPlacer returns a Placer for an instance in failureDomain; isFailing reports whether
-// the server with a token is ejected because its requests fail.
-func NewPlacer(failureDomain string, estimator loadEstimator, isFailing func(token uint32, now time.Time) bool, random *rand.Rand) *Placer {
+// a server is ejected because its requests fail.
+func NewPlacer(failureDomain string, estimator loadEstimator, isFailing func(server *viewer.BackendServer, now time.Time) bool, random *rand.Rand) *Placer {
 	return &Placer{
 		failureDomain:   failureDomain,
 		estimator:       estimator,
@@ -183,7 +183,7 @@
 func (placer *Placer) isEjected(candidate *viewer.BackendServer, now time.Time) bool {
 	state := placer.servers[keyOf(candidate)]
 	unresponsive := state != nil && state.ejection.active(now) || placer.domainEjection(candidate).active(now)
-	return unresponsive || placer.isFailing(candidate.Token, now)
+	return unresponsive || placer.isFailing(candidate, now)
 }
 
 // domainEjection returns the ejection that the servers of backendServer's service and
--- a/relayer/ejection.go
+++ b/relayer/ejection.go
@@ -1,6 +1,11 @@
 package relayer
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentowind/pimentowind/viewer"
+)
 
 // Ejections are reported to the failure domain, and those of servers in it to the leaders of the
 // other domains. Those that are found soon after a report wait for a common one.
@@ -76,7 +81,8 @@
 	view := relayer.viewer.Current()
 	var inside []Ejection
 	for _, ejection := range ejections {
-		if server := view.ServerByToken(ejection.Token); server != nil && server.FailureDomain == domain {
+		isInside := func(server *viewer.BackendServer) bool { return server.FailureDomain == domain }
+		if slices.ContainsFunc(view.ServersByToken(ejection.Token), isInside) {
 			inside = append(inside, ejection)
 		}
 	}
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentowind/pimentowind/detector"
+	"github.com/pimentowind/pimentowind/viewer"
 )
 
 const (
@@ -40,10 +43,11 @@
 type followedFlow struct {
 	lastPacketAt   time.Time
 	waitingSince   time.Time // when the first data that may be unanswered arrived; zero if there is none
-	token          uint32    // of the server
-	acknowledgment uint32    // of the newest packet
-	sequence       uint32    // of the data that arrived at waitingSince
-	isCopied       bool      // that data has been retransmitted
+	server         detector.Server
+	token          uint32 // that its packets carry
+	acknowledgment uint32 // of the newest packet
+	sequence       uint32 // of the data that arrived at waitingSince
+	isCopied       bool   // that data has been retransmitted
 }
 
 // sign is what a caller's packet says about the server of its flow.
@@ -69,7 +73,8 @@
 	}
 }
 
-// hash returns a number that tells the flow from others, the same at all instances.
+// hash returns a number that tells the flow from others, the same at all instances. It is part of the
+// format of tokens (see viewer.FlowToken) and must not change.
 func (followKey *followKey) hash() uint32 {
 	var content [36]byte
 	copy(content[:], followKey.callerAddress[:])
@@ -86,8 +91,8 @@
 }
 
 // observe updates the flow of a packet that follows the opening, and returns what the packet
-// says about the server.
-func (follower *follower) observe(packet *Packet, now time.Time) sign {
+// says about its server.
+func (follower *follower) observe(packet *Packet, server *viewer.BackendServer, now time.Time) sign {
 	key := newFollowKey(packet.Flow)
 	flow := follower.flows[key]
 	if flow == nil || !flow.includes(packet) {
@@ -97,6 +102,7 @@
 		flow = &followedFlow{token: packet.Token, acknowledgment: packet.Acknowledgment, lastPacketAt: now}
 		follower.flows[key] = flow
 	}
+	flow.server = detector.NewServer(server)
 	sign := flow.observe(packet, now)
 	if packet.Flags.RST || packet.Flags.FIN {
 		delete(follower.flows, key)
--- a/steerer/opening.go
+++ b/steerer/opening.go
@@ -98,9 +98,9 @@
 // haveCeased reports whether openings stay unanswered at several servers of several failure
 // domains, so that this instance may have lost its way to them.
 func (openings *openings) haveCeased() bool {
-	servers, domains := map[uint32]bool{}, map[string]bool{}
+	servers, domains := map[detector.Server]bool{}, map[string]bool{}
 	for _, opening := range openings.unanswered {
-		servers[opening.server.Token], domains[opening.server.FailureDomain] = true, true
+		servers[detector.NewServer(opening.server)], domains[opening.server.FailureDomain] = true, true
 	}
 	return len(servers) >= ceaseServers && len(domains) >= ceaseDomains
 }
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -23,7 +23,7 @@
 type Packet struct {
 	Flow           FlowKey
 	Flags          Flags
-	Token          uint32 // of the backend server that the flow belongs to; 0 in openings
+	Token          uint32 // names the backend server that the flow belongs to; 0 in openings
 	Sequence       uint32
 	Acknowledgment uint32
 	PayloadLength  int    // bytes
@@ -40,7 +40,7 @@
 // Actions of a verdict.
 const (
 	Drop  Action = iota
-	Send         // forward to the verdict's server, with that server's token
+	Send         // forward to the verdict's server, with the verdict's token
 	Reset        // reset the flow toward the caller
 )
 
@@ -60,6 +60,7 @@
 type Verdict struct {
 	Action        Action
 	Server        *viewer.BackendServer // nil unless Action is Send
+	Token         uint32                // that the packet carries to the server
 	Reason        Reason
 	Flow          FlowKey
 	Raw           []byte // the packet to forward
@@ -89,6 +90,8 @@
 	ReasonWarmingUp        Reason = "warming_up"         // the service has only cold servers that may get no flow now
 	ReasonJustResumed      Reason = "just_resumed"       // dropped instead of reset, because the process was paused
 	ReasonUnknownToken     Reason = "unknown_token"      // no server has the token of a later packet
+	ReasonAmbiguousToken   Reason = "ambiguous_token"    // several servers have the token of a later packet
+	ReasonNoToken          Reason = "no_token"           // each server of the service shares the token that the flow would get with another one
 	ReasonServerGone       Reason = "server_gone"        // data was reset, because the flow's server was removed and does not answer
 	ReasonServerSilent     Reason = "server_silent"      // data was reset, because the flow's server has fallen silent
 	ReasonFlowServerSilent Reason = "flow_server_silent" // a flow was reset, because its server has fallen silent
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -64,13 +64,13 @@
 // resetter decides which flows are reset because their server is gone.
 type resetter struct {
 	recorder        lifeRecorder
-	checkedView     *viewer.View           // whose removed servers are in gone
-	checkedSilences *detector.Silences     // that are in gone
-	checkAt         time.Time              // when gone changes by time; zero if it does not
-	gone            map[uint32]*goneServer // by token
-	due             []followKey            // flows to be reset
-	resetAt         time.Time              // when the next of them may be reset
-	isDisabled      atomic.Bool            // no flow is reset
+	checkedView     *viewer.View       // whose removed servers are in gone
+	checkedSilences *detector.Silences // that are in gone
+	checkAt         time.Time          // when gone changes by time; zero if it does not
+	gone            map[detector.Server]*goneServer
+	due             []followKey // flows to be reset
+	resetAt         time.Time   // when the next of them may be reset
+	isDisabled      atomic.Bool // no flow is reset
 }
 
 // SetDetector sets the detector that shares the signs of servers with other instances; it has to
@@ -113,7 +113,7 @@
 // answerForGone makes the verdict on a packet of a flow whose server is gone a reset, if its
 // caller waits for the server.
 func (steerer *Steerer) answerForGone(packet *Packet, sign sign, verdict *Verdict, now time.Time) {
-	gone := steerer.resetter.gone[packet.Token]
+	gone := steerer.resetter.gone[detector.NewServer(verdict.Server)]
 	if gone == nil || steerer.resetter.isDisabled.Load() {
 		return
 	}
@@ -154,7 +154,7 @@
 		if flow == nil {
 			continue
 		}
-		gone := resetter.gone[flow.token]
+		gone := resetter.gone[flow.server]
 		if gone == nil || !gone.isSilent || gone.isAlive(now) || resetter.isDisabled.Load() {
 			continue
 		}
@@ -185,7 +185,7 @@
 	}
 	resetter.checkedView, resetter.checkedSilences, resetter.checkAt = view, silences, time.Time{}
 	before := resetter.gone
-	resetter.gone = map[uint32]*goneServer{}
+	resetter.gone = map[detector.Server]*goneServer{}
 	if silences != nil {
 		resetter.addSilent(*silences, view, before, now)
 	}
@@ -194,14 +194,14 @@
 }
 
 // addRemoved adds the servers that count as gone because they were removed.
-func (resetter *resetter) addRemoved(view *viewer.View, before map[uint32]*goneServer, now time.Time) {
+func (resetter *resetter) addRemoved(view *viewer.View, before map[detector.Server]*goneServer, now time.Time) {
 	for _, removed := range view.Removed() {
 		switch {
 		case removed.GoneAt.IsZero():
 		case now.Before(removed.GoneAt):
 			resetter.checkNotLater(removed.GoneAt)
 		default:
-			if resetter.gone[removed.Server.Token] == nil {
+			if resetter.gone[detector.NewServer(removed.Server)] == nil {
 				resetter.add(goneServer{server: removed.Server, since: removed.GoneAt}, before)
 			}
 		}
@@ -209,25 +209,28 @@
 }
 
 // addSilent adds the servers that count as gone because they are declared silent.
-func (resetter *resetter) addSilent(silences detector.Silences, view *viewer.View, before map[uint32]*goneServer, now time.Time) {
-	for token, silence := range silences {
-		server := view.ServerByToken(token)
-		if server == nil || server.StartedAt != silence.StartedAt || !now.Before(silence.Until) {
+func (resetter *resetter) addSilent(silences detector.Silences, view *viewer.View, before map[detector.Server]*goneServer, now time.Time) {
+	for silent, silence := range silences {
+		if !now.Before(silence.Until) {
 			continue
 		}
-		resetter.checkNotLater(silence.Until)
-		resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter()}, before)
+		for _, server := range view.ServersByToken(silent.Token) {
+			if detector.NewServer(server) == silent {
+				resetter.checkNotLater(silence.Until)
+				resetter.add(goneServer{server: server, isSilent: true, since: silence.RefutedAfter()}, before)
+			}
+		}
 	}
 }
 
 // add adds a server that counts as gone, with what is known of it from before.
-func (resetter *resetter) add(gone goneServer, before map[uint32]*goneServer) {
-	token := gone.server.Token
-	if known := before[token]; known != nil && known.isSilent == gone.isSilent && known.server.SameIncarnation(gone.server) {
-		resetter.gone[token] = known
+func (resetter *resetter) add(gone goneServer, before map[detector.Server]*goneServer) {
+	key := detector.NewServer(gone.server)
+	if known := before[key]; known != nil && known.isSilent == gone.isSilent && known.server.SameIncarnation(gone.server) {
+		resetter.gone[key] = known
 		return
 	}
-	resetter.gone[token] = &gone
+	resetter.gone[key] = &gone
 }
 
 // checkNotLater makes checkGone look again at a time.
@@ -239,24 +242,24 @@
 
 // collectFlows queues the flows of servers that are newly silent, and reports each server.
 func (steerer *Steerer) collectFlows(now time.Time) {
-	counts := map[uint32]int{}
-	for token, gone := range steerer.resetter.gone {
+	counts := map[detector.Server]int{}
+	for server, gone := range steerer.resetter.gone {
 		if gone.isSilent && !gone.isReset {
 			gone.isReset = true
-			counts[token] = 0
+			counts[server] = 0
 		}
 	}
 	if len(counts) == 0 {
 		return
 	}
 	for key, flow := range steerer.follower.flows {
-		if _, ok := counts[flow.token]; ok {
+		if _, ok := counts[flow.server]; ok {
 			steerer.resetter.due = append(steerer.resetter.due, key)
-			counts[flow.token]++
+			counts[flow.server]++
 		}
 	}
-	for token, flows := range counts {
-		steerer.observer.FlowsReset(steerer.resetter.gone[token].server, flows)
+	for server, flows := range counts {
+		steerer.observer.FlowsReset(steerer.resetter.gone[server].server, flows)
 	}
 }
 
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -67,6 +68,7 @@
 	follower             follower
 	resetter             resetter
 	openings             openings
+	issuesServerTokens   atomic.Bool // see IssueServerTokens
 }
 
 // NewSteerer returns a Steerer that decides by the view that currentView returns;
@@ -92,6 +94,7 @@
 	default:
 		steerer.forwardByToken(packet, view, &verdict, now)
 	}
+	steerer.issueToken(&verdict, view)
 	if verdict.Reason != ReasonExistingFlow && verdict.Reason != ReasonEvacuatedFlow {
 		steerer.observer.Decided(&verdict, view)
 	}
@@ -136,7 +139,7 @@
 // repeatOpening sends a late copy of an established flow's opening to its server, if that may
 // get a new flow of the route now; otherwise it is dropped, as the flow does not need it.
 func (steerer *Steerer) repeatOpening(flow *flow, view *viewer.View, verdict *Verdict, now time.Time) {
-	flow.server = newestEntry(flow.server, view.ServerByToken(flow.server.Token))
+	flow.server = newestEntry(flow.server, view.EntryOf(flow.server))
 	if !mayGetFlows(flow.server, view.Route(flow.key.ServiceAddress), view) {
 		verdict.Reason = ReasonLateCopy
 		return
@@ -169,13 +172,13 @@
 	}
 	candidates := view.ActiveServers(service)
 	verdict.Candidates, verdict.Attempts = len(candidates), len(attempted)
-	server := steerer.placer.Select(candidates, attempted, now)
+	server, reason := steerer.selectIdentified(key, candidates, attempted, view, now)
 	switch {
 	case server != nil:
 	case len(attempted) > 0: // a server may have accepted the flow
-		verdict.Action, verdict.Reason = Drop, ReasonWarmingUp
+		verdict.Action, verdict.Reason = Drop, reason
 	default:
-		steerer.refuse(verdict, ReasonWarmingUp, now)
+		steerer.refuse(verdict, reason, now)
 	}
 	return server
 }
@@ -192,14 +195,12 @@
 
 // forwardByToken forwards a later packet to the server that its token names.
 func (steerer *Steerer) forwardByToken(packet *Packet, view *viewer.View, verdict *Verdict, now time.Time) {
-	server := view.ServerByToken(packet.Token)
-	if server == nil || packet.Token == 0 {
-		// The server may be alive and missing only in this instance's view, so the
-		// flow is not reset.
-		verdict.Reason = ReasonUnknownToken
+	server, reason := serverOf(packet, view)
+	if server == nil {
+		verdict.Reason = reason
 		return
 	}
-	verdict.Action, verdict.Server, verdict.Reason = Send, server, ReasonExistingFlow
+	verdict.Action, verdict.Server, verdict.Token, verdict.Reason = Send, server, packet.Token, ReasonExistingFlow
 	if view.Evacuations.Contains(server.FailureDomain) {
 		verdict.Reason = ReasonEvacuatedFlow
 	}
@@ -215,7 +216,7 @@
 	} else {
 		steerer.observe(flow, packet, server, now)
 	}
-	sign := steerer.follower.observe(packet, now)
+	sign := steerer.follower.observe(packet, server, now)
 	steerer.resetter.recordSign(server, packet, sign, now)
 	steerer.answerForGone(packet, sign, verdict, now)
 }
@@ -227,10 +228,8 @@
 func (steerer *Steerer) Next(now, drained time.Time) (Verdict, bool) {
 	steerer.placer.ObserveView(now)
 	steerer.readmitServers(now)
-	if verdict, ok := steerer.nextRetry(now, drained); ok {
-		return verdict, true
-	}
-	if verdict, ok := steerer.nextHeld(now); ok {
+	if verdict, ok := steerer.nextOpening(now, drained); ok {
+		steerer.issueToken(&verdict, steerer.currentView())
 		return verdict, true
 	}
 	if verdict, ok := steerer.nextReset(now); ok {
@@ -243,6 +242,14 @@
 	return Verdict{}, false
 }
 
+// nextOpening returns the next verdict on an opening that was overdue or held.
+func (steerer *Steerer) nextOpening(now, drained time.Time) (Verdict, bool) {
+	if verdict, ok := steerer.nextRetry(now, drained); ok {
+		return verdict, true
+	}
+	return steerer.nextHeld(now)
+}
+
 // WakeTime returns when Next has to be called even if no packet arrives before; the zero
 // time if it need not be called.
 func (steerer *Steerer) WakeTime() time.Time {
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -1,8 +1,6 @@
 package viewer
 
 import (
-	"cmp"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -82,7 +80,7 @@
 type BackendServer struct {
 	Name          string         `cbor:"1,keyasint"`
 	Identity      uint64         `cbor:"2,keyasint"` // precedes each packet to the server, so that another server that reuses the address does not accept it
-	Token         uint32         `cbor:"3,keyasint"` // identifies the server in the packets of its flows; never 0
+	Token         uint32         `cbor:"3,keyasint"` // names the server in messages between instances, and in packets of older programs; never 0, and servers may share it
 	Service       string         `cbor:"4,keyasint"`
 	Address       netip.AddrPort `cbor:"5,keyasint"`
 	FailureDomain string         `cbor:"6,keyasint"`
@@ -129,8 +127,9 @@
 	services  map[string]Service
 	byService map[string][]*BackendServer // only servers that accept new flows
 	evacuated map[string]bool             // services with active servers in evacuated failure domains
-	byToken   map[uint32]*BackendServer
-	removed   []RemovedServer // without those that are listed again or retained
+	byKey     serverIndex                 // all servers whose flows go on, by their keys
+	byToken   serverIndex                 // the same by their tokens
+	removed   []RemovedServer             // without those that are listed again or retained
 }
 
 // Complete reports whether the view has both a configuration and a list of servers.
@@ -156,26 +155,15 @@
 // HasServerLeft reports whether any server accepts new flows.
 func (view *View) HasServerLeft() bool { return len(view.byService) > 0 }
 
-// ServerByToken returns the server whose flows carry token, or nil. It also finds
-// servers that are leaving, evacuated or were removed recently (see maxFlowAge).
-func (view *View) ServerByToken(token uint32) *BackendServer { return view.byToken[token] }
-
 // Removed returns the servers that were removed recently (see maxFlowAge) and are not
 // listed again; the slice must not be modified.
 func (view *View) Removed() []RemovedServer { return view.removed }
 
 // unlisted is what a Viewer knows of servers beside the newest list.
 type unlisted struct {
-	byToken  map[uint32]*BackendServer // those that had the tokens so far
-	retained []*BackendServer          // treated as if they were listed
-	removed  []RemovedServer           // only found by their tokens
-	leaving  map[incarnation]bool      // treated as leaving whatever the list says
-}
-
-// hadToken reports whether a server had its token so far.
-func (unlisted *unlisted) hadToken(server *BackendServer) bool {
-	holder := unlisted.byToken[server.Token]
-	return holder != nil && holder.Name == server.Name
+	retained []*BackendServer     // treated as if they were listed
+	removed  []RemovedServer      // only found by their tokens
+	leaving  map[incarnation]bool // treated as leaving whatever the list says
 }
 
 // newView returns a View of a configuration, a list of servers and evacuations, each of
@@ -189,7 +177,6 @@
 		services:      map[string]Service{},
 		byService:     map[string][]*BackendServer{},
 		evacuated:     map[string]bool{},
-		byToken:       map[uint32]*BackendServer{},
 	}
 	if configuration != nil {
 		for i := range configuration.Routes {
@@ -202,51 +189,39 @@
 	if servers != nil {
 		view.indexServers(servers, unlisted)
 	}
-	for _, server := range unlisted.removed {
-		if view.byToken[server.Server.Token] == nil {
-			view.byToken[server.Server.Token] = server.Server
-			view.removed = append(view.removed, server)
-		}
-	}
 	return view
 }
 
-// startOrLast returns when the server started, after all others if it does not state that.
-func (backendServer *BackendServer) startOrLast() int64 {
-	if backendServer.StartedAt == 0 {
-		return math.MaxInt64
-	}
-	return backendServer.StartedAt
-}
-
-// indexServers indexes servers by token and, if they accept new flows, by service. If two have the
-// same token, the one that had it so far keeps it, as it may have open flows, and otherwise the one
-// that started first; the other gets no new flows, since their later packets would be
-// indistinguishable.
+// indexServers indexes the servers that are listed or retained by service, if they accept new flows,
+// and together with those that were removed by what their packets carry.
 func (view *View) indexServers(servers *Servers, unlisted unlisted) {
-	byStartTime := make([]*BackendServer, len(servers.List), len(servers.List)+len(unlisted.retained))
+	known := make([]*BackendServer, 0, len(servers.List)+len(unlisted.retained)+len(unlisted.removed))
 	for i := range servers.List {
-		byStartTime[i] = &servers.List[i]
+		known = append(known, &servers.List[i])
 	}
-	byStartTime = append(byStartTime, unlisted.retained...)
-	slices.SortStableFunc(byStartTime, func(a, b *BackendServer) int {
-		return cmp.Compare(a.startOrLast(), b.startOrLast())
-	})
-	for _, server := range byStartTime {
-		if view.byToken[server.Token] == nil || unlisted.hadToken(server) {
-			view.byToken[server.Token] = server
-		}
+	known = append(known, unlisted.retained...)
+	for _, server := range known {
+		view.indexByService(server, unlisted.leaving)
 	}
-	for _, server := range byStartTime {
-		if view.byToken[server.Token] != server {
+	view.byKey = newServerIndex(known, (*BackendServer).key)
+	for _, removed := range unlisted.removed {
+		if view.EntryOf(removed.Server) != nil {
 			continue
 		}
-		switch {
-		case server.State != parser.Active || unlisted.leaving[server.incarnation()]:
-		case view.Evacuations.Contains(server.FailureDomain):
-			view.evacuated[server.Service] = true
-		default:
-			view.byService[server.Service] = append(view.byService[server.Service], server)
-		}
+		view.removed = append(view.removed, removed)
+		view.byKey = view.byKey.with(numberedServer{number: removed.Server.key(), server: removed.Server})
+		known = append(known, removed.Server)
+	}
+	view.byToken = newServerIndex(known, func(server *BackendServer) uint64 { return uint64(server.Token) })
+}
+
+// indexByService adds a server to those of its service that accept new flows, if it does.
+func (view *View) indexByService(server *BackendServer, leaving map[incarnation]bool) {
+	switch {
+	case server.State != parser.Active || leaving[server.incarnation()]:
+	case view.Evacuations.Contains(server.FailureDomain):
+		view.evacuated[server.Service] = true
+	default:
+		view.byService[server.Service] = append(view.byService[server.Service], server)
 	}
 }
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -36,14 +36,6 @@
 // Current returns the newest view.
 func (viewer *Viewer) Current() *View { return viewer.current.Load() }
 
-// NameByToken returns the name of the server whose flows carry token, or an empty one.
-func (viewer *Viewer) NameByToken(token uint32) string {
-	if server := viewer.Current().ServerByToken(token); server != nil {
-		return server.Name
-	}
-	return ""
-}
-
 // ApplyConfiguration replaces the configuration if the version is newer than the current one, and reports whether it did.
 func (viewer *Viewer) ApplyConfiguration(configuration *Configuration) bool {
 	viewer.mutex.Lock()
@@ -125,9 +117,7 @@
 
 // publish replaces the current view. The mutex must be held.
 func (viewer *Viewer) publish(configuration *Configuration, servers *Servers, evacuations *Evacuations) {
-	viewer.current.Store(newView(configuration, servers, evacuations, unlisted{
-		byToken: viewer.Current().byToken, retained: viewer.retained, removed: viewer.removed, leaving: viewer.leaving,
-	}))
+	viewer.current.Store(newView(configuration, servers, evacuations, unlisted{retained: viewer.retained, removed: viewer.removed, leaving: viewer.leaving}))
 	viewer.onChange()
 }
 
