Load no sheet in which a server has the ID of another one

Two with one ID in a sheet are one to an instance, the one that it saw first, also if they are of different services; a server whose ID an earlier one had is sent to the earlier one's address by instances that run since then, and to its own by instances that started later. In a play of processes on all 40 flows to the second of two services were refused (backend_servers_full).

Cause: decider keeps servers by ID from their first sight to the end of the process, so again what a process has seen decides.

Change: sheet check and sheet load name both servers and ask for another port. Loading also compares with the previous sheet and the retired endpoints, which the store holds, so that all instances agree. Weighed: IDs of 64 bits, which older programs can't decode, in messages and packets between instances; an ID for each sheet, which makes the meaning of an ID depend on the sheets seen. The sheet of a platform that was loaded before this change is still followed as before.

--- a/decider/service.go
+++ b/decider/service.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/pimentowind/pimentowind/framer"
 	"github.com/pimentowind/pimentowind/parser"
 	"github.com/pimentowind/pimentowind/picker"
@@ -63,7 +61,7 @@
 
 // serverID returns the ID under which messages name a backend server of a service; never 0.
 func serverID(service string, endpoint netip.AddrPort) uint32 {
-	return uint32(xxhash.Sum64String(service+" "+endpoint.String())) | 1
+	return parser.ServerID(service, endpoint)
 }
 
 func toEndpoint(address netip.AddrPort) Endpoint {
--- a/loader/endpoints.go
+++ b/loader/endpoints.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 
 	"github.com/pimentowind/pimentowind/parser"
@@ -50,7 +51,7 @@
 // be absent from a version that is in force on every listed instance.
 func (loader *Loader) checkEndpoints(ctx context.Context, document SheetDocument, previous SheetDocument, currentVersion uint64) error {
 	assigned := servicesByEndpoint(&document.Sheet)
-	var findings []string
+	findings := sharedIDs(assigned, previous)
 	for endpoint, service := range servicesByEndpoint(&previous.Sheet) {
 		if newService, used := assigned[endpoint]; used && newService != service {
 			findings = append(findings, fmt.Sprintf(
@@ -81,6 +82,37 @@
 	return &ReusedEndpointsError{Findings: findings}
 }
 
+// sharedIDs returns a line for each endpoint whose server would have the ID of one that the previous
+// sheet or an earlier one had: instances that run since then would send its flows there.
+func sharedIDs(assigned map[string]string, previous SheetDocument) []string {
+	earlier := servicesByEndpoint(&previous.Sheet)
+	for _, entry := range previous.RetiredEndpoints {
+		earlier[entry.Endpoint] = entry.Service
+	}
+	endpointByID := map[uint32]string{}
+	for endpoint, service := range earlier {
+		endpointByID[serverID(service, endpoint)] = endpoint
+	}
+	var findings []string
+	for endpoint, service := range assigned {
+		other, isKnown := endpointByID[serverID(service, endpoint)]
+		if isKnown && (other != endpoint || earlier[other] != service) {
+			findings = append(findings, fmt.Sprintf(
+				"endpoint %s would have the same number as %s of service %q had before: use another port", endpoint, other, earlier[other]))
+		}
+	}
+	return findings
+}
+
+// serverID returns the ID of a server by its endpoint as text, 0 if that is no address.
+func serverID(service, endpoint string) uint32 {
+	address, err := netip.ParseAddrPort(endpoint)
+	if err != nil {
+		return 0
+	}
+	return parser.ServerID(service, address)
+}
+
 // DiffSheets returns one line for each service, backend server and instance that differs
 // between the loaded sheet and the operator's.
 func DiffSheets(loaded, own *parser.Sheet) []string {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -169,3 +169,21 @@
 		assert.Assert(t, strings.Contains(progress.String(), "missing: lb-1"))
 	})
 }
+
+// Guards against a server whose flows instances send to an earlier one with the same ID, while those that
+// have started since send them to the right one.
+func TestServerWithTheIDOfAnEarlierOneIsNotLoaded(t *testing.T) {
+	loader := NewLoader(newFakeStore(), "awa")
+	load := func(endpoints map[string]string) error {
+		_, err := loader.LoadSheet(context.Background(), sheet(endpoints))
+		return err
+	}
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.0.1:1", "report-desk": "10.0.87.123:6081"}))
+	const want = `endpoint 10.0.245.123:6081 would have the same number as 10.0.87.123:6081 of service "report-desk" had before: use another port`
+	shared := map[string]string{"desk-sync": "10.0.245.123:6081", "report-desk": "10.0.0.2:1"}
+	assert.ErrorContains(t, load(shared), want)
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.0.1:1", "report-desk": "10.0.0.2:1"}))
+	assert.ErrorContains(t, load(shared), want, "also after it has left the sheet")
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.245.123:6082", "report-desk": "10.0.0.2:1"}))
+	assert.NilError(t, load(map[string]string{"desk-sync": "10.0.0.1:1", "report-desk": "10.0.87.123:6081"}), "the earlier one itself may return")
+}
--- a/parser/parse_sheet.go
+++ b/parser/parse_sheet.go
@@ -176,6 +176,7 @@
 			sheetReader.addFinding(wholeFile, "", "service %q has no active backend server", service.Name)
 		}
 	}
+	sheetReader.checkServerIDs()
 	encoded, err := json.Marshal(sheetReader.sheet)
 	if err != nil {
 		sheetReader.addFinding(wholeFile, "", "sheet cannot be encoded: %v", err)
@@ -184,3 +185,17 @@
 		sheetReader.addFinding(wholeFile, "", "encoded sheet has %d bytes, the platform stores at most %d", len(encoded), MaxObjectSize)
 	}
 }
+
+// checkServerIDs reports backend servers that instances cannot tell from each other.
+func (sheetReader *sheetReader) checkServerIDs() {
+	known := map[uint32]string{}
+	for _, service := range sheetReader.sheet.Services {
+		for _, server := range service.BackendServers {
+			id := ServerID(service.Name, server.Address)
+			if other, isShared := known[id]; isShared {
+				sheetReader.addFinding(row{}, "", "backend servers %q and %q would have the same number: give one of them another port", other, server.Name)
+			}
+			known[id] = server.Name
+		}
+	}
+}
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -110,3 +110,14 @@
 		assert.Assert(t, (sheet == nil) == (err != nil))
 	})
 }
+
+// Guards against two backend servers that instances cannot tell from each other: the flows of both went to
+// the one that an instance saw first, also if it is of another service.
+func TestParseSheetRejectsServersWithTheSameID(t *testing.T) {
+	content := strings.Replace(sampleSheet(t), "10.2.0.3:6081", "10.0.87.123:6081", 1)
+	_, err := ParseSheet("sheet.csv", strings.NewReader(content))
+	assert.NilError(t, err)
+	content = strings.Replace(content, "10.2.0.1:6081", "10.0.245.123:6081", 1)
+	_, err = ParseSheet("sheet.csv", strings.NewReader(content))
+	assert.ErrorContains(t, err, `backend servers "sync-1" and "report-1" would have the same number: give one of them another port`)
+}
--- a/parser/sheet.go
+++ b/parser/sheet.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Protocol is the transport protocol of a service.
@@ -54,6 +56,13 @@
 	Connections   int            `json:"connections"`
 }
 
+// ServerID returns the number under which instances name the backend server of a service at an
+// address to each other; never 0. Two servers may have the same one, but not in sheets that are
+// loaded, as an instance sends the flows of both to the one that it saw first.
+func ServerID(service string, address netip.AddrPort) uint32 {
+	return uint32(xxhash.Sum64String(service+" "+address.String())) | 1
+}
+
 // Instance is a load balancer instance that joins or leaves on the day of the sheet.
 type Instance struct {
 	Name          string `json:"name"`
