--- a/internal/soaker/regression.go
+++ b/internal/soaker/regression.go
@@ -18,4 +18,5 @@
 	{51000, 25 * time.Second, 24, "open: a failure domain was taken back while the store was away, and its cold servers got all flows after the hold of 2 s"},
 	{51004, 25 * time.Second, 24, "open: as 50000, on three instances that woke 0.1 s late"},
 	{54004, 25 * time.Second, 24, "open: instances kept a limit for lack of room alive by figures of shed responses that had decayed to nearly nothing"},
+	{100207, 18 * time.Second, 28, "open: a paused instance sent copies of openings when it woke, which others had refused meanwhile"},
 }
