The play of servers with one token has an instance that misses lists

What was missing: of the histories that the issue names, one that sees neither the second server listed nor the first one's entry lapse and return. An instance is paused meanwhile.

--- a/internal/soaker/shared_token_test.go
+++ b/internal/soaker/shared_token_test.go
@@ -170,6 +170,17 @@
 		play.listInTurn()
 		play.restart(syscall.SIGKILL, 3)
 	}},
+	{"a paused instance misses the lists between", func(play *sharingPlay) {
+		play.list(0)
+		play.open(0)
+		play.instances[3].signal(syscall.SIGSTOP)
+		play.list(1)
+		play.lapse(0)
+		play.open(1)
+		play.list(0)
+		play.instances[3].signal(syscall.SIGCONT)
+		time.Sleep(2 * listingTime) // it is not sent packets before it is ready again
+	}},
 	{"one starts while the entry of the first is gone", func(play *sharingPlay) {
 		play.listInTurn()
 		play.lapse(0)
