Index removed servers at once, not one by one

The view is the same; the tests of viewer, relayer and steerer say so. The test of shared IDs asks parser for an ID in place of a copy of its rule.

--- a/internal/rehearser/shared_id_test.go
+++ b/internal/rehearser/shared_id_test.go
@@ -9,8 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentowind/pimentowind/parser"
 )
 
 var syncService = netip.MustParseAddrPort("10.1.0.10:443")
@@ -18,17 +19,14 @@
 // namesOfSharedID returns names of two services whose servers at two addresses have the same ID.
 func namesOfSharedID(one, other netip.AddrPort) (string, string) {
 	const names = 1 << 17
-	id := func(name string, address netip.AddrPort) uint32 {
-		return uint32(xxhash.Sum64String(name+" "+address.String())) | 1 // as parser.ServerID
-	}
 	known := map[uint32]string{}
 	for i := range names {
 		name := fmt.Sprint("log-", i)
-		known[id(name, one)] = name
+		known[parser.ServerID(name, one)] = name
 	}
 	for i := 0; ; i++ {
 		name := fmt.Sprint("sync-", i)
-		if found, ok := known[id(name, other)]; ok {
+		if found, ok := known[parser.ServerID(name, other)]; ok {
 			return found, name
 		}
 	}
--- a/viewer/token.go
+++ b/viewer/token.go
@@ -111,12 +111,6 @@
 	return index
 }
 
-// with returns the index with another server.
-func (index serverIndex) with(added numberedServer) serverIndex {
-	position, _ := slices.BinarySearchFunc(index, added, numberedServer.compare)
-	return slices.Insert(index, position, added)
-}
-
 // between returns the entries with numbers from first to last.
 func (index serverIndex) between(first, last uint64) serverIndex {
 	from, _ := slices.BinarySearchFunc(index, first, func(entry numberedServer, number uint64) int { return cmp.Compare(entry.number, number) })
--- a/viewer/view.go
+++ b/viewer/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/pimentowind/pimentowind/parser"
 )
@@ -95,20 +94,32 @@
 		view.indexByService(server, unlisted.leaving)
 	}
 	view.byKey = newServerIndex(known, (*BackendServer).key)
-	for _, removed := range unlisted.removed {
-		if entry := view.EntryOf(removed.Server); entry != nil {
-			if slices.Contains(unlisted.retained, entry) {
-				view.missing = append(view.missing, removed)
-			}
-			continue
+	view.addRemoved(unlisted)
+	if len(view.removed) > 0 {
+		for _, removed := range view.removed {
+			known = append(known, removed.Server)
 		}
-		view.removed, view.missing = append(view.removed, removed), append(view.missing, removed)
-		view.byKey = view.byKey.with(numberedServer{number: removed.Server.key(), server: removed.Server})
-		known = append(known, removed.Server)
+		view.byKey = newServerIndex(known, (*BackendServer).key)
 	}
 	view.byToken = newServerIndex(known, func(server *BackendServer) uint64 { return uint64(server.Token) })
 }
 
+// addRemoved notes the servers that were removed and are not listed again.
+func (view *View) addRemoved(unlisted unlisted) {
+	retained := make(map[*BackendServer]bool, len(unlisted.retained))
+	for _, server := range unlisted.retained {
+		retained[server] = true
+	}
+	for _, removed := range unlisted.removed {
+		switch entry := view.EntryOf(removed.Server); {
+		case entry == nil:
+			view.removed, view.missing = append(view.removed, removed), append(view.missing, removed)
+		case retained[entry]:
+			view.missing = append(view.missing, removed)
+		}
+	}
+}
+
 // indexByService adds a server to those of its service that accept new flows, if it does.
 func (view *View) indexByService(server *BackendServer, leaving map[incarnation]bool) {
 	switch {
