--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -84,8 +84,30 @@
 	answered   int
 }
 
-func loopback(second, third, fourth int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(second), byte(third), byte(fourth)})
+// loopback returns an address of a block of the loopback network.
+func loopback(block, third, fourth int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(block), byte(third), byte(fourth)})
+}
+
+// freeBlock returns a block in which the metrics port is free on the instances' addresses.
+func freeBlock() (int, error) {
+	for range 50 {
+		block := 66 + rand.IntN(150)
+		if isFree(instanceAddresses(block), metricsPort, 1) {
+			return block, nil
+		}
+	}
+	return 0, errPortsNotFree
+}
+
+func instanceAddresses(block int) []netip.Addr {
+	var addresses []netip.Addr
+	for zone := range zones {
+		for i := range instancesPerZone[zone] {
+			addresses = append(addresses, loopback(block, zone+1, i+10))
+		}
+	}
+	return addresses
 }
 
 // freePort returns a port, the first of count, that is free on all addresses.
@@ -120,20 +142,17 @@
 
 // plan lays out the addresses and ports.
 func (deployment *deployment) plan() error {
-	var instanceAddresses, callerAddresses, hostAddresses []netip.Addr
-	for zone := range zones {
-		for i := range instancesPerZone[zone] {
-			instanceAddresses = append(instanceAddresses, loopback(61, zone+1, i+10))
-		}
+	block, err := freeBlock()
+	if err != nil {
+		return err
 	}
+	instanceAddresses := instanceAddresses(block)
+	var callerAddresses, hostAddresses []netip.Addr
 	for i := range desks {
-		callerAddresses = append(callerAddresses, loopback(63, i%len(zones)+1, i+10))
+		callerAddresses = append(callerAddresses, loopback(block, i%len(zones)+1, i+50))
 	}
 	for i := range deskServers + reports {
-		hostAddresses = append(hostAddresses, loopback(62, i%len(zones)+1, i+10))
-	}
-	if !isFree(instanceAddresses, metricsPort, 1) {
-		return errPortsNotFree
+		hostAddresses = append(hostAddresses, loopback(block, i%len(zones)+1, i+100))
 	}
 	packetPort, err := freePort(append(append([]netip.Addr{}, instanceAddresses...), callerAddresses...), 1)
 	if err != nil {
@@ -147,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	storeAddress := loopback(64, 0, 7)
+	storeAddress := loopback(block, 0, 7)
 	storePort, err := freePort([]netip.Addr{storeAddress}, 1)
 	if err != nil {
 		return err
--- a/review/rig/trouble.go
+++ b/review/rig/trouble.go
@@ -43,15 +43,15 @@
 }
 
 // playStaleCopy drains a backend server. Before, another writer leaves a copy of its entry, in
-// which born is missing.
+// which born is of another type.
 func playStaleCopy(deployment *deployment, isTroubled bool) {
 	host := deployment.hosts[0]
 	if isTroubled {
 		host.mutex.Lock()
 		entry := host.entry()
 		host.mutex.Unlock()
-		withoutBorn, _, _ := strings.Cut(entry, `,"born":`)
-		deployment.putOdd("copy-of-"+host.name, withoutBorn+"}")
+		beforeBorn, _, _ := strings.Cut(entry, `"born":`)
+		deployment.putOdd("copy-of-"+host.name, beforeBorn+`"born":null}`)
 	}
 	time.Sleep(heartbeat)
 	acceptedAt := host.drain()
