--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 )
@@ -50,11 +51,12 @@
 func (caller *caller) receive() {
 	buffer := make([]byte, 2048)
 	for {
-		count, _, err := caller.connection.ReadFromUDPAddrPort(buffer)
+		count, from, err := caller.connection.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
 		packet, ok := decodePacket(buffer[:count])
+		packet.from = from.Addr()
 		isReset := ok && packet.flags == flagRST && len(packet.data) == 0 && packet.sum == 0
 		if !ok || !isReset && !isGenuine(buffer[:count]) {
 			continue
@@ -78,6 +80,9 @@
 	opened  bool
 	stamp   string
 	elapsed time.Duration
+
+	resetBy   netip.Addr // who reset the open flow, if anybody did
+	wasServer bool       // it was a backend server
 }
 
 // request sends a request, again as its kind allows, and returns the last outcome.
@@ -111,7 +116,7 @@
 	startedAt := time.Now()
 	flow := &callerFlow{caller: caller, source: netip.AddrPortFrom(caller.address.Addr(), port), destination: kind.route, sequence: rand.Uint32(), packets: packets}
 	end := func(status string) outcome {
-		return outcome{status: status, opened: flow.isOpen, stamp: flow.stamp, elapsed: time.Since(startedAt)}
+		return outcome{status: status, opened: flow.isOpen, stamp: flow.stamp, elapsed: time.Since(startedAt), resetBy: flow.resetBy, wasServer: flow.wasServer}
 	}
 	if status := flow.open(deadline); status != "" {
 		return end(status)
@@ -127,6 +132,8 @@
 	sequence, ack, echo uint32
 	isOpen              bool
 	stamp               string // of the backend server, in the response
+	resetBy             netip.Addr
+	wasServer           bool // the reset came from a backend server
 	packets             chan packet
 }
 
@@ -170,6 +177,28 @@
 	}
 }
 
+// close sends the end of the flow, which acknowledges the response, until the backend server ends
+// it too.
+func (flow *callerFlow) close(sequence uint32) {
+	for range maxRetransmissions {
+		flow.send(flagFIN|flagACK, sequence, flow.ack, nil)
+		again := time.After(firstRetransmission)
+		for isWaiting := true; isWaiting; {
+			select {
+			case packet := <-flow.packets:
+				if packet.flags&flagFIN != 0 {
+					flow.send(flagACK, sequence+1, packet.sequence+1, nil)
+				}
+				if packet.flags&(flagFIN|flagRST) != 0 {
+					return
+				}
+			case <-again:
+				isWaiting = false
+			}
+		}
+	}
+}
+
 // resetWindow is how far the sequence number of a reset may be from the last acknowledgment.
 const resetWindow = 76_800
 
@@ -199,7 +228,8 @@
 			distance := int64(int32(packet.sequence - flow.ack))
 			switch {
 			case packet.flags&flagRST != 0 && max(distance, -distance) <= resetWindow:
-				flow.caller.record.line("reset request=%s by_server=%t", id, packet.sum != 0)
+				flow.caller.record.line("reset request=%s from=%s", id, packet.from)
+				flow.resetBy, flow.wasServer = packet.from, packet.sum != 0
 				return "reset_open"
 			case packet.flags&(flagRST|flagSYN) != 0 || max(distance, -distance) > resetWindow:
 				continue
@@ -211,13 +241,12 @@
 			}
 			response += string(packet.data)
 			flow.ack += uint32(len(packet.data))
-			flow.send(flagACK, after, flow.ack, nil)
 			if headerOf(response, "Request-Id") != id {
 				return "foreign_answer"
 			}
 			flow.stamp = headerOf(response, "Response-Stamp")
-			flow.send(flagFIN|flagACK, after, flow.ack, nil)
-			return "200"
+			flow.close(after)
+			return strings.Fields(response)[1]
 		case <-time.After(time.Until(until)):
 		}
 	}
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -20,7 +20,6 @@
 	drainBound  = 3 * time.Second
 	applyBound  = 3 * time.Second
 	slots       = 3
-	deskServers = 14
 	reports     = 4
 	deskSync    = "desk-sync"
 	reportDesk  = "report-desk"
@@ -66,6 +65,15 @@
 	}
 }
 
+// shape is what differs between the deployments of the cases.
+type shape struct {
+	deskServers int
+	work        time.Duration // of a request at them
+	isOneZone   bool          // they are all in the first zone
+}
+
+var usualShape = shape{deskServers: 14, work: 46 * time.Millisecond}
+
 // deployment is a running deployment with its stand-ins.
 type deployment struct {
 	record    *record
@@ -76,6 +84,8 @@
 	callers   []*caller
 	router    *router
 	done      chan struct{}
+	shape     shape
+	frozen    netip.Addr // of the instance that a case freezes
 
 	mutex      sync.Mutex
 	runs       []requestRun
@@ -151,6 +161,7 @@
 	for i := range desks {
 		callerAddresses = append(callerAddresses, loopback(block, i%len(zones)+1, i+50))
 	}
+	deskServers := deployment.shape.deskServers
 	for i := range deskServers + reports {
 		hostAddresses = append(hostAddresses, loopback(block, i%len(zones)+1, i+100))
 	}
@@ -198,13 +209,15 @@
 		instance.seeds = seeds
 	}
 	for i, address := range hostAddresses {
-		service, work := deskSync, 46*time.Millisecond
+		service, work, zone := deskSync, deployment.shape.work, zones[i%len(zones)]
 		if i >= deskServers {
 			service, work = reportDesk, 5*time.Millisecond
+		} else if deployment.shape.isOneZone {
+			zone = zones[0]
 		}
 		id := rand.Uint32() | 1<<31
 		deployment.hosts = append(deployment.hosts, &host{
-			service: service, zone: zones[i%len(zones)], name: fmt.Sprintf("i-%08x", id), id: uint64(id),
+			service: service, zone: zone, name: fmt.Sprintf("i-%08x", id), id: uint64(id),
 			address: netip.AddrPortFrom(address, hostPort), callerPort: packetPort, slots: make(chan struct{}, slots),
 			work: work, store: deployment.store, onRun: deployment.noteRun,
 		})
@@ -323,12 +336,7 @@
 		kind := &kinds[mix[rand.IntN(len(mix))]]
 		work.Go(func() {
 			outcome := caller.request(kind, fmt.Sprintf("q%d", number))
-			deployment.mutex.Lock()
-			defer deployment.mutex.Unlock()
-			deployment.requests++
-			if outcome.status == "200" {
-				deployment.answered++
-			}
+			deployment.count(outcome)
 		})
 		time.Sleep(time.Duration(5+rand.IntN(10)) * time.Millisecond)
 	}
--- /dev/null
+++ b/review/rig/freeze.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	longWork    = 517 * time.Millisecond // the largest of posture-log, 310 ms, at a backend server of speed 0.6
+	freezeTime  = 900 * time.Millisecond
+	roundTime   = 5 * time.Second
+	rounds      = 8
+	busyServers = 3
+	groupSpread = 40 * time.Millisecond  // between the first and the last request of a group
+	groupPause  = 450 * time.Millisecond // between the first and the second group
+	firstGroup  = 24
+	secondGroup = 15
+	// The freeze begins so long after the second group.
+	freezeDelay  = 20 * time.Millisecond
+	freezeSpread = 120 * time.Millisecond
+)
+
+// playShortFreeze sends two groups of requests, which have to wait at the backend servers, again and
+// again. Each time one instance freezes for less than a second. The other instances and all
+// backend servers are left alone.
+func playShortFreeze(deployment *deployment, isTroubled bool) {
+	time.Sleep(2 * time.Second)
+	frozen := deployment.instances[2]
+	deployment.frozen = frozen.address
+	var work sync.WaitGroup
+	for round := range rounds {
+		startedAt := time.Now()
+		deployment.sendGroup(&work, fmt.Sprintf("r%da", round), firstGroup)
+		time.Sleep(time.Until(startedAt.Add(groupPause)))
+		deployment.sendGroup(&work, fmt.Sprintf("r%db", round), secondGroup)
+		if isTroubled {
+			deployment.freeze(frozen, freezeDelay+rand.N(freezeSpread))
+		}
+		time.Sleep(time.Until(startedAt.Add(roundTime)))
+	}
+	work.Wait()
+}
+
+// sendGroup sends requests that may run once, from callers of the first zone.
+func (deployment *deployment) sendGroup(work *sync.WaitGroup, name string, count int) {
+	for i := range count {
+		deployment.sendLog(work, fmt.Sprintf("%s%d", name, i))
+		time.Sleep(groupSpread / time.Duration(count))
+	}
+}
+
+// freeze lets an instance stand still for freezeTime after a delay.
+func (deployment *deployment) freeze(instance *instance, delay time.Duration) {
+	time.Sleep(delay)
+	deployment.record.line("%s freezes", instance.name)
+	instance.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(freezeTime)
+	instance.command.Process.Signal(syscall.SIGCONT)
+	deployment.record.line("%s wakes", instance.name)
+}
+
+// sendLog sends a request that may run once, from a caller of the first zone.
+func (deployment *deployment) sendLog(work *sync.WaitGroup, id string) {
+	kind := requestKind{name: "posture-log", route: postureLog, service: deskSync, method: "POST", deadline: 2500 * time.Millisecond}
+	caller := deployment.callers[rand.IntN(desks/len(zones))*len(zones)]
+	work.Go(func() {
+		outcome := caller.request(&kind, id)
+		deployment.count(outcome)
+		deployment.checkReset(id, outcome)
+	})
+}
+
+// count counts a request by its outcome.
+func (deployment *deployment) count(outcome outcome) {
+	deployment.mutex.Lock()
+	defer deployment.mutex.Unlock()
+	deployment.requests++
+	if outcome.status == "200" {
+		deployment.answered++
+	}
+}
+
+// checkReset notes the reset of an open flow by an instance that was not disturbed.
+func (deployment *deployment) checkReset(id string, outcome outcome) {
+	if outcome.status != "reset_open" || outcome.wasServer || outcome.resetBy == deployment.frozen {
+		return
+	}
+	deployment.violate(fmt.Sprintf("FLOW: the open flow of request %s was reset by %s, which was not disturbed, after %d ms; its backend server lives and was not disturbed", id, nameOf(deployment.instances, outcome.resetBy), outcome.elapsed.Milliseconds()))
+}
+
+func nameOf(instances []*instance, address netip.Addr) string {
+	for _, instance := range instances {
+		if instance.address == address {
+			return instance.name
+		}
+	}
+	return address.String()
+}
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 	firstRetransmission = 200 * time.Millisecond
 	lastRetransmission  = 1600 * time.Millisecond
 	maxRetransmissions  = 8
+	queueLength         = 12 // requests that wait for a slot
 )
 
 // requestRun is a request that a backend server began to work on, and the opening of its flow.
@@ -35,6 +37,7 @@
 	address    netip.AddrPort
 	callerPort uint16
 	slots      chan struct{}
+	waiting    atomic.Int32 // requests in the queue
 	work       time.Duration
 	store      *store
 	onRun      func(run requestRun)
@@ -176,15 +179,26 @@
 	}
 }
 
-// runRequest works on a request that fits one packet, and sends the response until it is acknowledged.
+// runRequest works on a request that fits one packet once a slot is free, and sends the response.
 func (host *host) runRequest(key [2]netip.AddrPort, flow *hostFlow, request string) {
-	host.slots <- struct{}{}
 	requestID := headerOf(request, "Request-Id")
+	if len(host.slots) == cap(host.slots) && int(host.waiting.Load()) >= queueLength {
+		host.respond(key, flow, fmt.Sprintf("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\n\r\n", requestID, host.name))
+		return
+	}
+	host.waiting.Add(1)
+	host.slots <- struct{}{}
+	host.waiting.Add(-1)
 	host.onRun(requestRun{requestID: requestID, host: host, route: key[1], openedAt: flow.openedAt, at: time.Now()})
 	time.Sleep(host.work)
 	<-host.slots
 	body := strings.Repeat("x", 600)
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\n\r\n%s", len(body), requestID, host.name, body)
+	host.respond(key, flow, response)
+}
+
+// respond sends a response that fits one packet until it is acknowledged.
+func (host *host) respond(key [2]netip.AddrPort, flow *hostFlow, response string) {
 	host.mutex.Lock()
 	first := flow.sequence
 	flow.sequence += uint32(len(response))
--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,21 @@
 	return nil
 }
 
+// declaredSilent returns the lines of the instance's log about backend servers that it declared silent.
+func (instance *instance) declaredSilent(folder string) []string {
+	log, err := os.ReadFile(filepath.Join(folder, instance.name+".log"))
+	if err != nil {
+		return nil
+	}
+	var lines []string
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, "backend server declared silent") {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // stop ends the process.
 func (instance *instance) stop() {
 	if instance.command == nil || instance.command.Process == nil {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,6 +11,9 @@
 	"github.com/go-faster/errors"
 )
 
+// logTime is how long an instance may hold lines of its log back.
+const logTime = 500 * time.Millisecond
+
 // Exit codes of a case.
 const (
 	exitHeld   = 0
@@ -18,11 +21,6 @@
 	exitFailed = 2
 )
 
-const (
-	calmTime    = 6 * time.Second // before the disruption
-	troubleTime = 14 * time.Second
-)
-
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
@@ -55,7 +53,10 @@
 		return exitFailed, err
 	}
 	defer os.RemoveAll(temporary)
-	deployment := &deployment{record: record, store: newStore(), done: make(chan struct{})}
+	deployment := &deployment{record: record, store: newStore(), done: make(chan struct{}), shape: usualShape}
+	if name == "short-freeze" {
+		deployment.shape = shape{deskServers: busyServers, work: longWork, isOneZone: true}
+	}
 	defer deployment.stop()
 	stopped := make(chan os.Signal, 1)
 	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
@@ -69,17 +70,16 @@
 		return exitFailed, err
 	}
 	record.line("all instances are ready, trouble=%t", isTroubled)
-	played := make(chan struct{})
-	go func() {
-		defer close(played)
-		time.Sleep(calmTime)
-		play(deployment, isTroubled)
-	}()
-	deployment.load(calmTime + troubleTime)
-	<-played
+	play(deployment, isTroubled)
 	if err := deployment.checkProcesses(); err != nil {
 		return exitFailed, err
 	}
+	time.Sleep(logTime)
+	for _, instance := range deployment.instances {
+		for _, line := range instance.declaredSilent(temporary) {
+			record.line("log of %s: %s", instance.name, line)
+		}
+	}
 	return deployment.judge(), nil
 }
 
--- a/review/rig/packet.go
+++ b/review/rig/packet.go
@@ -24,6 +24,7 @@
 	flags               byte
 	sum                 uint32
 	data                []byte
+	from                netip.Addr // who sent the datagram
 }
 
 // encode returns the packet with the sum of a caller or a backend server.
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -37,7 +37,7 @@
 	for _, instance := range router.instances {
 		go func() {
 			for {
-				router.note(instance, router.isReady(instance))
+				go func() { router.note(instance, router.isReady(instance)) }()
 				select {
 				case <-done:
 					return
--- a/review/rig/trouble.go
+++ b/review/rig/trouble.go
@@ -6,14 +6,34 @@
 	"time"
 )
 
-// play is what happens to a deployment in the middle of its load.
+const (
+	calmTime    = 6 * time.Second // before the disruption
+	troubleTime = 14 * time.Second
+)
+
+// play is the load of a case and what disturbs it.
 type play func(deployment *deployment, isTroubled bool)
 
 // plays are the cases by name.
 var plays = map[string]play{
-	"foreign-address": playForeignAddress,
-	"stale-copy":      playStaleCopy,
-	"added-route":     playAddedRoute,
+	"foreign-address": underLoad(playForeignAddress),
+	"stale-copy":      underLoad(playStaleCopy),
+	"added-route":     underLoad(playAddedRoute),
+	"short-freeze":    playShortFreeze,
+}
+
+// underLoad returns a play with the usual load, in the middle of which disturb is called.
+func underLoad(disturb play) play {
+	return func(deployment *deployment, isTroubled bool) {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			time.Sleep(calmTime)
+			disturb(deployment, isTroubled)
+		}()
+		deployment.load(calmTime + troubleTime)
+		<-done
+	}
 }
 
 // putOdd writes an entry of another writer among those of the backend servers.
@@ -28,7 +48,7 @@
 	if !isTroubled {
 		return
 	}
-	other := deployment.hosts[deskServers]
+	other := deployment.hosts[usualShape.deskServers]
 	deployment.putOdd("desk-0", capitalize(fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":3,"state":"ready","cold_remaining_ms":0,"sequence":41,"born":%d}`,
 		deskSync, other.address, other.zone, time.Now().Add(-time.Hour).UnixMilli())))
