--- a/review/rig/freeze.go
+++ b/review/rig/freeze.go
@@ -14,6 +14,8 @@
 	freezeTime  = 900 * time.Millisecond
 	roundTime   = 5 * time.Second
 	rounds      = 8
+	lossRounds  = 16
+	lossShare   = 0.01 // of the datagrams from backend servers to callers
 	busyServers = 3
 	groupSpread = 40 * time.Millisecond  // between the first and the last request of a group
 	groupPause  = 450 * time.Millisecond // between the first and the second group
@@ -24,22 +26,48 @@
 	freezeSpread = 120 * time.Millisecond
 )
 
-// playShortFreeze sends two groups of requests, which have to wait at the backend servers, again and
-// again. Each time one instance freezes for less than a second. The other instances and all
-// backend servers are left alone.
+// playShortFreeze freezes one instance for less than a second while requests wait at the backend
+// servers. The other instances and all backend servers are left alone.
 func playShortFreeze(deployment *deployment, isTroubled bool) {
 	time.Sleep(2 * time.Second)
 	frozen := deployment.instances[2]
 	deployment.frozen = frozen.address
+	deployment.sendRounds(rounds, func() {
+		if isTroubled {
+			deployment.freeze(frozen, freezeDelay+rand.N(freezeSpread))
+		}
+	})
+}
+
+// playLoss loses a few of the datagrams that backend servers send to callers, while requests wait.
+// Nothing else is disturbed.
+func playLoss(deployment *deployment, isTroubled bool) {
+	time.Sleep(2 * time.Second)
+	if isTroubled {
+		for _, host := range deployment.hosts {
+			host.mutex.Lock()
+			host.lossShare = lossShare
+			host.mutex.Unlock()
+		}
+	}
+	deployment.sendRounds(lossRounds, func() {})
+	lost := 0
+	for _, host := range deployment.hosts {
+		lost += int(host.lost.Load())
+	}
+	deployment.record.line("%d datagrams from backend servers to callers were lost", lost)
+}
+
+// sendRounds sends two groups of requests, which have to wait at the backend servers, again and
+// again, and calls disturb after each second group.
+func (deployment *deployment) sendRounds(count int, disturb func()) {
 	var work sync.WaitGroup
-	for round := range rounds {
+	for round := range count {
 		startedAt := time.Now()
 		deployment.sendGroup(&work, fmt.Sprintf("r%da", round), firstGroup)
 		time.Sleep(time.Until(startedAt.Add(groupPause)))
 		deployment.sendGroup(&work, fmt.Sprintf("r%db", round), secondGroup)
-		if isTroubled {
-			deployment.freeze(frozen, freezeDelay+rand.N(freezeSpread))
-		}
+		disturb()
 		time.Sleep(time.Until(startedAt.Add(roundTime)))
 	}
 	work.Wait()
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -39,6 +39,8 @@
 	slots      chan struct{}
 	waiting    atomic.Int32 // requests in the queue
 	work       time.Duration
+	lossShare  float64      // of the datagrams to callers, that the network loses
+	lost       atomic.Int32 // datagrams
 	store      *store
 	onRun      func(run requestRun)
 	connection *net.UDPConn
@@ -231,5 +233,9 @@
 // send sends a packet to the caller. The mutex must be held.
 func (host *host) send(key [2]netip.AddrPort, flow *hostFlow, flags byte, sequence uint32, data []byte) {
 	packet := packet{source: key[1], destination: key[0], sequence: sequence, ack: flow.ack, echo: flow.echo, flags: flags, data: data}
+	if rand.Float64() < host.lossShare {
+		host.lost.Add(1)
+		return
+	}
 	host.connection.WriteToUDPAddrPort(packet.encode(), netip.AddrPortFrom(key[0].Addr(), host.callerPort))
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -54,7 +54,7 @@
 	}
 	defer os.RemoveAll(temporary)
 	deployment := &deployment{record: record, store: newStore(), done: make(chan struct{}), shape: usualShape}
-	if name == "short-freeze" {
+	if name == "short-freeze" || name == "loss" {
 		deployment.shape = shape{deskServers: busyServers, work: longWork, isOneZone: true}
 	}
 	defer deployment.stop()
--- a/review/rig/trouble.go
+++ b/review/rig/trouble.go
@@ -20,6 +20,7 @@
 	"stale-copy":      underLoad(playStaleCopy),
 	"added-route":     underLoad(playAddedRoute),
 	"short-freeze":    playShortFreeze,
+	"loss":            playLoss,
 }
 
 // underLoad returns a play with the usual load, in the middle of which disturb is called.
