--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -83,6 +84,8 @@
 
 	resetBy   netip.Addr // who reset the open flow, if anybody did
 	wasServer bool       // it was a backend server
+
+	takenBy []netip.Addr // instances that the flow's packets were forwarded to
 }
 
 // request sends a request, again as its kind allows, and returns the last outcome.
@@ -116,7 +119,7 @@
 	startedAt := time.Now()
 	flow := &callerFlow{caller: caller, source: netip.AddrPortFrom(caller.address.Addr(), port), destination: kind.route, sequence: rand.Uint32(), packets: packets}
 	end := func(status string) outcome {
-		return outcome{status: status, opened: flow.isOpen, stamp: flow.stamp, elapsed: time.Since(startedAt), resetBy: flow.resetBy, wasServer: flow.wasServer}
+		return outcome{status: status, opened: flow.isOpen, stamp: flow.stamp, elapsed: time.Since(startedAt), resetBy: flow.resetBy, wasServer: flow.wasServer, takenBy: flow.takenBy}
 	}
 	if status := flow.open(deadline); status != "" {
 		return end(status)
@@ -134,6 +137,7 @@
 	stamp               string // of the backend server, in the response
 	resetBy             netip.Addr
 	wasServer           bool // the reset came from a backend server
+	takenBy             []netip.Addr
 	packets             chan packet
 }
 
@@ -141,6 +145,9 @@
 	packet := packet{source: flow.source, destination: flow.destination, sequence: sequence, ack: ack, echo: flow.echo, flags: flags, data: data}
 	to, ok := flow.caller.router.next(flow.caller.address.Addr(), flow.source, flow.destination)
 	if ok {
+		if !slices.Contains(flow.takenBy, to.Addr()) {
+			flow.takenBy = append(flow.takenBy, to.Addr())
+		}
 		flow.caller.connection.WriteToUDPAddrPort(packet.encode(), to)
 	}
 }
