--- a/detector/detector.go
+++ b/detector/detector.go
@@ -68,7 +68,7 @@
 	Removed          bool          // the server was removed from the list a short time ago
 	Hinted           bool          // another failure domain has declared it silent, or holds back openings to it
 	Openings         int           // flows whose opening was unanswered
-	From             string        // the names of some of the instances, for holds
+	From             string        // the names of some of the instances; for a declaration those that saw the longest waits, with these
 }
 
 // flowSign identifies the unanswered data of one flow.
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -1,6 +1,11 @@
 package detector
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pimentowind/pimentowind/viewer"
@@ -178,7 +183,7 @@
 // a sign of life has refuted. The mutex must be held.
 func (detector *Detector) weigh(server Server, candidate *candidate, now time.Time) weighed {
 	weighed := weighed{Evidence: Evidence{Removed: candidate.isRemoved(now)}}
-	instances, weights := map[string]bool{}, map[uint32]int{} // routers may move a flow to another instance
+	instances, weights := map[string]time.Duration{}, map[uint32]int{} // routers may move a flow to another instance
 	for flow, waiting := range candidate.signs {
 		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > signMemory {
 			delete(candidate.signs, flow)
@@ -187,8 +192,8 @@
 		if !candidate.askedAt.IsZero() && waiting.since.Before(candidate.since) {
 			continue // nobody was asked for life since then
 		}
-		instances[flow.instance] = true
 		waited, weight := waiting.copiedAt.Sub(waiting.since), 1
+		instances[flow.instance] = max(instances[flow.instance], waited)
 		switch {
 		case waiting.isOpening:
 			weighed.Openings++
@@ -204,11 +209,23 @@
 	for _, weight := range weights {
 		weighed.weight += weight
 	}
-	weighed.Instances, weighed.Flows = len(instances), len(weights)
+	weighed.Instances, weighed.Flows, weighed.From = len(instances), len(weights), namesWithWaits(instances)
 	weighed.Hinted = !candidate.hintedAt.IsZero() && now.Sub(candidate.hintedAt) <= signMemory && detector.counts(server, candidate.hintedAt.Add(-minSilence))
 	return weighed
 }
 
+// namesWithWaits returns the names of the instances that saw the longest waits, with these.
+func namesWithWaits(waits map[string]time.Duration) string {
+	names := slices.SortedFunc(maps.Keys(waits), func(a, b string) int {
+		return cmp.Or(cmp.Compare(waits[b], waits[a]), cmp.Compare(a, b))
+	})
+	var parts []string
+	for _, name := range names[:min(len(names), maxNamed)] {
+		parts = append(parts, fmt.Sprintf("%s:%dms", cmp.Or(name, ownName), waits[name].Milliseconds()))
+	}
+	return strings.Join(parts, " ")
+}
+
 // suffices reports whether the evidence is enough to ask for signs of life.
 func (weighed *weighed) suffices(place Place) bool {
 	if !weighed.hasData {
