Count times without an answer up to what has been read

An instance that stands still for less than a second (no pause by the ticker's measure) wakes, and acts on the clock before it reads what waited in its sockets. Cause, four places: a leader counted the time since its question by the clock, also while answers waited in its socket, and declared a server silent that others had answered for; an instance took the ages in a question, a declaration or a hold from when it read them, and so denied life that it had seen since; the packet socket took its buffer for empty at the end of a read that had blocked, although further packets had come while the process stood still; it took it for empty, too, when a read had reached its deadline or was merely descheduled. Whether it ever reset a flow alone is not shown. Change: a datagramReader reads both sockets and notes when there was nothing left to read, which it asks the kernel for; before that time everything that arrived has been processed. Detector.Next gets it as drained, Receive as sentBy. Relayer asks for it on each tick, one system call in 0.1 s.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -181,8 +181,9 @@
 	return len(detector.unreported)+len(detector.refuted)+len(detector.candidates) > 0
 }
 
-// Next returns the messages that are due.
-func (detector *Detector) Next(place Place, now time.Time) []Outgoing {
+// Next returns the messages that are due. Every message that arrived before drained has been passed to
+// Receive; later ones may wait to be read.
+func (detector *Detector) Next(place Place, now, drained time.Time) []Outgoing {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	var outgoing []Outgoing
@@ -196,7 +197,7 @@
 	}
 	if place.IsLeader {
 		detector.count("", report.Unanswered, now)
-		outgoing = detector.judge(place, now)
+		outgoing = detector.judge(place, now, drained)
 	}
 	if !report.isEmpty() {
 		audience := Leaders
@@ -256,9 +257,10 @@
 }
 
 // Receive processes a message of another instance and returns the answer, which is empty if none
-// is due. Of other failure domains questions are answered, signs of life believed, and declarations
+// is due. The ages in the message count from sentBy, before which it did not arrive, so that life which
+// this instance saw while the message waited still answers it. Of other failure domains questions are answered, signs of life believed, and declarations
 // taken as hints.
-func (detector *Detector) Receive(from string, message *Message, sameDomain bool, place Place, now time.Time) Message {
+func (detector *Detector) Receive(from string, message *Message, sameDomain bool, place Place, sentBy, now time.Time) Message {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	var answer Message
@@ -277,34 +279,34 @@
 		detector.onChange()
 	}
 	for _, question := range message.Questions {
-		if !detector.counts(question.Server, now.Add(-question.Age)) {
+		if !detector.counts(question.Server, sentBy.Add(-question.Age)) {
 			answer.Alive = append(answer.Alive, detector.life(question.Server, now))
 		}
 	}
 	if !sameDomain {
 		if place.IsLeader {
-			detector.noteHints(message.Silent, now)
-			answer.Alive = append(answer.Alive, detector.noteHoldHints(message.Holds, now)...)
+			detector.noteHints(message.Silent, sentBy, now)
+			answer.Alive = append(answer.Alive, detector.noteHoldHints(message.Holds, sentBy, now)...)
 		}
 		return answer
 	}
 	if place.IsLeader {
-		detector.count(from, message.Unanswered, now)
-		answer.Alive = append(answer.Alive, detector.refuteOpenings(message.Unanswered, now)...)
+		detector.count(from, message.Unanswered, sentBy)
+		answer.Alive = append(answer.Alive, detector.refuteOpenings(message.Unanswered, sentBy, now)...)
 	}
-	answer.Alive = append(answer.Alive, detector.apply(message.Silent, now)...)
-	answer.Alive = append(answer.Alive, detector.hold(message.Holds, now)...)
+	answer.Alive = append(answer.Alive, detector.apply(message.Silent, sentBy, now)...)
+	answer.Alive = append(answer.Alive, detector.hold(message.Holds, sentBy, now)...)
 	return answer
 }
 
 // apply puts declarations in force, except of servers that have shown life here since, which it
 // returns. The mutex must be held.
-func (detector *Detector) apply(silent []ServerAge, now time.Time) []ServerAge {
+func (detector *Detector) apply(silent []ServerAge, sentBy, now time.Time) []ServerAge {
 	var alive []ServerAge
 	changed := maps.Clone(*detector.silent.Load())
 	applied := false
 	for _, entry := range silent {
-		since := now.Add(-entry.Age)
+		since := sentBy.Add(-entry.Age)
 		if !detector.counts(entry.Server, since) {
 			alive = append(alive, detector.life(entry.Server, now))
 			continue
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -290,9 +290,9 @@
 				signs.Unanswered = append(signs.Unanswered, Unanswered{Server: NewServer(server), Flow: uint32(10 + i), For: 300 * time.Millisecond, Opening: true})
 			}
 			place := Place{IsLeader: true, DomainInstances: 2, Servers: 9}
-			leader.Receive("lb-2", &signs, true, place, now)
+			leader.Receive("lb-2", &signs, true, place, now, now)
 			for range 8 {
-				leader.Next(place, now)
+				leader.Next(place, now, now)
 				now = now.Add(100 * time.Millisecond)
 			}
 			assert.Equal(t, leader.IsSilent(NewServer(server), now), c.want)
@@ -300,6 +300,52 @@
 	}
 }
 
+// newLeader returns a leader that has reason to ask who has seen a server alive, and asks.
+func newLeader(server *viewer.BackendServer, now time.Time) (*Detector, Place) {
+	leader, place := NewDetector(&testInstance{}), Place{IsLeader: true, DomainInstances: 2, Servers: 9}
+	leader.RecordLife(server, now.Add(-2*time.Second))
+	leader.RecordUnanswered(server, 1, 600*time.Millisecond, now)
+	sign := Unanswered{Server: NewServer(server), Flow: 2, For: 600 * time.Millisecond}
+	leader.Receive("lb-2", &Message{Unanswered: []Unanswered{sign}}, true, place, now, now)
+	leader.Next(place, now, now)
+	return leader, place
+}
+
+// Guards against a leader that stands still for less than a second after its question, and takes the
+// answers that wait in its socket for none.
+func TestLeaderDeclaresNothingBeforeItHasReadTheAnswers(t *testing.T) {
+	for _, isRead := range []bool{false, true} {
+		now := time.Now()
+		server := &viewer.BackendServer{Token: 1}
+		leader, place := newLeader(server, now)
+		for range 2 {
+			now = now.Add(150 * time.Millisecond)
+			drained := now
+			if !isRead {
+				drained = now.Add(-280 * time.Millisecond)
+			}
+			leader.Next(place, now, drained)
+		}
+		assert.Equal(t, leader.IsSilent(NewServer(server), now), isRead)
+	}
+}
+
+// Guards against an instance that stands still, reads a question or a declaration late, and takes its
+// age from then: it denies life that it has seen since.
+func TestInstanceAnswersByWhenAQuestionArrived(t *testing.T) {
+	now := time.Now()
+	server := &viewer.BackendServer{Token: 1}
+	member := NewDetector(&testInstance{})
+	member.RecordLife(server, now.Add(-time.Second))
+	asked := ServerAge{Server: NewServer(server), Age: 600 * time.Millisecond}
+	sentBy := now.Add(-900 * time.Millisecond)
+	answer := member.Receive("lb-1", &Message{Questions: []ServerAge{asked}}, true, Place{}, sentBy, now)
+	assert.Equal(t, len(answer.Alive), 1)
+	answer = member.Receive("lb-1", &Message{Silent: []ServerAge{asked}, Holds: []Hold{{ServerAge: asked, For: time.Second}}}, true, Place{}, sentBy, now)
+	assert.Equal(t, len(answer.Alive), 2)
+	assert.Assert(t, !member.IsSilent(NewServer(server), now) && !member.IsHeld(NewServer(server), now))
+}
+
 func TestSignOfSilenceKeepsItsAgeUntilItIsReported(t *testing.T) {
 	now := time.Now()
 	reporter, leader := NewDetector(&testInstance{}), NewDetector(&testInstance{})
@@ -309,8 +355,8 @@
 	reporter.reportedAt = now
 	reporter.RecordUnanswered(server, 1, 600*time.Millisecond, now)
 	later := now.Add(reportInterval + 100*time.Millisecond)
-	for _, outgoing := range reporter.Next(Place{DomainInstances: 2, Servers: 9}, later) {
-		leader.Receive("lb-2", &outgoing.Message, true, place, later)
+	for _, outgoing := range reporter.Next(Place{DomainInstances: 2, Servers: 9}, later, later) {
+		leader.Receive("lb-2", &outgoing.Message, true, place, later, later)
 	}
 	assert.Equal(t, len(leader.candidates), 1)
 	for _, waiting := range leader.candidates[NewServer(server)].signs {
@@ -324,8 +370,8 @@
 	member := NewDetector(&testInstance{})
 	one, other := &viewer.BackendServer{Name: "a", Token: 1, StartedAt: 10}, &viewer.BackendServer{Name: "b", Token: 1, StartedAt: 20}
 	silent := []ServerAge{{Server: NewServer(one), Age: time.Second}, {Server: NewServer(other), Age: time.Second}}
-	member.Receive("lb-1", &Message{Silent: silent}, true, Place{}, now)
-	member.Receive("lb-1", &Message{Holds: []Hold{{ServerAge: silent[0], For: time.Second}, {ServerAge: silent[1], For: time.Second}}}, true, Place{}, now)
+	member.Receive("lb-1", &Message{Silent: silent}, true, Place{}, now, now)
+	member.Receive("lb-1", &Message{Holds: []Hold{{ServerAge: silent[0], For: time.Second}, {ServerAge: silent[1], For: time.Second}}}, true, Place{}, now, now)
 	for _, server := range []*viewer.BackendServer{one, other} {
 		assert.Assert(t, member.IsSilent(NewServer(server), now))
 		assert.Assert(t, member.IsHeld(NewServer(server), now))
--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -181,7 +181,7 @@
 		if !instance.detector.Sweep(fleet.now) {
 			continue
 		}
-		for _, outgoing := range instance.detector.Next(fleet.place(i), fleet.now) {
+		for _, outgoing := range instance.detector.Next(fleet.place(i), fleet.now, fleet.now) {
 			for j, other := range fleet.instances {
 				sameDomain, isLeader := other.domain == instance.domain, j%domainSize < 2
 				if j != i && (sameDomain && (isLeader || outgoing.Audience != Leaders) || isLeader && outgoing.Audience == Everyone) {
@@ -210,7 +210,7 @@
 		case datagram.dueAt.After(fleet.now):
 			fleet.datagrams = append(fleet.datagrams, datagram)
 		case !receiver.paused:
-			answer := receiver.detector.Receive(sender.name, &datagram.message, sender.domain == receiver.domain, fleet.place(datagram.to), fleet.now)
+			answer := receiver.detector.Receive(sender.name, &datagram.message, sender.domain == receiver.domain, fleet.place(datagram.to), fleet.now, fleet.now)
 			if !answer.isEmpty() {
 				fleet.post(datagram.to, datagram.from, answer)
 			}
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -101,17 +101,17 @@
 
 // noteHints notes the declarations of another failure domain. They hold only there, but make fewer
 // signs enough here. The mutex must be held.
-func (detector *Detector) noteHints(silent []ServerAge, now time.Time) {
+func (detector *Detector) noteHints(silent []ServerAge, sentBy, now time.Time) {
 	for _, entry := range silent {
-		if detector.counts(entry.Server, now.Add(-entry.Age)) && !detector.IsSilent(entry.Server, now) {
+		if detector.counts(entry.Server, sentBy.Add(-entry.Age)) && !detector.IsSilent(entry.Server, now) {
 			detector.candidate(entry.Server).hintedAt = now
 		}
 	}
 }
 
 // judge returns the questions and the declarations that are due, and puts the latter in force
-// here. The mutex must be held.
-func (detector *Detector) judge(place Place, now time.Time) []Outgoing {
+// here; every answer that arrived before drained has been received. The mutex must be held.
+func (detector *Detector) judge(place Place, now, drained time.Time) []Outgoing {
 	if len(detector.candidates) == 0 {
 		return nil
 	}
@@ -131,7 +131,7 @@
 			candidate.since = now.Add(-max(evidence.Since, minSilence))
 		}
 		entry := ServerAge{Server: server, Age: now.Sub(candidate.since)}
-		switch asked := now.Sub(candidate.askedAt); {
+		switch asked := drained.Sub(candidate.askedAt); {
 		case candidate.askedAt.IsZero():
 			candidate.askedAt = now
 			message.Questions = append(message.Questions, entry)
@@ -145,7 +145,7 @@
 	if float64(suspected) > max(minSilent, maxSilentShare*float64(place.Servers)) {
 		message.Silent = nil
 	}
-	detector.judgeHolds(&message, place, now)
+	detector.judgeHolds(&message, place, now, drained)
 	return detector.declare(message, now)
 }
 
@@ -157,7 +157,7 @@
 		detector.observer.ServerSilent(entry.Server, evidence.Evidence)
 		delete(detector.candidates, entry.Server)
 	}
-	detector.apply(message.Silent, now)
+	detector.apply(message.Silent, now, now)
 	var outgoing []Outgoing
 	for list := message.Questions; len(list) > 0; list = list[min(maxEntries, len(list)):] {
 		outgoing = append(outgoing, Outgoing{Audience: Everyone, Message: Message{Questions: list[:min(maxEntries, len(list))]}})
--- a/detector/opening.go
+++ b/detector/opening.go
@@ -116,7 +116,7 @@
 
 // judgeHolds adds the questions and the holds that are due to a message, and puts the latter in
 // force here. The mutex must be held.
-func (detector *Detector) judgeHolds(message *Message, place Place, now time.Time) {
+func (detector *Detector) judgeHolds(message *Message, place Place, now, drained time.Time) {
 	suspicions := map[Server]suspicion{}
 	looksSilent := len(*detector.silent.Load())
 	for server, candidate := range detector.candidates {
@@ -141,17 +141,17 @@
 	}
 	maySuffice := float64(looksSilent) <= max(minSilent, maxSilentShare*float64(place.Servers))
 	for server, suspicion := range suspicions {
-		detector.judgeHold(server, &suspicion, maySuffice, message, now)
+		detector.judgeHold(server, &suspicion, maySuffice, message, now, drained)
 	}
-	detector.hold(message.Holds, now)
+	detector.hold(message.Holds, now, now)
 }
 
 // judgeHold does so for one server. A hold for which two instances, or an earlier hold, speak comes
 // with the question, another one at the next look. The mutex must be held.
-func (detector *Detector) judgeHold(server Server, suspicion *suspicion, maySuffice bool, message *Message, now time.Time) {
+func (detector *Detector) judgeHold(server Server, suspicion *suspicion, maySuffice bool, message *Message, now, drained time.Time) {
 	holding := &detector.candidates[server].hold
-	asked := now.Sub(holding.askedAt)
-	isAsked := !holding.askedAt.IsZero() && asked <= questionLifetime && !suspicion.since.Before(holding.since)
+	asked := drained.Sub(holding.askedAt)
+	isAsked := !holding.askedAt.IsZero() && now.Sub(holding.askedAt) <= questionLifetime && !suspicion.since.Before(holding.since)
 	entry := ServerAge{Server: server, Age: suspicion.Since}
 	isCertain := suspicion.Instances > 1 || suspicion.Hinted || holding.duration > 0
 	switch {
@@ -168,11 +168,11 @@
 
 // hold puts holds in force, except of servers that have shown life here since, which it returns.
 // The mutex must be held.
-func (detector *Detector) hold(holds []Hold, now time.Time) []ServerAge {
+func (detector *Detector) hold(holds []Hold, sentBy, now time.Time) []ServerAge {
 	var alive []ServerAge
 	changed := maps.Clone(*detector.held.Load())
 	for _, hold := range holds {
-		since := now.Add(-hold.Age)
+		since := sentBy.Add(-hold.Age)
 		if !detector.counts(hold.Server, since) {
 			alive = append(alive, detector.life(hold.Server, now))
 			continue
@@ -189,10 +189,10 @@
 
 // noteHoldHints notes the holds of another failure domain, and returns the servers that have shown
 // life here since. The mutex must be held.
-func (detector *Detector) noteHoldHints(holds []Hold, now time.Time) []ServerAge {
+func (detector *Detector) noteHoldHints(holds []Hold, sentBy, now time.Time) []ServerAge {
 	var alive []ServerAge
 	for _, hold := range holds {
-		if !detector.counts(hold.Server, now.Add(-hold.Age)) {
+		if !detector.counts(hold.Server, sentBy.Add(-hold.Age)) {
 			alive = append(alive, detector.life(hold.Server, now))
 			continue
 		}
@@ -239,10 +239,10 @@
 
 // refuteOpenings returns the life of the servers whose reported openings it refutes. The mutex
 // must be held.
-func (detector *Detector) refuteOpenings(signs []Unanswered, now time.Time) []ServerAge {
+func (detector *Detector) refuteOpenings(signs []Unanswered, sentBy, now time.Time) []ServerAge {
 	var alive []ServerAge
 	for _, sign := range signs {
-		if sign.Opening && len(alive) < maxEntries && !detector.counts(sign.Server, now.Add(-sign.For)) {
+		if sign.Opening && len(alive) < maxEntries && !detector.counts(sign.Server, sentBy.Add(-sign.For)) {
 			alive = append(alive, detector.life(sign.Server, now))
 		}
 	}
--- a/director/network.go
+++ b/director/network.go
@@ -27,6 +27,7 @@
 // Network exchanges messages with other instances: heartbeats over UDP, views over HTTP.
 type Network struct {
 	connection *net.UDPConn
+	reader     *datagramReader
 	client     *http.Client
 	recorder   *Recorder
 }
@@ -37,12 +38,17 @@
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "listen for instances on %s", address)
 	}
+	reader, err := newDatagramReader(connection)
+	if err != nil {
+		connection.Close()
+		return nil, nil, err
+	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: fetchTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     10 * time.Second,
 	}
-	network := &Network{connection: connection, client: &http.Client{Transport: transport, Timeout: fetchTimeout}, recorder: recorder}
+	network := &Network{connection: connection, reader: reader, client: &http.Client{Transport: transport, Timeout: fetchTimeout}, recorder: recorder}
 	cleanup := func() {
 		connection.Close()
 		transport.CloseIdleConnections()
@@ -55,7 +61,7 @@
 func (network *Network) Run(receive func(content []byte)) {
 	buffer := make([]byte, datagramBufferSize)
 	for {
-		count, _, err := network.connection.ReadFromUDPAddrPort(buffer)
+		count, err := network.reader.read(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -67,6 +73,9 @@
 	}
 }
 
+// Drained returns the time before which every datagram that arrived has been passed to receive.
+func (network *Network) Drained() time.Time { return network.reader.drainedAt() }
+
 // Send sends a datagram to the peer address of another instance. An error is passed
 // to the recorder but not returned: heartbeats tolerate lost datagrams.
 func (network *Network) Send(to netip.AddrPort, content []byte) {
--- a/director/socket.go
+++ b/director/socket.go
@@ -16,8 +16,6 @@
 const (
 	datagramBufferSize = 2048    // bytes; the largest packet has 1,234, and 1,242 when it is forwarded
 	receiveBufferSize  = 1 << 20 // bytes
-	// emptyWait is how long a read has to block to show that the receive buffer was empty.
-	emptyWait = 200 * time.Microsecond
 	// minWait is the shortest deadline of a read.
 	minWait = time.Millisecond
 )
@@ -26,6 +24,7 @@
 // packets to backend servers or sends resets to callers.
 type Socket struct {
 	connection *net.UDPConn
+	reader     *datagramReader
 	steerer    *steerer.Steerer
 	recorder   *Recorder
 	callerPort uint16       // UDP port where every caller receives packets
@@ -46,8 +45,14 @@
 		connection.Close()
 		return nil, nil, errors.Wrap(err, "set the receive buffer of the packet socket")
 	}
+	reader, err := newDatagramReader(connection)
+	if err != nil {
+		connection.Close()
+		return nil, nil, err
+	}
 	socket := &Socket{
 		connection: connection,
+		reader:     reader,
 		steerer:    steerer,
 		recorder:   recorder,
 		callerPort: address.Port(),
@@ -69,34 +74,36 @@
 func (socket *Socket) Run() error {
 	datagram := make([]byte, datagramBufferSize)
 	var packet steerer.Packet
-	var emptyAt time.Time // when the receive buffer was last empty
 	for {
 		socket.setReadDeadline()
-		readStartedAt := time.Now()
-		count, _, err := socket.connection.ReadFromUDPAddrPort(datagram)
-		now := time.Now()
-		if now.Sub(readStartedAt) > emptyWait {
-			emptyAt = now
+		count, err := socket.reader.read(datagram)
+		isPacket := err == nil
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			socket.wakeAt = deadlinePassed // Wake may have set it after setReadDeadline
+			count, isPacket, err = socket.reader.poll(datagram)
 		}
+		now := time.Now()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			socket.wakeAt = deadlinePassed // Wake may have set it after setReadDeadline
-			socket.executeDue(now, emptyAt)
-			continue
 		case err != nil:
 			socket.recorder.SocketFailed("packets", err)
 			continue
+		case isPacket:
+			socket.handle(datagram[:count], &packet, now)
 		}
-		socket.lastPacket.Store(now.UnixNano())
-		if err := platform.DecodePacket(datagram[:count], &packet); err != nil {
-			socket.recorder.PacketMalformed(err)
-			continue
-		}
-		socket.execute(socket.steerer.Decide(&packet, now))
-		socket.executeDue(now, emptyAt)
+		socket.executeDue(now)
+	}
+}
+
+// handle decodes a datagram into packet, which is reused, and carries out the verdict on it.
+func (socket *Socket) handle(datagram []byte, packet *steerer.Packet, now time.Time) {
+	socket.lastPacket.Store(now.UnixNano())
+	if err := platform.DecodePacket(datagram, packet); err != nil {
+		socket.recorder.PacketMalformed(err)
+		return
 	}
+	socket.execute(socket.steerer.Decide(packet, now))
 }
 
 // deadlinePassed is a read deadline that has passed.
@@ -125,10 +132,11 @@
 	}
 }
 
-// executeDue carries out the verdicts that are due without a packet. Every packet that
-// arrived before emptyAt has been decided; a later one may be an answer that still waits in
-// the receive buffer, so the steerer measures the time without an answer up to emptyAt.
-func (socket *Socket) executeDue(now, emptyAt time.Time) {
+// executeDue carries out the verdicts that are due without a packet. A packet that still waits in the
+// receive buffer may be an answer, so the steerer measures the time without an answer up to when the
+// buffer was last empty.
+func (socket *Socket) executeDue(now time.Time) {
+	emptyAt := socket.reader.emptyAt // changed by this goroutine only
 	if socket.woken.Swap(false) {
 		socket.wakeAt = deadlinePassed
 	}
--- a/relayer/dependencies.go
+++ b/relayer/dependencies.go
@@ -38,6 +38,9 @@
 type Network interface {
 	// Send sends a datagram, which may be lost.
 	Send(to netip.AddrPort, content []byte)
+	// Drained returns the time before which every datagram that arrived has been passed to Receive. It
+	// is called at least every 100 ms, so that it is close to the present while the process runs.
+	Drained() time.Time
 	// Fetch calls Snapshot of the instance at a control address; version and revision
 	// are those of the requester's configuration and servers, zero when it has none.
 	Fetch(ctx context.Context, control netip.AddrPort, version uint64, revision viewer.Revision) ([]byte, error)
--- a/relayer/evacuation_test.go
+++ b/relayer/evacuation_test.go
@@ -282,6 +282,8 @@
 	sent map[netip.AddrPort]int
 }
 
+func (outbox outbox) Drained() time.Time { return time.Now() }
+
 func (outbox outbox) Send(to netip.AddrPort, _ []byte) { outbox.sent[to]++ }
 
 func TestNewEvacuationsArePassedOnAndOlderOnesAnswered(t *testing.T) {
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -42,6 +42,8 @@
 // mute is a network that sends nothing and returns the same content to each fetch.
 type mute struct{ fetched []byte }
 
+func (mute mute) Drained() time.Time { return time.Now() }
+
 func (mute mute) Send(netip.AddrPort, []byte) {}
 
 func (mute mute) Fetch(context.Context, netip.AddrPort, uint64, viewer.Revision) ([]byte, error) {
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -14,10 +14,11 @@
 	CheckRemoved(removed []viewer.RemovedServer, now time.Time)
 	// Sweep forgets what is too old, and reports whether Next may return messages.
 	Sweep(now time.Time) bool
-	// Next returns the messages that are due.
-	Next(place detector.Place, now time.Time) []detector.Outgoing
-	// Receive processes a message of another instance and returns the answer to it.
-	Receive(from string, message *detector.Message, sameDomain bool, place detector.Place, now time.Time) detector.Message
+	// Next returns the messages that are due; every message that arrived before drained has been received.
+	Next(place detector.Place, now, drained time.Time) []detector.Outgoing
+	// Receive processes a message of another instance, which did not arrive before sentBy, and returns
+	// the answer to it.
+	Receive(from string, message *detector.Message, sameDomain bool, place detector.Place, sentBy, now time.Time) detector.Message
 	// Forget drops what a paused process can no longer rely on.
 	Forget()
 }
@@ -44,6 +45,7 @@
 	if relayer.signs == nil {
 		return
 	}
+	drained := relayer.network.Drained()
 	if relayer.justResumed(now) {
 		relayer.signs.Forget()
 		return
@@ -57,7 +59,7 @@
 	relayer.mutex.Lock()
 	place := relayer.place()
 	relayer.mutex.Unlock()
-	for _, outgoing := range relayer.signs.Next(place, now) {
+	for _, outgoing := range relayer.signs.Next(place, now, drained) {
 		relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.ServerSigns = &outgoing.Message }, now, func(member Member, position int) bool {
 			sameDomain, isLeader := member.FailureDomain == relayer.self.FailureDomain, position < leadersPerDomain
 			switch outgoing.Audience {
@@ -82,7 +84,7 @@
 	place := relayer.place()
 	relayer.mutex.Unlock()
 	sender := heartbeat.Sender
-	answer := relayer.signs.Receive(sender.Name, heartbeat.ServerSigns, sender.FailureDomain == relayer.self.FailureDomain, place, now)
+	answer := relayer.signs.Receive(sender.Name, heartbeat.ServerSigns, sender.FailureDomain == relayer.self.FailureDomain, place, relayer.network.Drained(), now)
 	if len(answer.Alive) == 0 {
 		return
 	}
--- a/relayer/simulation_network_test.go
+++ b/relayer/simulation_network_test.go
@@ -25,6 +25,9 @@
 	return other
 }
 
+// Drained returns the present, as datagrams are received when they arrive.
+func (node *node) Drained() time.Time { return time.Now() }
+
 func (node *node) Send(to netip.AddrPort, content []byte) {
 	other := node.reachableNode(to)
 	if other == nil {
