A server is silent only if copies of data had no answer, as other exchanges show

Cause: an instance measured how long data was unanswered up to when it read a copy. It stood still for 0.9 s, read the one copy late, and reported a wait of 1,059 ms; from 550 ms on that passed for data which was retransmitted twice. The first copies that others had read, which any queue causes, were enough for the rest. What each kind of evidence proves now, and a living server can't cause by an instance's delay: - A caller's first copy of data: nothing, a queue does that. It is not reported. - A further copy: the copy before had no answer, if (1) an exchange with another server that began after that copy was sent (and sent again twice) has ended at this instance. Packets of one socket stay in order, so the server had as long as the other one needed for the whole way, however late the instance or its links were; no clock is compared. (2) The time between the copies grew as callers back off; where it did not, they were late or out of order. A packet that was lost is not shown by this, so the copy is sent three times, and one flow is not enough. - An opening without an answer, by the caller's word and after such an exchange: the server takes no new flows. It is the second flow, never the only kind. - Removal from the list: nothing about silence (a server cut off from the store); it no longer counts, and data of removed servers is reset by the same sign in place of a wait of 550 ms. - The declaration of another failure domain: the same as here; with one such sign of its own a domain asks. Ruled out: a longer longWait, a shorter pause threshold (a freeze can be as long as either); the time of arrival from the kernel (late packets stay); waiting for a third copy (1.4 s); probes of servers over TCP (priced, and a lost answer proves as little).

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -62,10 +62,9 @@
 
 // Evidence is why a server was declared silent.
 type Evidence struct {
-	Flows, Instances int           // flows with unanswered data, and instances that saw it
-	Longest          time.Duration // for which data was unanswered
-	Since            time.Duration // how long ago the oldest of it was sent
-	Removed          bool          // the server was removed from the list a short time ago
+	Flows, Instances int           // flows with an unanswered copy of data or opening, and instances that saw it
+	Longest          time.Duration // for which data or an opening was unanswered
+	Since            time.Duration // how long ago the oldest of the copies and openings was sent
 	Hinted           bool          // another failure domain has declared it silent, or holds back openings to it
 	Openings         int           // flows whose opening was unanswered
 	From             string        // the names of some of the instances; for a declaration those that saw the longest waits, with these
@@ -77,9 +76,10 @@
 	flow   uint32
 }
 
-// waiting is since when data or an opening has been unanswered, and when that was last shown.
+// waiting is since when a copy of data or an opening has been unanswered, and when that was last shown.
 type waiting struct {
 	since, copiedAt time.Time
+	waitedFor       time.Duration // since the data itself was sent
 	isOpening       bool
 	isEjected       bool // the instance has ejected the server for this opening
 }
@@ -156,12 +156,12 @@
 	return true
 }
 
-// RecordUnanswered notes that a caller has retransmitted data of a flow to this instance, which
-// the server has left unanswered for a time.
-func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time) {
+// RecordUnanswered notes that a server has left a copy of a flow's data unanswered, as its caller shows
+// now, that this instance sent to it at a time; waitedFor is the time since the data itself was sent.
+func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, askedAt time.Time, waitedFor time.Duration, now time.Time) {
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
-	detector.recordSign(flowSign{server: NewServer(backendServer), flow: flow}, waiting{since: now.Add(-waitedFor), copiedAt: now})
+	detector.recordSign(flowSign{server: NewServer(backendServer), flow: flow}, waiting{since: askedAt, copiedAt: now, waitedFor: waitedFor})
 }
 
 // recordSign notes a sign of silence. The mutex must be held.
@@ -225,11 +225,7 @@
 		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server, now) {
 			continue
 		}
-		waited, delay := waiting.copiedAt.Sub(waiting.since), max(now.Sub(waiting.copiedAt), 0)
-		if waiting.isOpening {
-			waited, delay = waited+delay, 0 // it is unanswered still
-		}
-		report = append(report, Unanswered{Server: sign.server, Flow: sign.flow, For: waited, Delay: delay, Opening: waiting.isOpening, Ejected: waiting.isEjected})
+		report = append(report, newUnanswered(sign, waiting, now))
 		if len(report) == maxEntries {
 			detector.unreported = signs[i+1:]
 			break
@@ -238,6 +234,18 @@
 	return report
 }
 
+// newUnanswered returns a sign of silence as it is reported.
+func newUnanswered(sign flowSign, waiting waiting, now time.Time) Unanswered {
+	unanswered := Unanswered{Server: sign.server, Flow: sign.flow, Opening: waiting.isOpening, Ejected: waiting.isEjected}
+	if waiting.isOpening {
+		unanswered.For = max(now.Sub(waiting.since), 0) // it is unanswered still
+		return unanswered
+	}
+	unanswered.For, unanswered.Asked = waiting.waitedFor, waiting.copiedAt.Sub(waiting.since)
+	unanswered.Delay = max(now.Sub(waiting.copiedAt), 0)
+	return unanswered
+}
+
 // counts reports whether a sign of silence since a time is newer than the last known life of
 // its server. The mutex must be held.
 func (detector *Detector) counts(server Server, since time.Time) bool {
--- a/detector/message.go
+++ b/detector/message.go
@@ -9,7 +9,7 @@
 )
 
 // maxEntries limits each list of a message, so that it fits one datagram.
-const maxEntries = 24
+const maxEntries = 23
 
 // Server identifies one incarnation of a backend server; two that share a token started at
 // different times.
@@ -37,6 +37,9 @@
 	Server
 	Flow uint32        `cbor:"3,keyasint"` // a hash of its addresses, the same at all instances
 	For  time.Duration `cbor:"4,keyasint"` // until it was last retransmitted
+	// Asked is how long a copy of the data has been unanswered until then; older programs state none, and
+	// what they report shows no more than a queue.
+	Asked time.Duration `cbor:"8,keyasint,omitempty"`
 	// Delay is how long ago that was when the sender reported it; older programs state none.
 	Delay time.Duration `cbor:"7,keyasint,omitempty"`
 	// Opening says that it is the opening, and Ejected that the sender has ejected the server for it.
@@ -53,7 +56,7 @@
 // Check returns an error if a value in the message is impossible.
 func (message *Message) Check() error {
 	for _, unanswered := range message.Unanswered {
-		if unanswered.For < 0 || unanswered.Delay < 0 {
+		if unanswered.For < 0 || unanswered.Asked < 0 || unanswered.Delay < 0 {
 			return errors.Errorf("data is unanswered for %s, reported %s later", unanswered.For, unanswered.Delay)
 		}
 	}
--- a/director/servers.go
+++ b/director/servers.go
@@ -28,7 +28,7 @@
 func (recorder *Recorder) ServerSilent(server detector.Server, evidence detector.Evidence) {
 	recorder.counters.Add("silences_declared", 1)
 	recorder.Event(logger.EventServerSilent, "backend_server", recorder.serverName(server), "flows", evidence.Flows,
-		"instances", evidence.Instances, "from", evidence.From, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "removed", evidence.Removed, "hinted", evidence.Hinted)
+		"instances", evidence.Instances, "from", evidence.From, "longest_wait_ms", evidence.Longest.Milliseconds(), "since_ms", evidence.Since.Milliseconds(), "openings", evidence.Openings, "hinted", evidence.Hinted)
 }
 
 // ServerAlive counts and logs that a declaration was taken back; seenHere is whether this
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -4,14 +4,11 @@
 	"time"
 
 	"github.com/pimentowind/pimentowind/detector"
-	"github.com/pimentowind/pimentowind/viewer"
 )
 
 // signExchanger decides which servers are silent from signs that it exchanges with the other
 // instances; detector.Detector implements it.
 type signExchanger interface {
-	// CheckRemoved notes the servers that are removed from the list now, on a leader.
-	CheckRemoved(removed []viewer.RemovedServer, now time.Time)
 	// Sweep forgets what is too old, and reports whether Next may return messages.
 	Sweep(now time.Time) bool
 	// Next returns the messages that are due; every message that arrived before drained has been received.
@@ -50,9 +47,6 @@
 		relayer.signs.Forget()
 		return
 	}
-	if relayer.isLeader() {
-		relayer.signs.CheckRemoved(relayer.viewer.Current().Removed(), now)
-	}
 	if !relayer.signs.Sweep(now) {
 		return
 	}
--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pimentowind/pimentowind/detector"
 	"github.com/pimentowind/pimentowind/viewer"
 )
 
@@ -127,6 +128,7 @@
 	answeredAttempt := flow.openedAt
 	if isLastAttempt {
 		answeredAttempt = flow.openingSentAt
+		steerer.follower.roundTrips.record(detector.NewServer(server), flow.openingSentAt)
 	}
 	steerer.silence.answered(answeredAttempt, now)
 	if steerer.confirmsOpenings() {
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -25,12 +25,16 @@
 	// copyTime is the least time after which data that arrives again was retransmitted; a
 	// copy that the network made follows at once.
 	copyTime = 150 * time.Millisecond
+	// minBackOff is how much longer the time to a caller's next copy is than to the one before, which
+	// doubles each time; where it is not, packets are late or out of order.
+	minBackOff = 1.5
 )
 
 // follower remembers the established flows whose packets pass this instance, whichever
 // instance opened them, and what their packets say about their servers.
 type follower struct {
-	flows map[followKey]*followedFlow // at most maxFollowedFlows
+	flows      map[followKey]*followedFlow // at most maxFollowedFlows
+	roundTrips roundTrips
 }
 
 // followKey is a FlowKey without pointers, so that the garbage collector need not look at it.
@@ -44,16 +48,21 @@
 	lastPacketAt   time.Time
 	waitingSince   time.Time // when the first data that may be unanswered arrived; zero if there is none
 	server         detector.Server
-	token          uint32 // that its packets carry
-	acknowledgment uint32 // of the newest packet
-	sequence       uint32 // of the data that arrived at waitingSince
-	isCopied       bool   // that data has been retransmitted
+	token          uint32        // that its packets carry
+	acknowledgment uint32        // of the newest packet
+	sequence       uint32        // of the data that arrived at waitingSince
+	sentAt         time.Time     // when that data, or the last copy of it, was sent to the server
+	interval       time.Duration // from the copy before to that; 0 if there is no copy
 }
 
 // sign is what a caller's packet says about the server of its flow.
 type sign struct {
-	aliveAt   time.Time     // the server has answered at this time or later; zero if the packet does not show it
-	waitedFor time.Duration // by a retransmission: how long the server has left data unanswered; 0 by others
+	aliveAt time.Time // the server has answered at this time or later; zero if the packet does not show it
+	isCopy  bool      // the caller retransmits data
+	// askedAt is when a copy was sent to the server, which has left it unanswered although it had as
+	// long as another server needed to answer; zero if the packet does not show it.
+	askedAt   time.Time
+	waitedFor time.Duration // since the data itself was sent to the server; 0 if askedAt is zero
 }
 
 func newFollower() follower { return follower{flows: map[followKey]*followedFlow{}} }
@@ -103,7 +112,7 @@
 		follower.flows[key] = flow
 	}
 	flow.server = detector.NewServer(server)
-	sign := flow.observe(packet, now)
+	sign := flow.observe(packet, &follower.roundTrips, now)
 	if packet.Flags.RST || packet.Flags.FIN {
 		delete(follower.flows, key)
 	}
@@ -117,11 +126,14 @@
 }
 
 // observe is the same for the packet's flow.
-func (flow *followedFlow) observe(packet *Packet, now time.Time) sign {
+func (flow *followedFlow) observe(packet *Packet, roundTrips *roundTrips, now time.Time) sign {
 	before := flow.lastPacketAt
 	flow.lastPacketAt = now
 	isAnswered, isPastWindow := int32(packet.Acknowledgment-flow.acknowledgment) > 0, false
 	if isAnswered {
+		if !flow.waitingSince.IsZero() {
+			roundTrips.record(flow.server, flow.waitingSince)
+		}
 		flow.acknowledgment, flow.waitingSince = packet.Acknowledgment, time.Time{}
 	}
 	if packet.PayloadLength == 0 && !packet.Flags.FIN {
@@ -130,16 +142,14 @@
 		}
 		return sign{}
 	}
-	waited := now.Sub(flow.waitingSince)
 	if !flow.waitingSince.IsZero() {
 		isPastWindow = int32(packet.Sequence-flow.sequence) >= windowLength
 	}
 	switch {
 	case packet.PayloadLength > 0 && (flow.waitingSince.IsZero() || isPastWindow):
-		flow.waitingSince, flow.sequence, flow.isCopied = now, packet.Sequence, false
-	case packet.PayloadLength > 0 && packet.Sequence == flow.sequence && waited >= copyTime:
-		flow.isCopied = true
-		return sign{waitedFor: waited}
+		flow.waitingSince, flow.sequence, flow.sentAt, flow.interval = now, packet.Sequence, now, 0
+	case packet.PayloadLength > 0 && packet.Sequence == flow.sequence && now.Sub(flow.sentAt) >= copyTime:
+		return flow.observeCopy(roundTrips, now)
 	}
 	switch {
 	case isPastWindow:
@@ -150,6 +160,24 @@
 	return sign{}
 }
 
+// observeCopy is the same for a retransmission.
+func (flow *followedFlow) observeCopy(roundTrips *roundTrips, now time.Time) sign {
+	sign := sign{isCopy: true}
+	interval := now.Sub(flow.sentAt)
+	isInOrder := flow.interval > 0 && float64(interval) >= minBackOff*float64(flow.interval)
+	if isInOrder && roundTrips.othersSince(flow.server, flow.sentAt.Add(questionRepeats*repeatInterval)) {
+		sign.askedAt, sign.waitedFor = flow.sentAt, now.Sub(flow.waitingSince)
+	}
+	flow.sentAt, flow.interval = now, interval
+	return sign
+}
+
+// waitsSince reports whether data of a packet has been unanswered since its copy was sent at a time.
+func (follower *follower) waitsSince(packet *Packet, sentAt time.Time) bool {
+	flow := follower.flows[newFollowKey(packet.Flow)]
+	return flow != nil && !flow.waitingSince.IsZero() && flow.sequence == packet.Sequence && flow.sentAt.Equal(sentAt)
+}
+
 // expire forgets the flows that have been idle for followTime.
 func (follower *follower) expire(now time.Time) {
 	for key, flow := range follower.flows {
--- a/steerer/opening.go
+++ b/steerer/opening.go
@@ -111,12 +111,13 @@
 	if !opening.isReported {
 		steerer.reportLost(opening.server, now)
 	}
-	key := newFollowKey(flow.key)
 	isEjected := false
 	if !haveCeased && now.Sub(steerer.openings.movedAt) > movedFlowsTime {
 		isEjected = steerer.placer.OpeningUnanswered(opening.server, now)
 	}
-	steerer.resetter.recorder.RecordUnansweredOpening(opening.server, key.hash(), now.Sub(opening.sentAt), isEjected, now)
+	if steerer.follower.roundTrips.othersSince(detector.NewServer(opening.server), opening.sentAt) {
+		steerer.resetter.recorder.RecordUnansweredOpening(opening.server, hashOf(flow.key), now.Sub(opening.sentAt), isEjected, now)
+	}
 	if isEjected {
 		steerer.openings.ejected = append(steerer.openings.ejected, opening)
 		steerer.observer.ServerEjected(opening.server)
--- a/steerer/opening_test.go
+++ b/steerer/opening_test.go
@@ -118,9 +118,15 @@
 		}, 0},
 		{"by a retransmission, once for each server", func(harness *harness) {
 			harness.Decide(opening(1), start)
+			harness.exchange(190)
 			harness.Decide(opening(1), after(200))
 			harness.Decide(opening(1), after(210)) // a copy that the network made
 		}, 1},
+		{"not if no server's answer came here in between", func(harness *harness) { // this instance may have stood still
+			harness.exchange(-10)
+			harness.Decide(opening(1), start)
+			harness.Decide(opening(1), after(900))
+		}, 0},
 		{"not while the caller says nothing", func(harness *harness) {
 			harness.Decide(opening(1), start)
 			for at := 0; at < 1000; at += 10 {
--- a/steerer/packet.go
+++ b/steerer/packet.go
@@ -82,6 +82,7 @@
 	ReasonRetransmitted    Reason = "opening_repeated"   // a retransmitted opening, sent to the flow's server or, if unanswered, to another one
 	ReasonRetried          Reason = "opening_retried"    // the server did not answer, so the opening is sent to another one
 	ReasonExistingFlow     Reason = "kept"               // a later packet was forwarded by its token
+	ReasonCopyRepeated     Reason = "copy_repeated"      // a copy of data is sent again, in case it or its answer was lost
 	ReasonEvacuatedFlow    Reason = "kept_evacuated"     // the same, to a server in an evacuated failure domain
 	ReasonNoRoute          Reason = "no_route"           // the service address belongs to no route
 	ReasonNoServer         Reason = "no_server"          // no service of the route has an active server
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -18,10 +18,6 @@
 const (
 	// lifeTime is how long after a sign of life a server that is not listed counts as alive.
 	lifeTime = 3 * time.Second
-	// removedWait is how long a server that is not listed must have left data unanswered for it
-	// to count as gone. Its caller has retransmitted twice by then; a server with a long queue
-	// may let it retransmit once.
-	removedWait = 550 * time.Millisecond
 	// goneMemory is how long after that all data of a server that is not listed is reset at once.
 	// Then some has to reach it again, so that it can show that it answers.
 	goneMemory = 2 * time.Second
@@ -36,7 +32,9 @@
 // implements it.
 type lifeRecorder interface {
 	RecordLife(server *viewer.BackendServer, at time.Time)
-	RecordUnanswered(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, now time.Time)
+	// RecordUnanswered notes that a server has left a copy of data unanswered that was sent to it at a
+	// time; waitedFor is the time since the data itself was sent.
+	RecordUnanswered(server *viewer.BackendServer, flow uint32, askedAt time.Time, waitedFor time.Duration, now time.Time)
 	// RecordUnansweredOpening notes that a caller had no answer to an opening which was sent to a
 	// server a time ago; isEjected is whether the server was ejected here for it.
 	RecordUnansweredOpening(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, isEjected bool, now time.Time)
@@ -104,9 +102,8 @@
 	case resetter.recorder == nil:
 	case !sign.aliveAt.IsZero():
 		resetter.recorder.RecordLife(server, sign.aliveAt)
-	case sign.waitedFor > 0:
-		key := newFollowKey(packet.Flow)
-		resetter.recorder.RecordUnanswered(server, key.hash(), sign.waitedFor, now)
+	case !sign.askedAt.IsZero():
+		resetter.recorder.RecordUnanswered(server, hashOf(packet.Flow), sign.askedAt, sign.waitedFor, now)
 	}
 }
 
@@ -123,7 +120,7 @@
 	if gone.isAlive(now) || packet.PayloadLength == 0 || steerer.justResumed(now) {
 		return
 	}
-	if sign.waitedFor >= removedWait {
+	if !sign.askedAt.IsZero() {
 		gone.goneUntil = now.Add(goneMemory)
 	}
 	if gone.leavesUnanswered(now) {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -67,6 +67,7 @@
 	silence              silence
 	follower             follower
 	resetter             resetter
+	questions            []question // in the order of repeatAt; at most maxQuestions
 	openings             openings
 	issuesServerTokens   atomic.Bool // see IssueServerTokens
 }
@@ -219,6 +220,9 @@
 	sign := steerer.follower.observe(packet, server, now)
 	steerer.resetter.recordSign(server, packet, sign, now)
 	steerer.answerForGone(packet, sign, verdict, now)
+	if sign.isCopy && verdict.Action == Send && steerer.confirmsOpenings() {
+		steerer.ask(packet, server, now)
+	}
 }
 
 // Next returns the next verdict that is due without a packet, or false after expiring idle
@@ -235,6 +239,9 @@
 	if verdict, ok := steerer.nextReset(now); ok {
 		return verdict, true
 	}
+	if verdict, ok := steerer.nextRepeat(now); ok {
+		return verdict, true
+	}
 	steerer.reportLostRequests(now, drained)
 	steerer.reportComplete(now)
 	steerer.expireRequests(now)
@@ -259,5 +266,5 @@
 		retryAt = steerer.unanswered[0].openingSentAt.Add(answerTimeout)
 	}
 	wakeAt := earliest(earliest(retryAt, steerer.resetter.wakeTime()), steerer.heldWakeTime())
-	return earliest(wakeAt, steerer.outstandingWakeTime())
+	return earliest(earliest(wakeAt, steerer.repeatWakeTime()), steerer.outstandingWakeTime())
 }
