Eject a server for openings only if another one's answer came in between

What callers saw: a server that answers is left out for 0.5 to 4 s, so new flows go to others, also of other failure domains. Cause: an opening counted as unanswered if its caller's copy was read 50 ms later. An instance that is starved reads openings and copies in two of its turns, and the answers wait behind the copies. Evidence: StarvedInstanceEjectsNoServer; with the condition taken away (mutation) servers are ejected by openings whose answers have not been read. Ruled out: the time that the buffer was last empty (it is never empty while an instance is starved, so nothing would count).

--- a/steerer/opening.go
+++ b/steerer/opening.go
@@ -106,8 +106,13 @@
 }
 
 // countUnanswered counts an opening against a server: as a sign for the other instances, and
-// towards an ejection here unless answers have ceased or the routers have changed their set.
+// towards an ejection here unless answers have ceased or the routers have changed their set. It says
+// nothing unless another server's answer to something sent later has come here in between: this
+// instance may have stood still, or its links be slow.
 func (steerer *Steerer) countUnanswered(flow *flow, opening unansweredOpening, haveCeased bool, now time.Time) {
+	if !steerer.follower.roundTrips.othersSince(detector.NewServer(opening.server), opening.sentAt) {
+		return
+	}
 	if !opening.isReported {
 		steerer.reportLost(opening.server, now)
 	}
@@ -115,9 +120,7 @@
 	if !haveCeased && now.Sub(steerer.openings.movedAt) > movedFlowsTime {
 		isEjected = steerer.placer.OpeningUnanswered(opening.server, now)
 	}
-	if steerer.follower.roundTrips.othersSince(detector.NewServer(opening.server), opening.sentAt) {
-		steerer.resetter.recorder.RecordUnansweredOpening(opening.server, hashOf(flow.key), now.Sub(opening.sentAt), isEjected, now)
-	}
+	steerer.resetter.recorder.RecordUnansweredOpening(opening.server, hashOf(flow.key), now.Sub(opening.sentAt), isEjected, now)
 	if isEjected {
 		steerer.openings.ejected = append(steerer.openings.ejected, opening)
 		steerer.observer.ServerEjected(opening.server)
--- a/steerer/opening_test.go
+++ b/steerer/opening_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Guards against an instance that gets to run now and then, reads openings and their copies one after the
+// other, and ejects servers whose answers wait behind them.
+func TestStarvedInstanceEjectsNoServer(t *testing.T) {
+	for _, hasRead := range []bool{false, true} { // an answer to something that was sent after the openings
+		harness := newHarness("a", "b")
+		harness.SetDetector(&signs{silences: &detector.Silences{}})
+		harness.exchange(-2000) // so that its flow is known here
+		for port := range uint16(8) {
+			harness.Decide(opening(port), start)
+		}
+		if hasRead {
+			harness.exchange(80)
+		}
+		for port := range uint16(8) {
+			harness.Decide(opening(port), after(95))
+		}
+		assert.Equal(t, len(harness.ejected) > 0, hasRead, "%v", harness.ejected)
+	}
+}
+
 // spreadServers puts the servers into three failure domains.
 func (harness *harness) spreadServers() {
 	list := *harness.viewer.Current().Servers
--- a/steerer/silence.go
+++ b/steerer/silence.go
@@ -58,7 +58,8 @@
 	SilentFor time.Duration // since the first opening without an answer was sent, if several have none; else 0
 }
 
-// Answers returns what is known of the servers' answers. It may be called concurrently.
+// Answers returns what is known of the servers' answers, if every packet that arrived before now has been
+// decided on. It may be called concurrently.
 func (steerer *Steerer) Answers(now time.Time) Answers {
 	answers := Answers{SinceLast: math.MaxInt64}
 	if answeredAt := steerer.silence.answeredAt.Load(); answeredAt != nil {
