Peers, take-over and readiness count a silence up to what has been read

An instance that stands still for less than a second, or is starved, wakes and counts by the clock: the second leader reads the store although the reader's announcement waits in its socket (a priced call); it asks for announcements that it has; leaders whose answers wait count as absent, members that answer as unresponsive; an instance in an evacuated failure domain calls itself not ready, as openings of before seem to have had no answer for 0.3 s. Change: these four get the time before which all that arrived has been read. The reader itself, and an instance that has no confirmed view, wait for nobody and go by the clock. Open: the age of a view in a heartbeat still counts from when it is read, if the process stood still for less than the ticker's second. Tests: go test ./relayer ./director: pass.

--- a/director/datagram_reader.go
+++ b/director/datagram_reader.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// lastEmptyAt returns the same as drainedAt without asking the kernel.
+func (datagramReader *datagramReader) lastEmptyAt() time.Time {
+	datagramReader.mutex.Lock()
+	defer datagramReader.mutex.Unlock()
+	return datagramReader.emptyAt
+}
+
 // drainedAt returns the time before which every datagram that arrived has been processed. It may be
 // called concurrently.
 func (datagramReader *datagramReader) drainedAt() time.Time {
--- a/director/director.go
+++ b/director/director.go
@@ -233,8 +233,8 @@
 	return created
 }
 
-func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, error) {
-	responder, cleanup, err := NewResponder(settings, current, relayer, steerer, recorder)
+func (builder *builder) newResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, socket *Socket, recorder *Recorder) (*Responder, error) {
+	responder, cleanup, err := NewResponder(settings, current, relayer, steerer, socket, recorder)
 	if err != nil {
 		return nil, err
 	}
--- a/director/responder.go
+++ b/director/responder.go
@@ -39,7 +39,8 @@
 	viewer    *viewer.Viewer
 	relayer   *relayer.Relayer
 	steerer   *steerer.Steerer
-	domain    string // this instance's failure domain
+	drained   func() time.Time // before which every packet that arrived has been decided on
+	domain    string           // this instance's failure domain
 	recorder  *Recorder
 	notReady  atomic.Bool   // set when the instance stops
 	viewSlots chan struct{} // semaphore with one entry for each view being sent
@@ -65,8 +66,8 @@
 
 // NewResponder listens on the ready, control and metrics addresses in the settings
 // and serves the same paths on all of them; the returned function closes the listeners.
-func NewResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, recorder *Recorder) (*Responder, func(), error) {
-	responder := &Responder{viewer: current, relayer: relayer, steerer: steerer, domain: settings.FailureDomain, recorder: recorder, viewSlots: make(chan struct{}, maxConcurrentViews), vars: &expvar.Map{}}
+func NewResponder(settings *configurer.PlatformSettings, current *viewer.Viewer, relayer *relayer.Relayer, steerer *steerer.Steerer, socket *Socket, recorder *Recorder) (*Responder, func(), error) {
+	responder := &Responder{viewer: current, relayer: relayer, steerer: steerer, drained: socket.Drained, domain: settings.FailureDomain, recorder: recorder, viewSlots: make(chan struct{}, maxConcurrentViews), vars: &expvar.Map{}}
 	recorder.publish(responder.vars)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, responder.serveReady)
@@ -110,7 +111,7 @@
 		OtherDomainLeft: domainLeft,
 		ViewAge:         responder.relayer.Age(now),
 		MaxCalmAge:      maxCalmAge,
-		Answers:         responder.steerer.Answers(now),
+		Answers:         responder.steerer.Answers(responder.drained()),
 	}
 	return !reach.LacksServers(view)
 }
--- a/director/socket.go
+++ b/director/socket.go
@@ -64,6 +64,9 @@
 // LastPacket returns when the last packet was received.
 func (socket *Socket) LastPacket() time.Time { return time.Unix(0, socket.lastPacket.Load()) }
 
+// Drained returns the time before which every packet that arrived has been decided on.
+func (socket *Socket) Drained() time.Time { return socket.reader.drainedAt() }
+
 // Wake makes Run ask the steerer for due verdicts now. It may be called concurrently.
 func (socket *Socket) Wake() {
 	socket.woken.Store(true)
@@ -136,7 +139,7 @@
 // receive buffer may be an answer, so the steerer measures the time without an answer up to when the
 // buffer was last empty.
 func (socket *Socket) executeDue(now time.Time) {
-	emptyAt := socket.reader.emptyAt // changed by this goroutine only
+	emptyAt := socket.reader.lastEmptyAt()
 	if socket.woken.Swap(false) {
 		socket.wakeAt = deadlinePassed
 	}
--- a/relayer/absence.go
+++ b/relayer/absence.go
@@ -10,9 +10,9 @@
 const absenceTimeout = 2 * ReadInterval
 
 // recordQuestion notes that leaders were asked, and which of them are absent. If the next ones do
-// not answer either, this instance is cut off, and they stay in the ranking. The mutex must be
-// held.
-func (relayer *Relayer) recordQuestion(leaders []Member, now time.Time) {
+// not answer either, this instance is cut off, and they stay in the ranking. Answers that arrived after
+// drained may wait in the socket. The mutex must be held.
+func (relayer *Relayer) recordQuestion(leaders []Member, now, drained time.Time) {
 	absent := 0
 	for _, peer := range relayer.members {
 		if peer.absent {
@@ -24,7 +24,7 @@
 		if !peer.askedAt.After(peer.receivedAt) {
 			peer.askedAt = now
 		}
-		if relayer.hasReadMembers && absent < leadersPerDomain && now.Sub(peer.askedAt) >= absenceTimeout {
+		if relayer.hasReadMembers && absent < leadersPerDomain && drained.Sub(peer.askedAt) >= absenceTimeout {
 			peer.absent = true
 			absent++
 		}
--- a/relayer/directory.go
+++ b/relayer/directory.go
@@ -62,7 +62,7 @@
 	if first {
 		relayer.announceToLeaders()
 	}
-	relayer.removeUnresponsive(ctx, now)
+	relayer.removeUnresponsive(ctx, relayer.network.Drained())
 }
 
 // addMembers adds the members that are not in the list yet.
@@ -111,7 +111,8 @@
 }
 
 // removeUnresponsive removes the members of this failure domain that have been
-// unresponsive for longer than memberTimeout, here and in the store.
+// unresponsive for longer than memberTimeout, here and in the store. All answers that arrived before
+// now have been received.
 func (relayer *Relayer) removeUnresponsive(ctx context.Context, now time.Time) {
 	var unresponsive []*peer
 	relayer.mutex.Lock()
--- a/relayer/missed.go
+++ b/relayer/missed.go
@@ -15,10 +15,11 @@
 	missedSpread = 200 * time.Millisecond
 )
 
-// askAfterMiss asks the leaders if an announcement was missed, once per ReadInterval.
-func (relayer *Relayer) askAfterMiss(now time.Time) {
+// askAfterMiss asks the leaders if an announcement was missed, once per ReadInterval. All announcements
+// that arrived before drained have been received.
+func (relayer *Relayer) askAfterMiss(now, drained time.Time) {
 	relayer.mutex.Lock()
-	silence := now.Sub(relayer.tree.heardAt)
+	silence := drained.Sub(relayer.tree.heardAt)
 	patience := missedAfter + time.Duration(relayer.schedule.spread*float64(missedSpread))
 	mayAsk := relayer.tree.used && !relayer.schedule.isLeader && !relayer.leaving
 	if !mayAsk || silence < patience || now.Sub(relayer.tree.askedAt) < ReadInterval {
@@ -28,7 +29,7 @@
 	relayer.tree.askedAt = now
 	leaders := relayer.domainLeaders()
 	questions := relayer.ask(leaders, now)
-	relayer.recordQuestion(leaders, now)
+	relayer.recordQuestion(leaders, now, drained)
 	relayer.mutex.Unlock()
 	relayer.observer.AnnouncementMissed(silence)
 	relayer.send(questions)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -149,8 +149,9 @@
 // Tick reads the store in the background when a read is due, and expires backend servers
 // that did not come back after an outage of the store.
 func (relayer *Relayer) Tick(ctx context.Context, now time.Time) {
+	drained := relayer.network.Drained()
 	relayer.mutex.Lock()
-	due := !relayer.leaving && relayer.schedule.Due(now)
+	due := !relayer.leaving && relayer.schedule.Due(now, drained)
 	fetching := relayer.running["fetch"]
 	if due {
 		relayer.schedule.RecordAttempt(now)
@@ -159,12 +160,12 @@
 	relayer.reportSuspicions(now)
 	relayer.reportEjections(now)
 	relayer.shareLoad(now)
-	relayer.askAfterMiss(now)
+	relayer.askAfterMiss(now, drained)
 	relayer.askAbsent(now)
 	if !fetching {
 		relayer.passOnWaiting(now)
 	}
-	relayer.sendSigns(now)
+	relayer.sendSigns(now, drained)
 	relayer.registerAgain(ctx, now)
 	for _, server := range relayer.viewer.ExpireRetained(now) {
 		relayer.observer.ServerExpired(server)
--- a/relayer/schedule.go
+++ b/relayer/schedule.go
@@ -60,11 +60,15 @@
 	schedule.rank, schedule.isLeader = rank, isLeader
 }
 
-// Due reports whether the instance should read now.
-func (schedule *ReadSchedule) Due(now time.Time) bool {
+// Due reports whether the instance should read now. All announcements that arrived before drained have
+// been received; one that waits in the socket may make the read needless.
+func (schedule *ReadSchedule) Due(now, drained time.Time) bool {
 	if now.Sub(schedule.attemptedAt) < schedule.attemptInterval() {
 		return false
 	}
+	if schedule.rank > 0 && !schedule.freshAt.IsZero() {
+		now = drained
+	}
 	return now.Sub(schedule.freshAt) >= ReadInterval+schedule.takeoverDelay()
 }
 
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -38,11 +38,10 @@
 }
 
 // sendSigns sends the signs of servers that are due.
-func (relayer *Relayer) sendSigns(now time.Time) {
+func (relayer *Relayer) sendSigns(now, drained time.Time) {
 	if relayer.signs == nil {
 		return
 	}
-	drained := relayer.network.Drained()
 	if relayer.justResumed(now) {
 		relayer.signs.Forget()
 		return
