The soak freezes and starves instances, loses and delays packets, and reads what was declared silent

Its servers answered openings while requests waited, never let a request wait long, and no instance stood still for less than half a second; and it could not say whether a declaration was of a living server, nor how soon a silent one was found. Change: five kinds of faults, appended: "short freezes" (up to three instances, 50 to 990 ms, again and again), "starved processes" (5 of 100 ms, one or half of the instances), "packets lost both ways" (1 to 10 %, each way of three), "packets late, repeated, out of order" (one in five up to 0.7 s late, one in five twice), "requests wait at busy servers" (every third server takes 1.4 s and no new flows; it acknowledges copies).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,7 @@
 
 // parse parses the command line; with --regressions the runs are soaker.Regressions.
 func parse(arguments []string) (*options, error) {
+	options := &options{}
 	application := kingpin.New("soak", "Run instances as processes under random faults and check what callers and backend servers observe.")
 	seed := application.Flag("seed", "First seed.").Default("1").Uint64()
 	seeds := application.Flag("seeds", "Number of consecutive seeds to run, one after another.").Default("1").Int()
@@ -44,12 +45,12 @@
 	faults := application.Flag("fault", "Kind of fault to draw from; may be repeated. All by default.").Enums(soaker.FaultNames()...)
 	callers := application.Flag("callers", "Number of callers, 250 at most.").Default("4").Int()
 	regressions := application.Flag("regressions", "Run the regression seeds instead: those that found a defect before.").Bool()
-	keepGoing := application.Flag("keep-going", "Continue with the next seed after a violation.").Bool()
+	application.Flag("keep-going", "Continue with the next seed after a violation.").BoolVar(&options.keepGoing)
+	application.Flag("binary", "Program to run; by default it is built from the current folder.").StringVar(&options.settings.Binary)
 	if _, err := application.Parse(arguments); err != nil {
 		return nil, err
 	}
-	options := &options{keepGoing: *keepGoing}
-	options.settings = soaker.Settings{Instances: *instances, FailureDomains: *domains, Callers: *callers, FaultNames: *faults, CheckTimeLimits: true}
+	options.settings = soaker.Settings{Instances: *instances, FailureDomains: *domains, Callers: *callers, FaultNames: *faults, CheckTimeLimits: true, Binary: options.settings.Binary}
 	for i := range *seeds {
 		options.runs = append(options.runs, soaker.Regression{Seed: *seed + uint64(i), Duration: *duration})
 	}
@@ -69,10 +70,12 @@
 	if err != nil {
 		return errors.Wrap(err, "create temporary directory")
 	}
-	if err := rehearser.Build(ctx, ".", directory); err != nil {
-		return err
+	if options.settings.Binary == "" {
+		options.settings.Binary = filepath.Join(directory, "pimentowind")
+		if err := rehearser.Build(ctx, ".", directory); err != nil {
+			return err
+		}
 	}
-	options.settings.Binary = filepath.Join(directory, "pimentowind")
 	failedSeeds, err := runAll(ctx, options, directory)
 	if err != nil {
 		return err
@@ -121,6 +124,9 @@
 	}
 	fmt.Printf("seed %d: %d faults, served %d, refused %d, shed %d, failed %d, violations %d\n",
 		report.Seed, len(report.Timeline), report.Served, report.Refused, report.Shed, report.Failed, len(report.Violations))
+	if silences := report.Silences(); silences != "" {
+		fmt.Println("  " + silences)
+	}
 	if len(report.Violations) == 0 {
 		return true, os.RemoveAll(settings.Directory)
 	}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -12,7 +12,10 @@
 const (
 	openingTimeout     = 1400 * time.Millisecond
 	requestTimeout     = 3 * time.Second
-	retransmitInterval = 200 * time.Millisecond
+	retransmitInterval = 200 * time.Millisecond // for the first time; it doubles each time
+
+	maxRetransmitInterval = 1600 * time.Millisecond
+	resetWindow           = 76_800 // bytes
 )
 
 // caller simulates the clients at one address.
@@ -151,13 +154,15 @@
 func (flow *callerFlow) sendRequest(id string) outcome {
 	soak := flow.caller.soak
 	deadline := time.After(requestTimeout)
-	ticker := time.NewTicker(retransmitInterval)
-	defer ticker.Stop()
+	interval := retransmitInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	flow.send(packet{flags: flagACK, data: []byte(id)})
 	for {
 		select {
 		case received := <-flow.packets:
 			switch {
+			case received.flags&flagRST != 0 && !flow.takesReset(received):
 			case received.flags&flagRST != 0:
 				flow.isReset = true
 				flow.checkReset(received)
@@ -167,15 +172,26 @@
 			case len(received.data) > 0 && received.sequence == flow.expectedSequence:
 				defer flow.send(packet{flags: flagACK})
 				return flow.acceptAnswer(id, received)
+			case received.flags&flagSYN == 0 && received.acknowledgment == flow.sequence+uint32(len(id)):
+				timer.Stop() // the request has arrived
 			}
-		case <-ticker.C:
+		case <-timer.C:
 			flow.send(packet{flags: flagACK, data: []byte(id)})
+			interval = min(2*interval, maxRetransmitInterval)
+			timer.Reset(interval)
 		case <-deadline:
 			return failed
 		}
 	}
 }
 
+// takesReset reports whether a reset of the open flow is near what the caller has acknowledged; others,
+// such as the refusal of a copy of its opening, mean nothing to it.
+func (flow *callerFlow) takesReset(reset packet) bool {
+	distance := int64(int32(reset.sequence - flow.expectedSequence))
+	return max(distance, -distance) <= resetWindow
+}
+
 // checkReset checks that a flow is not reset while its server has it open.
 func (flow *callerFlow) checkReset(reset packet) {
 	soak := flow.caller.soak
--- a/internal/soaker/fault.go
+++ b/internal/soaker/fault.go
@@ -102,6 +102,11 @@
 	{"odd entries in the store", writeOddEntries, planned},
 	{"entries of one service are gone", removeService, everything},
 	{"servers share a token", shareToken, everything},
+	{"short freezes", freezeShortly, confined},
+	{"starved processes", starveInstances, confined},
+	{"packets lost both ways", losePackets, everything},
+	{"packets late, repeated, out of order", delayPackets, everything},
+	{"requests wait at busy servers", keepBusy, confined},
 }
 
 // injectFaults starts random faults, which may overlap, for settings.Duration, and
--- a/internal/soaker/packet.go
+++ b/internal/soaker/packet.go
@@ -16,7 +16,10 @@
 	flagRST = 32
 )
 
-const headerLength = 34 // bytes
+const (
+	headerLength = 34 // bytes
+	flagsOffset  = 30
+)
 
 // packet is a packet as callers and backend servers see it, without the identity that
 // the load balancer puts in front.
@@ -51,7 +54,7 @@
 	binary.BigEndian.PutUint32(content[20:], packet.acknowledgment)
 	binary.BigEndian.PutUint32(content[24:], packet.token)
 	binary.BigEndian.PutUint16(content[28:], uint16(len(packet.data)))
-	content[30] = packet.flags
+	content[flagsOffset] = packet.flags
 	return append(content, packet.data...)
 }
 
@@ -72,7 +75,7 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte(content[ipOffset:ipOffset+4])), binary.BigEndian.Uint16(content[portOffset:]))
 	}
 	return packet{
-		source: address(6, 0), destination: address(2, 10), flags: content[30],
+		source: address(6, 0), destination: address(2, 10), flags: content[flagsOffset],
 		checksum:       binary.BigEndian.Uint32(content[12:]),
 		sequence:       binary.BigEndian.Uint32(content[16:]),
 		acknowledgment: binary.BigEndian.Uint32(content[20:]),
--- a/internal/soaker/router.go
+++ b/internal/soaker/router.go
@@ -24,17 +24,18 @@
 	socket    *net.UDPConn
 	instances []*instance
 
+	network  *callerNetwork
 	mutex    sync.Mutex
 	ready    []*instance
 	excluded map[*instance]bool // not used although ready
 }
 
-func newRouter(ctx context.Context, address netip.Addr, instances []*instance) (*router, error) {
+func newRouter(ctx context.Context, address netip.Addr, instances []*instance, network *callerNetwork) (*router, error) {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, 0)))
 	if err != nil {
 		return nil, err
 	}
-	router := &router{socket: socket, instances: instances}
+	router := &router{socket: socket, instances: instances, network: network}
 	for _, instance := range instances {
 		go router.probe(ctx, instance)
 	}
@@ -106,6 +107,7 @@
 	}
 	target := targets[int(hash.Sum32())%len(targets)]
 	router.mutex.Unlock()
-	router.socket.WriteToUDPAddrPort(content, netip.AddrPortFrom(target.address, packetPort))
+	isOpening := content[flagsOffset]&flagSYN != 0
+	router.network.carry(isOpening, func() { router.socket.WriteToUDPAddrPort(content, netip.AddrPortFrom(target.address, packetPort)) })
 	return target
 }
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -19,6 +19,8 @@
 	slots          = 3                     // requests that a server works on at a time
 	queueTime      = 40 * time.Millisecond // after which a request that waits for a slot is shed
 	identityLength = 8                     // bytes in front of a packet to a backend server
+
+	longQueueTime = 1500 * time.Millisecond // the same at a busy server
 )
 
 // server simulates a backend server.
@@ -35,6 +37,9 @@
 	leavingAt  time.Time // zero while the server accepts new flows
 	stopped    bool
 	silentTo   time.Time                  // until when it answers nothing
+	silences   []span                     // in which it answers nothing, stops included
+	busyTo     time.Time                  // until when requests wait for up to longQueueTime
+	full       span                       // in which it takes no new flows
 	resetFlows map[[2]netip.AddrPort]bool // flows that the server itself reset
 	coldUntil  time.Time                  // end of the warm-up; zero if it has none
 	openings   []time.Time                // within the last second of the warm-up
@@ -43,9 +48,10 @@
 
 // serverFlow is the server's state of one flow.
 type serverFlow struct {
-	sequence uint32
-	open     bool               // the caller has completed the handshake
-	answers  map[uint32]*answer // by sequence number of the request
+	sequence     uint32
+	open         bool               // the caller has completed the handshake
+	acknowledged uint32             // by the caller's last packet
+	answers      map[uint32]*answer // by sequence number of the request
 }
 
 // answer is the server's answer to one request.
@@ -109,7 +115,7 @@
 			server.soak.recordViolation("server %s received a packet that no caller sent", server.name)
 			continue
 		}
-		server.handlePacket(received)
+		server.soak.network.carry(received.flags&flagSYN != 0, func() { server.handlePacket(received) })
 	}
 }
 
@@ -118,8 +124,11 @@
 	defer server.mutex.Unlock()
 	key := [2]netip.AddrPort{received.source, received.destination}
 	flow := server.flows[key]
+	if flow != nil && int32(received.acknowledgment-flow.acknowledged) > 0 {
+		flow.acknowledged = received.acknowledgment
+	}
 	switch {
-	case time.Now().Before(server.silentTo):
+	case server.stopped || time.Now().Before(server.silentTo):
 		return
 	case received.flags&flagSYN != 0:
 		server.acceptOpening(key, received)
@@ -141,9 +150,12 @@
 	}
 }
 
-// acceptOpening accepts a new flow. A retransmitted SYN receives the same answer.
+// acceptOpening accepts a new flow, unless the server is full. A retransmitted SYN receives the same answer.
 func (server *server) acceptOpening(key [2]netip.AddrPort, received packet) {
 	server.soak.checkReception(key, server, received)
+	if now := time.Now(); now.After(server.full.from) && now.Before(server.full.to) {
+		return
+	}
 	server.checkWarmUp()
 	flow := server.flows[key]
 	if flow == nil {
@@ -154,18 +166,29 @@
 	server.send(received, packet{flags: flagSYN | flagACK, sequence: flow.sequence, acknowledgment: received.sequence + 1})
 }
 
-// handleRequest executes a request once and answers retransmissions with the same bytes.
+// handleRequest executes a request once. A copy of it is acknowledged at once, also while it waits.
 func (server *server) handleRequest(flow *serverFlow, received packet) {
-	answer := flow.answers[received.sequence]
-	if answer == nil {
-		answer = server.execute(string(received.data))
-		flow.answers[received.sequence] = answer
-	}
-	time.AfterFunc(time.Until(answer.readyAt), func() {
-		server.send(received, packet{
-			flags: flagACK, sequence: received.acknowledgment, acknowledgment: received.sequence + uint32(len(received.data)), data: answer.data,
-		})
-	})
+	if flow.answers[received.sequence] != nil {
+		server.send(received, packet{flags: flagACK, sequence: received.acknowledgment, acknowledgment: received.sequence + uint32(len(received.data))})
+		return
+	}
+	answer := server.execute(string(received.data))
+	flow.answers[received.sequence] = answer
+	flow.acknowledged = received.acknowledgment
+	time.AfterFunc(time.Until(answer.readyAt), func() { server.deliver(flow, received, answer.data, retransmitInterval) })
+}
+
+// deliver sends the answer to a request until the caller has acknowledged it.
+func (server *server) deliver(flow *serverFlow, received packet, data []byte, wait time.Duration) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.stopped || wait > maxRetransmitInterval || int32(flow.acknowledged-received.acknowledgment) > 0 {
+		return
+	}
+	if !time.Now().Before(server.silentTo) {
+		server.send(received, packet{flags: flagACK, sequence: received.acknowledgment, acknowledgment: received.sequence + uint32(len(received.data)), data: data})
+	}
+	time.AfterFunc(wait, func() { server.deliver(flow, received, data, 2*wait) })
 }
 
 // execute executes a request in the first free slot, or sheds it if none gets free within queueTime.
@@ -177,10 +200,16 @@
 			slot = &server.slotFreeAt[i]
 		}
 	}
+	longestQueue := queueTime
+	if now.Before(server.busyTo) {
+		longestQueue = longQueueTime
+	}
 	if slot.After(now.Add(queueTime)) {
 		server.soak.mutex.Lock()
-		server.soak.lastShedAt = now
+		server.soak.lastShedAt = now // or so late that it may be refused
 		server.soak.mutex.Unlock()
+	}
+	if slot.After(now.Add(longestQueue)) {
 		return &answer{data: []byte(shedAnswer(server.name)), readyAt: now.Add(queueTime)}
 	}
 	if slot.Before(now) {
@@ -195,7 +224,8 @@
 func (server *server) send(received, answer packet) {
 	answer.source, answer.destination, answer.token = received.destination, received.source, received.token
 	to := netip.AddrPortFrom(received.source.Addr(), server.soak.packetPort)
-	server.socket.WriteToUDPAddrPort(answer.encodeWithChecksum(), to)
+	content := answer.encodeWithChecksum()
+	server.soak.network.carry(answer.flags&flagSYN != 0, func() { server.socket.WriteToUDPAddrPort(content, to) })
 }
 
 // drain announces that the server leaves, and stops it after gracePeriod, in which its
@@ -218,6 +248,7 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.stopped = true
+	server.silences = append(server.silences, span{from: time.Now(), to: time.Now().Add(time.Hour)})
 	server.socket.Close()
 }
 
--- a/internal/soaker/server_fault.go
+++ b/internal/soaker/server_fault.go
@@ -11,6 +11,13 @@
 	"github.com/pimentowind/pimentowind/platform/standin"
 )
 
+// Rhythm of busy servers.
+const (
+	busyTime     = 1400 * time.Millisecond
+	queueingTime = 200 * time.Millisecond // until the queue is full
+	busyInterval = 2500 * time.Millisecond
+)
+
 // expireEntries makes the store unavailable until entries of backend servers have
 // expired: all entries, or every second one for a third of the choices. The store comes
 // back without them, and the servers write them again later.
@@ -86,6 +93,29 @@
 	defer server.mutex.Unlock()
 	if to := time.Now().Add(duration); to.After(server.silentTo) {
 		server.silentTo = to
+		server.silences = append(server.silences, span{from: time.Now(), to: to})
+	}
+}
+
+// keepBusy gives every third server work of busyTime again and again, while which requests wait.
+func keepBusy(soak *soak, parameters faultParameters) {
+	for end := time.Now().Add(parameters.duration); time.Now().Before(end); time.Sleep(busyInterval) {
+		for i, server := range soak.sortedServers() {
+			if (i+parameters.choice)%3 == 0 {
+				server.occupy()
+			}
+		}
+	}
+}
+
+// occupy fills the server's slots for busyTime; with its queue it is soon full, and takes no new flows.
+func (server *server) occupy() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	now := time.Now()
+	server.busyTo, server.full = now.Add(busyInterval), span{from: now.Add(queueingTime), to: now.Add(busyTime)}
+	for i := range server.slotFreeAt {
+		server.slotFreeAt[i] = now.Add(busyTime)
 	}
 }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -72,6 +72,8 @@
 	Shed       int      // requests that a server did not execute, because its queue was full
 	Timeline   []string // injected faults, with the time of each
 	Violations []string
+	Found      []time.Duration // from a server's silence to its declaration in its failure domain
+	NotFound   int             // silences of foundLimit and longer without a declaration there in this time
 }
 
 // forwarder passes callers' packets to the system under test; key holds the source and
@@ -87,6 +89,7 @@
 	store      *standin.Store
 	forwarder  forwarder
 	router     *router
+	network    *callerNetwork
 	instances  []*instance
 	callers    []*caller
 	startedAt  time.Time
@@ -143,12 +146,13 @@
 	stopLoad()
 	group.Wait()
 	soak.checkOrder()
+	soak.checkDeclarations()
 	return &soak.report, err
 }
 
 func newSoak(settings Settings) *soak {
 	return &soak{
-		settings: settings, packetPort: packetPort, store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(), lastUnplannedEnd: time.Now(),
+		settings: settings, packetPort: packetPort, network: newCallerNetwork(settings.Seed), store: standin.NewStore(), startedAt: time.Now(), lastFaultEnd: time.Now(), lastUnplannedEnd: time.Now(),
 		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
 		servers: map[string]*server{}, executedBy: map[string]string{}, evacuatedAt: map[string]time.Time{}, returnedAt: map[string]time.Time{}, openings: map[[2]netip.AddrPort]*opening{}, report: Report{Seed: settings.Seed},
 	}
@@ -177,7 +181,7 @@
 	if err := soak.startInstances(listener.Addr().String()); err != nil {
 		return err
 	}
-	if soak.router, err = newRouter(ctx, address(5, 0), soak.instances); err != nil {
+	if soak.router, err = newRouter(ctx, address(5, 0), soak.instances, soak.network); err != nil {
 		return errors.Wrap(err, "start router")
 	}
 	soak.forwarder = soak.router
