--- a/steerer/question.go
+++ b/steerer/question.go
@@ -13,7 +13,7 @@
 
 const (
 	// questionRepeats is how often a copy of data is sent again, every repeatInterval.
-	questionRepeats = 2
+	questionRepeats = 3
 	repeatInterval  = 50 * time.Millisecond
 	// maxQuestions bounds the copies that are to be sent again.
 	maxQuestions = 1000
