A packet that another has overtaken is no response

Cause: the flow's last acknowledgment was that of the packet read last, also if it acknowledged less than one before. The response then looked short, a short one that took long counts as shed by a full server, and shed responses begin a limit. Change: a packet of an established flow that acknowledges less than the last one only shows that the flow is in use.

--- a/steerer/flow.go
+++ b/steerer/flow.go
@@ -88,6 +88,9 @@
 	if !flow.established {
 		steerer.establish(flow, packet, server, now)
 	}
+	if flow.isOvertaken(packet) {
+		return
+	}
 	flow.server = newestEntry(flow.server, server)
 	if packet.Acknowledgment != flow.lastAcknowledgment {
 		flow.lastAcknowledgment = packet.Acknowledgment
@@ -119,6 +122,12 @@
 	}
 }
 
+// isOvertaken reports whether a packet was sent before one that has arrived, as it acknowledges less.
+func (flow *flow) isOvertaken(packet *Packet) bool {
+	step := int64(int32(packet.Acknowledgment - flow.lastAcknowledgment))
+	return step < 0 && -step <= maxAcknowledgmentStep && !packet.Flags.RST
+}
+
 // establish marks the flow as answered by server, which may be another than the
 // last one that this instance sent the opening to.
 func (steerer *Steerer) establish(flow *flow, packet *Packet, server *viewer.BackendServer, now time.Time) {
--- a/steerer/question_test.go
+++ b/steerer/question_test.go
@@ -108,3 +108,19 @@
 		})
 	}
 }
+
+// Guards against a late packet that passes for an answer of a few bytes, as of a server that is full: it
+// acknowledges less than the one that has overtaken it.
+func TestOvertakenPacketIsNoResponse(t *testing.T) {
+	harness := newHarness("a", "b")
+	harness.Decide(opening(1), start)
+	flow := harness.flows[flowOf(1)]
+	token := flow.server.Token
+	harness.Decide(laterPacket(1, token, 100, 50, Flags{}), after(10))
+	harness.Decide(laterPacket(1, token, 900, 0, Flags{}), after(50))
+	for _, late := range []*Packet{laterPacket(1, token, 300, 0, Flags{}), laterPacket(1, token, 100, 50, Flags{})} {
+		harness.Decide(late, after(700))
+		assert.Equal(t, flow.lastAcknowledgment, uint32(900))
+		assert.Equal(t, flow.responseTime(), 40*time.Millisecond)
+	}
+}
