Split the detector's signs and declarations off, and say in the pages what a sign proves

Change: sign.go and silence.go, moved as they were; Receive's part on signs of life is a function. doc.go, docs/design/server_liveness.md, EVENTS.md and PROOFS.md tell the new rules. No change of what is decided. go test ./detector, go vet ./...: pass.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -10,24 +10,10 @@
 )
 
 const (
-	// silenceTime is how long a declaration holds; afterwards openings show whether the
-	// server answers again.
-	silenceTime = 3 * time.Second
 	// lifeMargin is how much later than the last answer of a server a sign of it may arrive.
 	lifeMargin = 100 * time.Millisecond
 	// lifeMemory is how long signs of life are remembered.
 	lifeMemory = 30 * time.Second
-	// reportInterval is the shortest time between two reports of an instance.
-	reportInterval = 200 * time.Millisecond
-	// signMemory is how long a sign of silence counts.
-	signMemory = 3 * time.Second
-	// maxOwnSigns bounds the signs of silence that an instance keeps.
-	maxOwnSigns = 500
-	// maxSilentShare is the largest share of servers that may look silent. If more do, the
-	// network or the load is the cause.
-	maxSilentShare = 0.5
-	// minSilent is the number of silent servers that shows nothing of the kind.
-	minSilent = 3
 )
 
 // Detector holds what one instance knows of the life of backend servers. Its methods may be
@@ -70,33 +56,6 @@
 	From             string        // the names of some of the instances; for a declaration those that saw the longest waits, with these
 }
 
-// flowSign identifies the unanswered data of one flow.
-type flowSign struct {
-	server Server
-	flow   uint32
-}
-
-// waiting is since when a copy of data or an opening has been unanswered, and when that was last shown.
-type waiting struct {
-	since, copiedAt time.Time
-	waitedFor       time.Duration // since the data itself was sent
-	isOpening       bool
-	isEjected       bool // the instance has ejected the server for this opening
-}
-
-// Silence is a declaration in force.
-type Silence struct {
-	Server
-	Since time.Time // of the oldest unanswered data
-	Until time.Time
-}
-
-// RefutedAfter returns the time after which a sign of life refutes the declaration.
-func (silence *Silence) RefutedAfter() time.Time { return silence.Since.Add(lifeMargin) }
-
-// Silences are the declarations in force.
-type Silences map[Server]Silence
-
 // NewDetector returns a Detector that knows of no server; onChange is called after each change
 // of what Silences returns.
 func NewDetector(observer Observer) *Detector {
@@ -113,16 +72,6 @@
 // and after signs of life that others have told of, with a lock held: it must not call the detector back. It has to be set before the first sign.
 func (detector *Detector) SetChangeHook(onChange func()) { detector.onChange = onChange }
 
-// Silences returns the declarations in force, as a pointer that differs after each change.
-// Some may have ended by time.
-func (detector *Detector) Silences() *Silences { return detector.silent.Load() }
-
-// IsSilent reports whether a server is declared silent.
-func (detector *Detector) IsSilent(server Server, now time.Time) bool {
-	silence, ok := (*detector.silent.Load())[server]
-	return ok && now.Before(silence.Until)
-}
-
 // RecordLife notes that a caller's packet at this instance shows an answer of a server at a
 // time or later.
 func (detector *Detector) RecordLife(backendServer *viewer.BackendServer, at time.Time) {
@@ -156,23 +105,6 @@
 	return true
 }
 
-// RecordUnanswered notes that a server has left a copy of a flow's data unanswered, as its caller shows
-// now, that this instance sent to it at a time; waitedFor is the time since the data itself was sent.
-func (detector *Detector) RecordUnanswered(backendServer *viewer.BackendServer, flow uint32, askedAt time.Time, waitedFor time.Duration, now time.Time) {
-	detector.mutex.Lock()
-	defer detector.mutex.Unlock()
-	detector.recordSign(flowSign{server: NewServer(backendServer), flow: flow}, waiting{since: askedAt, copiedAt: now, waitedFor: waitedFor})
-}
-
-// recordSign notes a sign of silence. The mutex must be held.
-func (detector *Detector) recordSign(sign flowSign, waiting waiting) {
-	if _, known := detector.own[sign]; !known && len(detector.own) >= maxOwnSigns {
-		return
-	}
-	detector.own[sign] = waiting
-	detector.unreported = append(detector.unreported, sign)
-}
-
 // Sweep forgets what is too old, and reports whether Next may return messages.
 func (detector *Detector) Sweep(now time.Time) bool {
 	detector.mutex.Lock()
@@ -209,61 +141,12 @@
 	return outgoing
 }
 
-// report returns the signs of silence that are to be reported now. The mutex must be held.
-func (detector *Detector) report(now time.Time) []Unanswered {
-	if len(detector.unreported) == 0 || !detector.isUrgent && now.Sub(detector.reportedAt) < reportInterval {
-		return nil
-	}
-	signs := detector.unreported
-	detector.unreported, detector.reportedAt, detector.isUrgent = nil, now, false
-	if detector.isCutOff(now) {
-		return nil
-	}
-	var report []Unanswered
-	for i, sign := range signs {
-		waiting, ok := detector.own[sign]
-		if !ok || !detector.counts(sign.server, waiting.since) || detector.IsSilent(sign.server, now) {
-			continue
-		}
-		report = append(report, newUnanswered(sign, waiting, now))
-		if len(report) == maxEntries {
-			detector.unreported = signs[i+1:]
-			break
-		}
-	}
-	return report
-}
-
-// newUnanswered returns a sign of silence as it is reported.
-func newUnanswered(sign flowSign, waiting waiting, now time.Time) Unanswered {
-	unanswered := Unanswered{Server: sign.server, Flow: sign.flow, Opening: waiting.isOpening, Ejected: waiting.isEjected}
-	if waiting.isOpening {
-		unanswered.For = max(now.Sub(waiting.since), 0) // it is unanswered still
-		return unanswered
-	}
-	unanswered.For, unanswered.Asked = waiting.waitedFor, waiting.copiedAt.Sub(waiting.since)
-	unanswered.Delay = max(now.Sub(waiting.copiedAt), 0)
-	return unanswered
-}
-
 // counts reports whether a sign of silence since a time is newer than the last known life of
 // its server. The mutex must be held.
 func (detector *Detector) counts(server Server, since time.Time) bool {
 	return !detector.lives[server].After(since.Add(lifeMargin))
 }
 
-// isCutOff reports whether most of the servers that this instance knew alive look silent, so
-// that its own link may be the cause. The mutex must be held.
-func (detector *Detector) isCutOff(now time.Time) bool {
-	silent := map[Server]bool{}
-	for sign, waiting := range detector.own {
-		if detector.counts(sign.server, waiting.since) {
-			silent[sign.server] = true
-		}
-	}
-	return float64(len(silent)) > max(minSilent, maxSilentShare*float64(len(detector.lives)))
-}
-
 // Receive processes a message of another instance and returns the answer, which is empty if none
 // is due. The ages in the message count from sentBy, before which it did not arrive, so that life which
 // this instance saw while the message waited still answers it. Of other failure domains questions are answered, signs of life believed, and declarations
@@ -272,20 +155,7 @@
 	detector.mutex.Lock()
 	defer detector.mutex.Unlock()
 	var answer Message
-	for _, alive := range message.Alive {
-		at := now.Add(-alive.Age)
-		isNews := place.IsLeader && at.After(detector.lives[alive.Server]) && detector.refutesOpening(alive.Server, at)
-		if detector.noteLife(alive.Server, at) {
-			detector.observer.ServerAlive(alive.Server, false)
-			isNews = place.IsLeader
-		}
-		if isNews {
-			detector.refuted[alive.Server] = at // to be told to the failure domain
-		}
-	}
-	if len(message.Alive) > 0 {
-		detector.onChange()
-	}
+	detector.believe(message.Alive, place, now)
 	for _, question := range message.Questions {
 		if !detector.counts(question.Server, sentBy.Add(-question.Age)) {
 			answer.Alive = append(answer.Alive, detector.life(question.Server, now))
@@ -307,28 +177,22 @@
 	return answer
 }
 
-// apply puts declarations in force, except of servers that have shown life here since, which it
-// returns. The mutex must be held.
-func (detector *Detector) apply(silent []ServerAge, sentBy, now time.Time) []ServerAge {
-	var alive []ServerAge
-	changed := maps.Clone(*detector.silent.Load())
-	applied := false
-	for _, entry := range silent {
-		since := sentBy.Add(-entry.Age)
-		if !detector.counts(entry.Server, since) {
-			alive = append(alive, detector.life(entry.Server, now))
-			continue
+// believe notes signs of life that another instance tells of. The mutex must be held.
+func (detector *Detector) believe(lives []ServerAge, place Place, now time.Time) {
+	for _, alive := range lives {
+		at := now.Add(-alive.Age)
+		isNews := place.IsLeader && at.After(detector.lives[alive.Server]) && detector.refutesOpening(alive.Server, at)
+		if detector.noteLife(alive.Server, at) {
+			detector.observer.ServerAlive(alive.Server, false)
+			isNews = place.IsLeader
 		}
-		if known, ok := changed[entry.Server]; ok && now.Before(known.Until) {
-			continue // the other leader has declared the same
+		if isNews {
+			detector.refuted[alive.Server] = at // to be told to the failure domain
 		}
-		changed[entry.Server] = Silence{Server: entry.Server, Since: since, Until: now.Add(silenceTime)}
-		applied = true
 	}
-	if applied {
-		detector.store(changed)
+	if len(lives) > 0 {
+		detector.onChange()
 	}
-	return alive
 }
 
 // life returns the last sign of life of a server. The mutex must be held.
@@ -350,12 +214,6 @@
 	detector.storeHolds(Silences{})
 }
 
-// store replaces the declarations. The mutex must be held.
-func (detector *Detector) store(silences Silences) {
-	detector.silent.Store(&silences)
-	detector.onChange()
-}
-
 // sweep forgets what is too old, once a second. The mutex must be held.
 func (detector *Detector) sweep(now time.Time) {
 	if now.Sub(detector.sweptAt) < time.Second {
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -21,8 +21,6 @@
 	// questionLifetime is how long a question holds. A leader may have been held up since, or
 	// have declared nothing as too many servers looked silent.
 	questionLifetime = 2 * answerTime
-	// reportTime is how long a sign may take until a leader counts it.
-	reportTime = reportInterval + 100*time.Millisecond
 	// minData is how many flows have to have an unanswered copy of data, and minInstances how many
 	// instances have to have seen that a server leaves flows unanswered.
 	minData      = 2
@@ -184,15 +182,6 @@
 	return weighed
 }
 
-// memory returns how long a sign counts. A caller that still has no answer retransmits again after twice
-// the time; if it does not, it has one or has given up.
-func (waiting *waiting) memory() time.Duration {
-	if waiting.isOpening {
-		return signMemory
-	}
-	return min(2*waiting.copiedAt.Sub(waiting.since)+reportTime, signMemory)
-}
-
 // namesWithWaits returns the names of the instances that saw the longest waits, with these.
 func namesWithWaits(waits map[string]time.Duration) string {
 	names := slices.SortedFunc(maps.Keys(waits), func(a, b string) int {
