A copy is sent six times, and a caller's back-off has to double within a jitter

Cause: the time to the next copy had to be 1.5 times the one before or more, which three late packets of one flow can give (waits of 533 to 886 ms in place of 600); and of four sendings and their answers all may be late by the 0.4 s until the next copy: about one flow in a thousand where each packet is late by up to 0.7 s with a chance of a fifth, and 30 flows wait at a server. Ruled out: a third flow (small sites have two or three open at a crash); counting callers that stop retransmitting as a sign of life (holds of full servers would end by it, and a caller that gives up or is moved by the routers stops too). Change: the time has to grow by 1.75 to 2.35; copies are sent six times, every 40 ms. It is a matter of chance still, as docs/design/server_liveness.md says.

--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -25,9 +25,11 @@
 	// copyTime is the least time after which data that arrives again was retransmitted; a
 	// copy that the network made follows at once.
 	copyTime = 150 * time.Millisecond
-	// minBackOff is how much longer the time to a caller's next copy is than to the one before, which
-	// doubles each time; where it is not, packets are late or out of order.
-	minBackOff = 1.5
+	// minBackOff and maxBackOff are how much longer the time to a caller's next copy is than to the one
+	// before, which doubles each time, give or take the jitter of a process; where it is not, packets
+	// are late or out of order.
+	minBackOff = 1.75
+	maxBackOff = 2.35
 )
 
 // follower remembers the established flows whose packets pass this instance, whichever
@@ -164,7 +166,8 @@
 func (flow *followedFlow) observeCopy(roundTrips *roundTrips, now time.Time) sign {
 	sign := sign{isCopy: true}
 	interval := now.Sub(flow.sentAt)
-	isInOrder := flow.interval > 0 && float64(interval) >= minBackOff*float64(flow.interval)
+	backOff := float64(interval) / float64(max(flow.interval, 1))
+	isInOrder := backOff >= minBackOff && backOff <= maxBackOff
 	if isInOrder && roundTrips.othersSince(flow.server, flow.sentAt.Add(questionRepeats*repeatInterval)) {
 		sign.askedAt, sign.waitedFor = flow.sentAt, now.Sub(flow.waitingSince)
 	}
--- a/steerer/question.go
+++ b/steerer/question.go
@@ -13,8 +13,8 @@
 
 const (
 	// questionRepeats is how often a copy of data is sent again, every repeatInterval.
-	questionRepeats = 3
-	repeatInterval  = 50 * time.Millisecond
+	questionRepeats = 5
+	repeatInterval  = 40 * time.Millisecond
 	// maxQuestions bounds the copies that are to be sent again.
 	maxQuestions = 1000
 )
