Callers that stop to retransmit deny that their server is silent

Cause: a packet that the network repeats 0.35 to 0.47 s late can't be told from the caller's next copy, and comes as its back-off would. Change: a caller whose first copy was sent on and which has not retransmitted again 0.1 s after it would have, by what was read until then, has an answer, unless flows have moved since. Instances note until when that holds, say so in answer to a leader's question (field 6, which older programs ignore), and a copy without an answer from before counts no more. Holds and declarations in force stay. A server that falls silent while callers wait in its queue is found up to 0.5 s later for it. Tests: CallerThatStopsHasAnAnswer, ServerWhoseCallersStopIsNotDeclaredSilent; both without the code do not compile, and the second holds the declaration without the answer.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -26,6 +26,7 @@
 
 	mutex      sync.Mutex
 	lives      map[Server]time.Time // of the last sign of life here, or one that another instance told of
+	answered   map[Server]time.Time // until when callers have stopped to retransmit, here or elsewhere
 	own        map[flowSign]waiting // signs of silence of this instance
 	unreported []flowSign
 	reportedAt time.Time
@@ -61,7 +62,7 @@
 func NewDetector(observer Observer) *Detector {
 	detector := &Detector{
 		onChange: func() {}, observer: observer,
-		lives: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{},
+		lives: map[Server]time.Time{}, answered: map[Server]time.Time{}, own: map[flowSign]waiting{}, refuted: map[Server]time.Time{}, candidates: map[Server]*candidate{},
 	}
 	detector.silent.Store(&Silences{})
 	detector.held.Store(&Silences{})
@@ -87,6 +88,21 @@
 	}
 }
 
+// RecordAnswered notes that a caller has stopped to retransmit data to a server, so that it may have had
+// an answer until a time. Packets that the network repeats or delays, which look like copies without an
+// answer, do not count against that; holds and declarations stay, as the server may have ended since.
+func (detector *Detector) RecordAnswered(backendServer *viewer.BackendServer, until time.Time) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	detector.noteAnswered(NewServer(backendServer), until)
+}
+
+func (detector *Detector) noteAnswered(server Server, until time.Time) {
+	if until.After(detector.answered[server]) {
+		detector.answered[server] = until
+	}
+}
+
 // noteLife notes a sign of life, and reports whether it takes back a declaration or a hold. The mutex
 // must be held.
 func (detector *Detector) noteLife(server Server, at time.Time) bool {
@@ -147,6 +163,12 @@
 	return !detector.lives[server].After(since.Add(lifeMargin))
 }
 
+// countsData reports the same for a copy of data: no caller may have had an answer since, either. The
+// mutex must be held.
+func (detector *Detector) countsData(server Server, since time.Time) bool {
+	return detector.counts(server, since) && !detector.answered[server].After(since.Add(lifeMargin))
+}
+
 // Receive processes a message of another instance and returns the answer, which is empty if none
 // is due. The ages in the message count from sentBy, before which it did not arrive, so that life which
 // this instance saw while the message waited still answers it. Of other failure domains questions are answered, signs of life believed, and declarations
@@ -159,8 +181,13 @@
 	for _, question := range message.Questions {
 		if !detector.counts(question.Server, sentBy.Add(-question.Age)) {
 			answer.Alive = append(answer.Alive, detector.life(question.Server, now))
+		} else if until := detector.answered[question.Server]; until.After(sentBy.Add(-question.Age)) {
+			answer.Answered = append(answer.Answered, ServerAge{Server: question.Server, Age: max(now.Sub(until), 0)})
 		}
 	}
+	for _, answered := range message.Answered {
+		detector.noteAnswered(answered.Server, now.Add(-answered.Age))
+	}
 	if !sameDomain {
 		if place.IsLeader {
 			detector.noteHints(message.Silent, sentBy, now)
@@ -221,6 +248,7 @@
 	}
 	detector.sweptAt = now
 	maps.DeleteFunc(detector.lives, func(_ Server, at time.Time) bool { return now.Sub(at) > lifeMemory })
+	maps.DeleteFunc(detector.answered, func(_ Server, until time.Time) bool { return now.Sub(until) > lifeMemory })
 	maps.DeleteFunc(detector.own, func(_ flowSign, waiting waiting) bool { return now.Sub(waiting.copiedAt) > signMemory })
 	maps.DeleteFunc(detector.candidates, func(_ Server, candidate *candidate) bool { return candidate.isOld(now) })
 	held := maps.Clone(*detector.held.Load())
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -400,3 +400,24 @@
 	assert.Assert(t, !member.IsSilent(NewServer(one), now) && !member.IsHeld(NewServer(one), now))
 	assert.Assert(t, member.IsSilent(NewServer(other), now) && member.IsHeld(NewServer(other), now))
 }
+
+// Guards against the same, as leaders see it: few callers that seem to go on among many that have stopped.
+func TestServerWhoseCallersStopIsNotDeclaredSilent(t *testing.T) {
+	for _, stopsElsewhere := range []bool{false, true} {
+		now := time.Now()
+		server := &viewer.BackendServer{Token: 1}
+		leader, place := newLeader(server, now)
+		other := NewDetector(&testInstance{})
+		if stopsElsewhere {
+			other.RecordAnswered(server, now.Add(-100*time.Millisecond))
+		}
+		question := Message{Questions: []ServerAge{{Server: NewServer(server), Age: 600 * time.Millisecond}}}
+		answer := other.Receive("lb-1", &question, true, Place{}, now, now)
+		leader.Receive("lb-2", &answer, true, place, now, now)
+		for range 4 {
+			now = now.Add(100 * time.Millisecond)
+			leader.Next(place, now, now)
+		}
+		assert.Equal(t, leader.IsSilent(NewServer(server), now), !stopsElsewhere)
+	}
+}
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -159,7 +159,8 @@
 	var weighed weighed
 	instances, flows := map[string]time.Duration{}, map[uint32]bool{} // routers may move a flow to another instance
 	for flow, waiting := range candidate.signs {
-		if !detector.counts(server, waiting.since) || now.Sub(waiting.copiedAt) > waiting.memory() {
+		isRefuted := !detector.counts(server, waiting.since) || !waiting.isOpening && !detector.countsData(server, waiting.since)
+		if isRefuted || now.Sub(waiting.copiedAt) > waiting.memory() {
 			delete(candidate.signs, flow)
 			continue
 		}
--- a/detector/message.go
+++ b/detector/message.go
@@ -29,7 +29,9 @@
 	Questions  []ServerAge  `cbor:"2,keyasint,omitempty"` // from a leader: who has seen life of these servers since
 	Alive      []ServerAge  `cbor:"3,keyasint,omitempty"` // the last sign of life, as an answer or because the server was declared silent
 	Silent     []ServerAge  `cbor:"4,keyasint,omitempty"` // from a leader: servers that have been silent since, for its failure domain
-	Holds      []Hold       `cbor:"5,keyasint,omitempty"` // from a leader: servers that get no openings for a time
+	// Answered tells, as an answer, until when callers of these servers have stopped to retransmit.
+	Answered []ServerAge `cbor:"6,keyasint,omitempty"`
+	Holds    []Hold      `cbor:"5,keyasint,omitempty"` // from a leader: servers that get no openings for a time
 }
 
 // Unanswered is data or the opening of a flow that a server has left unanswered.
@@ -60,7 +62,7 @@
 			return errors.Errorf("data is unanswered for %s, reported %s later", unanswered.For, unanswered.Delay)
 		}
 	}
-	for _, list := range [][]ServerAge{message.Questions, message.Alive, message.Silent} {
+	for _, list := range [][]ServerAge{message.Questions, message.Alive, message.Silent, message.Answered} {
 		for _, entry := range list {
 			if entry.Age < 0 {
 				return errors.Errorf("a sign of a server has age %s", entry.Age)
@@ -76,7 +78,7 @@
 }
 
 func (message *Message) isEmpty() bool {
-	return len(message.Unanswered)+len(message.Questions)+len(message.Alive)+len(message.Silent)+len(message.Holds) == 0
+	return len(message.Unanswered)+len(message.Questions)+len(message.Alive)+len(message.Silent)+len(message.Answered)+len(message.Holds) == 0
 }
 
 // Audience is the set of instances that a message is for.
--- a/relayer/server_sign.go
+++ b/relayer/server_sign.go
@@ -78,7 +78,7 @@
 	relayer.mutex.Unlock()
 	sender := heartbeat.Sender
 	answer := relayer.signs.Receive(sender.Name, heartbeat.ServerSigns, sender.FailureDomain == relayer.self.FailureDomain, place, relayer.network.Drained(), now)
-	if len(answer.Alive) == 0 {
+	if len(answer.Alive)+len(answer.Answered) == 0 {
 		return
 	}
 	relayer.sendReport(func(heartbeat *Heartbeat) { heartbeat.ServerSigns = &answer }, now, func(member Member, _ int) bool {
--- a/steerer/follower.go
+++ b/steerer/follower.go
@@ -61,6 +61,7 @@
 type sign struct {
 	aliveAt time.Time // the server has answered at this time or later; zero if the packet does not show it
 	isCopy  bool      // the caller retransmits data
+	dueAt   time.Time // when it does so again unless it has an answer; zero by all but the first copy
 	// askedAt is when a copy was sent to the server, which has left it unanswered although it had as
 	// long as another server needed to answer; zero if the packet does not show it.
 	askedAt   time.Time
@@ -166,6 +167,9 @@
 func (flow *followedFlow) observeCopy(roundTrips *roundTrips, now time.Time) sign {
 	sign := sign{isCopy: true}
 	interval := now.Sub(flow.sentAt)
+	if flow.interval == 0 {
+		sign.dueAt = now.Add(2 * interval)
+	}
 	backOff := float64(interval) / float64(max(flow.interval, 1))
 	isInOrder := backOff >= minBackOff && backOff <= maxBackOff
 	if isInOrder && roundTrips.othersSince(flow.server, flow.sentAt.Add(questionRepeats*repeatInterval)) {
--- a/steerer/question.go
+++ b/steerer/question.go
@@ -19,6 +19,9 @@
 	maxQuestions = 1000
 )
 
+// overdueTime is how much later than it is due a caller's next copy may come.
+const overdueTime = 100 * time.Millisecond
+
 // question is a copy of data that is to be sent again.
 type question struct {
 	packet   Packet // with content of its own
@@ -26,16 +29,33 @@
 	askedAt  time.Time // when the copy was sent first
 	repeats  int
 	repeatAt time.Time
+	dueAt    time.Time // when its caller retransmits again, if it is the first copy
 }
 
 // ask notes that a copy of data is sent to a server, to be sent again.
-func (steerer *Steerer) ask(packet *Packet, server *viewer.BackendServer, now time.Time) {
+func (steerer *Steerer) ask(packet *Packet, server *viewer.BackendServer, sign sign, now time.Time) {
 	if len(steerer.questions) >= maxQuestions {
 		return
 	}
-	asked := question{packet: *packet, server: server, askedAt: now, repeatAt: now.Add(repeatInterval)}
+	asked := question{packet: *packet, server: server, askedAt: now, repeatAt: now.Add(repeatInterval), dueAt: sign.dueAt}
 	asked.packet.Raw = slices.Clone(packet.Raw)
 	steerer.questions = append(steerer.questions, asked)
+	if !asked.dueAt.IsZero() && len(steerer.firstCopies) < maxQuestions {
+		asked.packet.Raw = nil
+		steerer.firstCopies = append(steerer.firstCopies, asked)
+	}
+}
+
+// reportAnswered reports the servers whose callers have not retransmitted again although they would have
+// by drained, up to which every packet that arrived was decided on, unless flows have moved since.
+func (steerer *Steerer) reportAnswered(drained time.Time) {
+	for len(steerer.firstCopies) > 0 && drained.Sub(steerer.firstCopies[0].dueAt) > overdueTime {
+		first := steerer.firstCopies[0]
+		steerer.firstCopies = steerer.firstCopies[1:]
+		if steerer.follower.waitsSince(&first.packet, first.askedAt) && steerer.openings.movedAt.Before(first.askedAt) {
+			steerer.resetter.recorder.RecordAnswered(first.server, first.dueAt)
+		}
+	}
 }
 
 // nextRepeat returns the next copy that is due to be sent again, or false if there is none.
--- a/steerer/question_test.go
+++ b/steerer/question_test.go
@@ -126,3 +126,34 @@
 		assert.Equal(t, flow.responseTime(), 40*time.Millisecond)
 	}
 }
+
+// Guards against packets that the network repeats late, which look like further copies: the other callers
+// of the server, which have stopped, tell that it answers.
+func TestCallerThatStopsHasAnAnswer(t *testing.T) {
+	cases := []struct {
+		name  string
+		later map[int]*Packet // after data at 0 and its copy at 200
+		want  []time.Time
+	}{
+		{"one that stops", nil, []time.Time{after(600)}},
+		{"not one that goes on", map[int]*Packet{600: data(1, 7, 100)}, nil},
+		{"not one whose answer shows itself", map[int]*Packet{500: laterPacket(1, tokenOf("a"), 900, 0, Flags{})}, nil},
+		{"not one whose flow the routers may have moved", map[int]*Packet{300: laterPacket(7, tokenOf("b"), 900, 0, Flags{})}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			harness, signs := newHarness("a", "b"), &signs{silences: &detector.Silences{}}
+			harness.SetDetector(signs)
+			harness.Decide(data(1, 7, 100), start)
+			harness.Decide(data(1, 7, 100), after(200))
+			for at := 210; at < 1000; at += 10 {
+				if packet := c.later[at]; packet != nil {
+					harness.Decide(packet, after(at))
+				}
+				for _, ok := harness.Next(after(at), after(at)); ok; _, ok = harness.Next(after(at), after(at)) {
+				}
+			}
+			assert.DeepEqual(t, signs.stopped, c.want)
+		})
+	}
+}
--- a/steerer/reset.go
+++ b/steerer/reset.go
@@ -35,6 +35,9 @@
 	// RecordUnanswered notes that a server has left a copy of data unanswered that was sent to it at a
 	// time; waitedFor is the time since the data itself was sent.
 	RecordUnanswered(server *viewer.BackendServer, flow uint32, askedAt time.Time, waitedFor time.Duration, now time.Time)
+	// RecordAnswered notes that a caller has stopped to retransmit data to a server, so that it may have
+	// had an answer until a time.
+	RecordAnswered(server *viewer.BackendServer, until time.Time)
 	// RecordUnansweredOpening notes that a caller had no answer to an opening which was sent to a
 	// server a time ago; isEjected is whether the server was ejected here for it.
 	RecordUnansweredOpening(server *viewer.BackendServer, flow uint32, waitedFor time.Duration, isEjected bool, now time.Time)
--- a/steerer/reset_test.go
+++ b/steerer/reset_test.go
@@ -142,6 +142,7 @@
 
 // signs is a detector that records the signs passed to it and declares what a test sets.
 type signs struct {
+	stopped    []time.Time // until when callers have stopped to retransmit
 	silences   *detector.Silences
 	alive      []time.Time
 	unanswered []time.Time // when the copies were sent that had no answer
@@ -158,6 +159,10 @@
 	signs.unanswered = append(signs.unanswered, askedAt)
 }
 
+func (signs *signs) RecordAnswered(_ *viewer.BackendServer, until time.Time) {
+	signs.stopped = append(signs.stopped, until)
+}
+
 func (signs *signs) RecordUnansweredOpening(server *viewer.BackendServer, _ uint32, _ time.Duration, _ bool, _ time.Time) {
 	signs.openings = append(signs.openings, server.Name)
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -68,6 +68,7 @@
 	follower             follower
 	resetter             resetter
 	questions            []question // in the order of repeatAt; at most maxQuestions
+	firstCopies          []question // whose callers may retransmit again, in the order of askedAt; at most maxQuestions
 	openings             openings
 	issuesServerTokens   atomic.Bool // see IssueServerTokens
 }
@@ -221,7 +222,7 @@
 	steerer.resetter.recordSign(server, packet, sign, now)
 	steerer.answerForGone(packet, sign, verdict, now)
 	if sign.isCopy && verdict.Action == Send && steerer.confirmsOpenings() {
-		steerer.ask(packet, server, now)
+		steerer.ask(packet, server, sign, now)
 	}
 }
 
@@ -243,6 +244,7 @@
 		return verdict, true
 	}
 	steerer.reportLostRequests(now, drained)
+	steerer.reportAnswered(drained)
 	steerer.reportComplete(now)
 	steerer.expireRequests(now)
 	steerer.expireFlows(now)
